--- /dev/null
+++ b/crates/schedule/src/fleet.rs
@@ -0,0 +1,1 @@
+//! Which VMs are maintained or moved to another pool, and when.
--- /dev/null
+++ b/crates/schedule/src/job_log.rs
@@ -0,0 +1,158 @@
+//! The fold of one pool's records: what was submitted, what was cancelled, how far each job is.
+//!
+//! Each pool has two partitions. Any node appends to the first: submissions and cancels. Only the
+//! pool's owner appends to the second: progress. Both are folded by job, newest record first come
+//! or last, so that a record that is read twice changes nothing.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::id::JobId;
+use crate::progress::{JobState, Progress};
+use crate::spec::JobSpec;
+
+/// What a record's key starts with.
+const SUBMIT: &str = "j";
+const CANCEL: &str = "c";
+const PROGRESS: &str = "p";
+
+/// Returns the key of a job's submission.
+pub fn submit_key(id: JobId) -> String {
+    format!("{SUBMIT}{id}")
+}
+
+/// Returns the key of a job's cancel.
+pub fn cancel_key(id: JobId) -> String {
+    format!("{CANCEL}{id}")
+}
+
+/// Returns the key of a job's progress.
+pub fn progress_key(id: JobId) -> String {
+    format!("{PROGRESS}{id}")
+}
+
+/// A record that cannot be read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BadRecord(pub String);
+
+/// Encodes a submission or a progress record.
+pub fn encode<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    // Encoding plain structs into memory cannot fail; an empty record would be dropped by readers.
+    postcard::to_allocvec(value).unwrap_or_default()
+}
+
+/// What is known of a job.
+#[derive(Clone, Debug, Default)]
+pub struct JobEntry {
+    /// The submission; none if only a cancel or progress has been read so far.
+    pub spec: Option<Arc<JobSpec>>,
+    /// Its caller cancelled it.
+    pub cancelled: bool,
+    /// How far it is.
+    pub progress: Progress,
+}
+
+impl JobEntry {
+    /// Returns the state to show, if the job was submitted.
+    pub fn state(&self) -> Option<JobState> {
+        self.spec.as_ref()?;
+        Some(self.progress.state(self.cancelled))
+    }
+}
+
+/// A change that the pool's owner acts on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogChange {
+    /// A job that was not known.
+    Submitted(JobId),
+    /// A job was cancelled.
+    Cancelled(JobId),
+}
+
+/// The fold of one pool's records.
+#[derive(Debug, Default)]
+pub struct JobLog {
+    jobs: HashMap<JobId, JobEntry>,
+}
+
+impl JobLog {
+    /// Returns what is known of a job.
+    pub fn get(&self, id: JobId) -> Option<&JobEntry> {
+        self.jobs.get(&id)
+    }
+
+    /// Returns all jobs.
+    pub fn iter(&self) -> impl Iterator<Item = (JobId, &JobEntry)> {
+        self.jobs.iter().map(|(&id, entry)| (id, entry))
+    }
+
+    /// Returns how many jobs are held.
+    pub fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns whether no job is held.
+    pub fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+    }
+
+    /// Returns how many jobs of a queue were accepted and have not begun.
+    pub fn pending(&self, queue: &str) -> usize {
+        let is_pending = |e: &&JobEntry| {
+            e.state() == Some(JobState::Queued) && e.spec.as_ref().is_some_and(|s| s.queue == queue)
+        };
+        self.jobs.values().filter(is_pending).count()
+    }
+
+    /// Applies one record of either partition; a record without a value was dropped.
+    pub fn apply(
+        &mut self,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Result<Option<LogChange>, BadRecord> {
+        let bad = || BadRecord(key.to_owned());
+        let (kind, id) = key.split_at_checked(1).ok_or_else(bad)?;
+        let id: JobId = id.parse().map_err(|_| bad())?;
+        let Some(value) = value else {
+            if kind == SUBMIT {
+                self.jobs.remove(&id);
+            }
+            return Ok(None);
+        };
+        match kind {
+            SUBMIT => {
+                let spec: JobSpec = postcard::from_bytes(value).map_err(|_| bad())?;
+                Ok(self.submit(id, spec))
+            }
+            CANCEL => {
+                let entry = self.jobs.entry(id).or_default();
+                let news = !entry.cancelled;
+                entry.cancelled = true;
+                Ok(news.then_some(LogChange::Cancelled(id)))
+            }
+            PROGRESS => {
+                let progress = postcard::from_bytes(value).map_err(|_| bad())?;
+                self.jobs.entry(id).or_default().progress = progress;
+                Ok(None)
+            }
+            _ => Err(bad()),
+        }
+    }
+
+    /// Keeps the first submission of an ID; later ones are copies.
+    fn submit(&mut self, id: JobId, spec: JobSpec) -> Option<LogChange> {
+        let entry = self.jobs.entry(id).or_default();
+        if entry.spec.is_some() {
+            return None;
+        }
+        entry.spec = Some(Arc::new(spec));
+        Some(LogChange::Submitted(id))
+    }
+
+    /// Sets a job's progress, as its owner has just written it.
+    pub fn set_progress(&mut self, id: JobId, progress: Progress) {
+        if let Some(entry) = self.jobs.get_mut(&id) {
+            entry.progress = progress;
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/lib.rs
@@ -0,0 +1,25 @@
+//! The job scheduler as a library: no sockets and no clock, so that the daemon, tests and random
+//! runs drive the same code. Times are passed in as milliseconds of a steady clock.
+
+pub mod catalog;
+pub mod fleet;
+pub mod id;
+pub mod job_log;
+pub mod lease;
+pub mod ownership;
+pub mod pool;
+pub mod progress;
+pub mod spec;
+pub mod vm;
+
+pub use catalog::{Catalog, Limits, PoolConfig, Queue};
+pub use id::{JobId, RunId, TaskId, VmId};
+pub use job_log::{JobLog, LogChange};
+pub use lease::TaskLease;
+pub use pool::Pool;
+pub use progress::{JobState, Phase, Progress};
+pub use spec::{JobSpec, Objective, Repeats, SpecError, Step};
+pub use vm::{EndKind, Room, RunEnd, RunRow, VmFacts, VmReport};
+
+/// Milliseconds of a steady clock.
+pub type Ms = u64;
--- /dev/null
+++ b/crates/schedule/src/ownership.rs
@@ -0,0 +1,226 @@
+//! Which node owns which pool, by what nodes write to the store.
+//!
+//! A node becomes owner by a conditional append; the place of that record is its token, so tokens
+//! rise. Ownership changes for cause only: the owner gave it up, was restarted, or fell silent for
+//! longer than its own lease lasts. Nothing here decides who *is* owner: the store does.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use thistle_model::rendezvous::weight;
+
+use crate::Ms;
+
+/// How long a node may act as owner after it sent a heartbeat that the store took, in
+/// milliseconds. Longer rides out longer outages, shorter moves pools sooner from dead nodes.
+pub const OWNER_LEASE_MS: Ms = 3_000;
+/// How long a node must be silent before its pools are taken: its lease, the longest pause between
+/// two looks at the heartbeats, and a margin for clocks that differ by 2%.
+pub const SILENCE_MS: Ms = 3_600;
+/// How long the second-best node waits before it takes a pool that the best has not, and each
+/// further one as much longer.
+const RANK_STEP_MS: Ms = 400;
+/// How long a new node listens before it takes pools that nobody had, so that others are known.
+const LISTEN_MS: Ms = 800;
+
+/// One life of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NodeLife {
+    /// The node's name.
+    pub name: String,
+    /// A number drawn at start.
+    pub life: u64,
+}
+
+/// What a node writes to own a pool, or to give it up.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The owner.
+    pub owner: NodeLife,
+    /// The owner has given it up.
+    pub released: bool,
+}
+
+/// What a node writes to be known as alive.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Its life.
+    pub life: u64,
+    /// A count, so that each record differs.
+    pub sequence: u64,
+    /// It is about to stop and takes no pools.
+    pub leaving: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    life: u64,
+    sequence: u64,
+    leaving: bool,
+    heard_at: Ms,
+}
+
+#[derive(Clone, Debug)]
+struct Owned {
+    claim: Claim,
+    token: u64,
+    seen_at: Ms,
+}
+
+/// What one node knows of owners and members.
+#[derive(Debug)]
+pub struct Ownership {
+    me: NodeLife,
+    started_at: Ms,
+    members: HashMap<String, Member>,
+    claims: HashMap<Arc<str>, Owned>,
+    /// Since when pools are known to have no owner.
+    vacant_since: HashMap<Arc<str>, Ms>,
+}
+
+impl Ownership {
+    /// Makes the view of a node that has just started.
+    pub fn new(me: NodeLife, now: Ms) -> Self {
+        let (members, claims, vacant_since) = (HashMap::new(), HashMap::new(), HashMap::new());
+        Self { me, started_at: now, members, claims, vacant_since }
+    }
+
+    /// Takes in a heartbeat that was read.
+    pub fn heard(&mut self, name: &str, beat: &Heartbeat, now: Ms) {
+        let Heartbeat { life, sequence, leaving } = *beat;
+        let news = Member { life, sequence, leaving, heard_at: now };
+        match self.members.get_mut(name) {
+            Some(m) if m.life == life && m.sequence >= sequence => m.leaving |= leaving,
+            Some(m) => *m = news,
+            None => {
+                self.members.insert(name.to_owned(), news);
+            }
+        }
+    }
+
+    /// Takes in that heartbeats could not be read for a while: silence counts from now.
+    pub fn was_deaf(&mut self, now: Ms) {
+        for member in self.members.values_mut() {
+            member.heard_at = now;
+        }
+        for owned in self.claims.values_mut() {
+            owned.seen_at = now;
+        }
+    }
+
+    /// Takes in a claim that was read, with the offset of its record.
+    pub fn claimed(&mut self, pool: &Arc<str>, claim: Claim, offset: u64, now: Ms) {
+        let token = token_of(offset);
+        let known = self.claims.get(pool);
+        if known.is_some_and(|o| o.token >= token) {
+            return;
+        }
+        // A node that was taken for dead may give up what it no longer owns.
+        if claim.released && known.is_some_and(|o| o.claim.owner != claim.owner) {
+            return;
+        }
+        self.vacant_since.remove(pool);
+        self.claims.insert(pool.clone(), Owned { claim, token, seen_at: now });
+    }
+
+    /// Returns the owner's name, its token, and whether it has given the pool up.
+    pub fn owner(&self, pool: &str) -> Option<(&NodeLife, u64, bool)> {
+        self.claims.get(pool).map(|o| (&o.claim.owner, o.token, o.claim.released))
+    }
+
+    /// Returns this node's token for a pool, if the newest claim read is its own.
+    pub fn my_token(&self, pool: &str) -> Option<u64> {
+        let owned = self.claims.get(pool)?;
+        (owned.claim.owner == self.me && !owned.claim.released).then_some(owned.token)
+    }
+
+    /// Returns the members that were heard lately.
+    pub fn alive(&self, now: Ms) -> impl Iterator<Item = &str> {
+        let lately = move |m: &Member| now.saturating_sub(m.heard_at) < SILENCE_MS;
+        self.members.iter().filter(move |(_, m)| lately(m)).map(|(name, _)| name.as_str())
+    }
+
+    /// Returns which of some pools this node is to claim now.
+    pub fn to_claim<'a>(
+        &mut self,
+        pools: impl Iterator<Item = &'a Arc<str>>,
+        now: Ms,
+    ) -> Vec<Arc<str>> {
+        let mut wanted: Vec<Arc<str>> = Vec::new();
+        for pool in pools {
+            let Some(vacancy) = self.vacancy(pool, now) else {
+                self.vacant_since.remove(pool);
+                continue;
+            };
+            let since = *self.vacant_since.entry(pool.clone()).or_insert(now);
+            let due = match vacancy {
+                // The node that had it has its VMs' connections and state at hand soonest.
+                Vacancy::MineBefore => 0,
+                Vacancy::Restarted => since + 2 * RANK_STEP_MS + self.rank(pool, now, &wanted),
+                Vacancy::Released | Vacancy::Silent => since + self.rank(pool, now, &wanted),
+                Vacancy::Never => {
+                    since.max(self.started_at + LISTEN_MS) + self.rank(pool, now, &wanted)
+                }
+            };
+            if now >= due {
+                wanted.push(pool.clone());
+            }
+        }
+        wanted
+    }
+
+    fn vacancy(&self, pool: &str, now: Ms) -> Option<Vacancy> {
+        let Some(Owned { claim, seen_at, .. }) = self.claims.get(pool) else {
+            return Some(Vacancy::Never);
+        };
+        if claim.owner == self.me {
+            return claim.released.then_some(Vacancy::Released);
+        }
+        if claim.released {
+            return Some(Vacancy::Released);
+        }
+        if claim.owner.name == self.me.name {
+            return Some(Vacancy::MineBefore);
+        }
+        let heard_at = match self.members.get(&claim.owner.name) {
+            Some(m) if m.life != claim.owner.life && m.heard_at > *seen_at => {
+                return Some(Vacancy::Restarted);
+            }
+            Some(m) => m.heard_at.max(*seen_at),
+            None => *seen_at,
+        };
+        (now.saturating_sub(heard_at) >= SILENCE_MS).then_some(Vacancy::Silent)
+    }
+
+    /// Returns how long this node leaves a vacant pool to nodes that own less.
+    fn rank(&self, pool: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
+        let owned = |name: &str| {
+            self.claims.values().filter(|o| !o.claim.released && o.claim.owner.name == name).count()
+        };
+        let weight = |name: &str| weight(format!("{pool}/{name}").as_bytes(), 0);
+        let mine = (owned(&self.me.name) + wanted.len(), weight(&self.me.name));
+        let lately = |m: &&Member| !m.leaving && now.saturating_sub(m.heard_at) < SILENCE_MS;
+        let before = self
+            .members
+            .iter()
+            .filter(|(name, m)| **name != self.me.name && lately(m))
+            .filter(|(name, _)| (owned(name), weight(name)) < mine)
+            .count();
+        RANK_STEP_MS * u64::try_from(before).unwrap_or(u64::MAX)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Vacancy {
+    Never,
+    Released,
+    MineBefore,
+    Restarted,
+    Silent,
+}
+
+/// Returns the token of a claim at an offset: above 0, which stands for none.
+pub const fn token_of(offset: u64) -> u64 {
+    offset + 1
+}
--- /dev/null
+++ b/crates/schedule/src/pool/ends.rs
@@ -0,0 +1,86 @@
+//! What the end of a run means for its task and its job.
+
+use super::job::Spot;
+use super::{JobKey, Now, Pool, VmKey};
+use crate::id::RunId;
+use crate::progress::Phase;
+use crate::vm::{EndKind, RunEnd};
+
+impl Pool {
+    /// Takes in an end that a VM lists.
+    pub(super) fn take_end(&mut self, vm_key: VmKey, end: &RunEnd, now: Now) {
+        let vm = &mut self.vms[vm_key];
+        vm.strays.remove(&end.run);
+        let started = vm.runs.get(&end.run.task).map(|r| r.started);
+        if !vm.remove_run(end.run) {
+            return;
+        }
+        match end.kind {
+            EndKind::Done => vm.note_success(),
+            EndKind::Failed => {
+                vm.note_failure(end.run.task.job, now.steady);
+            }
+            EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => (),
+        }
+        let Some(key) = self.job_key(end.run.task) else { return };
+        if let (EndKind::Done, Some(started)) = (end.kind, started) {
+            self.learn(key, end.run, now.steady.saturating_sub(started));
+        }
+        self.settle_run(key, vm_key, end, now);
+    }
+
+    fn settle_run(&mut self, key: JobKey, vm: VmKey, end: &RunEnd, now: Now) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.phase != Phase::Open {
+            return;
+        }
+        let spec = job.spec.clone();
+        let Some(shape) = spec.steps.get(usize::from(end.run.task.step)) else { return };
+        let Some((step, index)) = job.step_mut(end.run.task) else { return };
+        let task = &mut step.tasks[index];
+        if task.attempt != end.run.attempt || task.spot != Spot::On(vm) {
+            return;
+        }
+        if !end.checkpoint.is_empty() {
+            task.checkpoint.clone_from(&end.checkpoint);
+        }
+        if end.kind == EndKind::Done && !shape.lasting {
+            step.set(index, Spot::Done);
+            if shape.gang {
+                // The gang's work is done; what is left of it ends by itself.
+                for i in 0..step.tasks.len() {
+                    step.set(i, Spot::Done);
+                }
+            }
+            self.touch(key);
+            self.close_time(key, end.run, now);
+            return;
+        }
+        step.set(index, Spot::Waiting);
+        let mut failures = 0;
+        if end.kind == EndKind::Failed && !shape.lasting {
+            let task = &mut step.tasks[index];
+            task.failures += 1;
+            task.avoid = Some(vm);
+            failures = task.failures;
+            if shape.gang {
+                step.gang_failures += 1;
+                failures = step.gang_failures;
+            }
+        } else if end.kind == EndKind::Failed {
+            step.tasks[index].avoid = Some(vm);
+        }
+        self.touch(key);
+        if failures > 0 && failures >= spec.objective.max_attempts.max(1) {
+            self.settle(key, Phase::Failed, now);
+        }
+    }
+
+    fn close_time(&mut self, key: JobKey, run: RunId, now: Now) {
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if job.close_done_time(run.task.time) {
+            job.phase = Phase::Completed;
+            job.settled_ms = now.wall;
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/estimate.rs
@@ -0,0 +1,45 @@
+//! How far callers' guesses of a task's time are off, learned by queue.
+
+use std::collections::HashMap;
+
+use super::{JobKey, Ms, Pool};
+use crate::id::RunId;
+
+/// Weight of a new sample in the moving mean: about the last twenty tasks count.
+const WEIGHT: f64 = 0.05;
+/// Bounds of the factor, against a few odd samples.
+const FACTORS: std::ops::RangeInclusive<f64> = 0.1..=10.0;
+
+/// Learned factors between a task's real and its estimated time.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Estimates {
+    by_queue: HashMap<String, f64>,
+}
+
+impl Estimates {
+    /// Returns by how much a queue's estimates are to be multiplied.
+    pub fn factor(&self, queue: &str) -> f64 {
+        self.by_queue.get(queue).copied().unwrap_or(1.0)
+    }
+
+    fn learn(&mut self, queue: &str, estimated_ms: u32, took: Ms) {
+        if estimated_ms == 0 {
+            return;
+        }
+        #[expect(clippy::cast_precision_loss, reason = "times of tasks are far below 2^52 ms")]
+        let sample = took as f64 / f64::from(estimated_ms);
+        let sample = sample.clamp(*FACTORS.start(), *FACTORS.end());
+        let factor = self.by_queue.entry(queue.to_owned()).or_insert(sample);
+        *factor += WEIGHT * (sample - *factor);
+    }
+}
+
+impl Pool {
+    pub(super) fn learn(&mut self, key: JobKey, run: RunId, took: Ms) {
+        let Some(job) = self.jobs.get(key) else { return };
+        let Some(step) = job.spec.steps.get(usize::from(run.task.step)) else { return };
+        if !step.lasting {
+            self.estimates.learn(&job.spec.queue, step.estimated_ms, took);
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -0,0 +1,76 @@
+//! Moving lasting tasks off VMs that are to be emptied or are leaving.
+
+use super::job::Spot;
+use super::vms::Run;
+use super::{Now, Pool, VmKey};
+use crate::id::TaskId;
+use crate::spec::Step;
+
+impl Pool {
+    /// Stops lasting tasks on VMs that are to be emptied, as far as each step's budget of absent
+    /// tasks allows and there is room for them elsewhere.
+    pub(super) fn evacuate(&mut self, now: Now) {
+        let leaving = |key: VmKey| {
+            let vm = &self.vms[key];
+            (vm.cordoned || vm.draining()) && vm.reachable && !vm.runs.is_empty()
+        };
+        let vms: Vec<VmKey> = self.vms.keys().filter(|&k| leaving(k)).collect();
+        for key in vms {
+            let waits = |(_, run): &(&TaskId, &Run)| !run.stopping && run.confirmed.is_some();
+            let runs: Vec<(TaskId, u32)> = self.vms[key]
+                .runs
+                .iter()
+                .filter(waits)
+                .map(|(&task, run)| (task, run.attempt))
+                .collect();
+            for (task, attempt) in runs {
+                if self.may_move(key, task, now) {
+                    self.stop_to_move(key, task, attempt);
+                }
+            }
+        }
+    }
+
+    fn may_move(&self, vm: VmKey, task: TaskId, now: Now) -> bool {
+        let Some(job) = self.job_key(task).and_then(|key| self.jobs.get(key)) else { return false };
+        let Some(shape) = job.spec.steps.get(usize::from(task.step)).filter(|s| s.lasting) else {
+            return false;
+        };
+        let Some(step) =
+            job.times.get(&task.time).and_then(|t| t.steps.get(usize::from(task.step)))
+        else {
+            return false;
+        };
+        let index = usize::try_from(task.index).unwrap_or(usize::MAX);
+        if step.tasks.get(index).is_none_or(|t| t.spot != Spot::On(vm)) {
+            return false;
+        }
+        let others_away = step.away() - usize::from(!step.tasks[index].at_work);
+        let budget = usize::try_from(shape.may_miss.max(1)).unwrap_or(1);
+        others_away < budget && self.fits_elsewhere(vm, task, shape, now)
+    }
+
+    fn fits_elsewhere(&self, vm: VmKey, task: TaskId, shape: &Step, now: Now) -> bool {
+        let same_step =
+            |t: &TaskId| t.job == task.job && t.time == task.time && t.step == task.step;
+        self.vms.iter().any(|(key, other)| {
+            let there = other.runs.keys().filter(|t| same_step(t)).count();
+            let spread = usize::try_from(shape.anti_affinity).unwrap_or(usize::MAX);
+            key != vm
+                && other.takes_work()
+                && other.aside_until <= now.steady
+                && other.free().holds(shape.room())
+                && (spread == 0 || there < spread)
+        })
+    }
+
+    fn stop_to_move(&mut self, vm: VmKey, task: TaskId, attempt: u32) {
+        if let Some(run) = self.vms[vm].runs.get_mut(&task) {
+            run.stopping = true;
+        }
+        if let Some((step, index)) = self.job_mut(task).and_then(|j| j.step_mut(task)) {
+            step.tasks[index].at_work = false;
+        }
+        self.order_stop(vm, task, attempt);
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/job.rs
@@ -0,0 +1,225 @@
+//! A job within a pool's schedule.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use super::{Now, VmKey};
+use crate::Ms;
+use crate::id::{JobId, TaskId, VmId};
+use crate::progress::{Phase, Place, Progress, TaskRecord};
+use crate::spec::JobSpec;
+
+/// Where a task stands.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) enum Spot {
+    #[default]
+    Waiting,
+    On(VmKey),
+    Done,
+}
+
+#[derive(Clone, Debug, Default)]
+pub(super) struct Task {
+    pub spot: Spot,
+    pub attempt: u32,
+    pub failures: u32,
+    pub checkpoint: String,
+    /// The VM on which it failed last, or which turned it away.
+    pub avoid: Option<VmKey>,
+    /// A lasting task that has started and does its work.
+    pub at_work: bool,
+}
+
+/// One step of one repetition.
+#[derive(Clone, Debug)]
+pub(super) struct StepRun {
+    pub tasks: Vec<Task>,
+    pub done: usize,
+    pub waiting: u32,
+    /// Attempts of the whole gang that failed.
+    pub gang_failures: u32,
+}
+
+impl StepRun {
+    fn new(count: u32) -> Self {
+        let tasks = vec![Task::default(); usize::try_from(count).unwrap_or(0)];
+        Self { tasks, done: 0, waiting: count, gang_failures: 0 }
+    }
+
+    pub const fn is_done(&self) -> bool {
+        self.done == self.tasks.len()
+    }
+
+    /// Returns how many lasting tasks are not at work.
+    pub fn away(&self) -> usize {
+        self.tasks.iter().filter(|t| !t.at_work).count()
+    }
+
+    /// Moves a task to another spot and keeps the counts.
+    pub fn set(&mut self, index: usize, spot: Spot) {
+        let task = &mut self.tasks[index];
+        let was = task.spot;
+        task.spot = spot;
+        if spot != was {
+            task.at_work = false;
+        }
+        self.waiting -= u32::from(was == Spot::Waiting);
+        self.waiting += u32::from(spot == Spot::Waiting);
+        self.done -= usize::from(was == Spot::Done);
+        self.done += usize::from(spot == Spot::Done);
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct TimeRun {
+    pub steps: Vec<StepRun>,
+}
+
+impl TimeRun {
+    fn new(spec: &JobSpec) -> Self {
+        Self { steps: spec.steps.iter().map(|s| StepRun::new(s.count)).collect() }
+    }
+
+    fn is_done(&self) -> bool {
+        self.steps.iter().all(StepRun::is_done)
+    }
+}
+
+#[derive(Clone, Debug)]
+pub(super) struct Job {
+    pub id: JobId,
+    pub spec: Arc<JobSpec>,
+    /// The longest chain of estimated work from each step to the end, in milliseconds.
+    pub chains: Vec<u64>,
+    pub phase: Phase,
+    pub begun: bool,
+    pub settled_ms: u64,
+    /// Repetitions that have fallen due and are not done.
+    pub times: BTreeMap<u32, TimeRun>,
+    /// The first repetition that has not fallen due.
+    pub next_time: u32,
+    pub done_times: Vec<u32>,
+    /// When it was accepted, by the steady clock of this process.
+    pub accepted: Ms,
+    pub dirty: bool,
+}
+
+impl Job {
+    pub fn new(id: JobId, spec: Arc<JobSpec>, now: Now) -> Self {
+        let age = now.wall.saturating_sub(spec.accepted_ms);
+        Self {
+            id,
+            chains: spec.chains(),
+            phase: Phase::Open,
+            begun: false,
+            settled_ms: 0,
+            times: BTreeMap::new(),
+            next_time: 0,
+            done_times: Vec::new(),
+            accepted: now.steady.saturating_sub(age),
+            dirty: false,
+            spec,
+        }
+    }
+
+    /// Opens the repetitions that have fallen due.
+    pub fn begin_due(&mut self, now: Now) {
+        while self.next_time < self.spec.times() && self.spec.due_ms(self.next_time) <= now.wall {
+            self.open_time(self.next_time);
+            self.next_time += 1;
+        }
+    }
+
+    /// Opens a repetition unless it is done or open.
+    pub fn open_time(&mut self, time: u32) {
+        if !self.done_times.contains(&time) {
+            let spec = &self.spec;
+            self.times.entry(time).or_insert_with(|| TimeRun::new(spec));
+        }
+    }
+
+    pub fn next_due(&self, now: Now) -> Option<Ms> {
+        if self.phase != Phase::Open || self.next_time >= self.spec.times() {
+            return None;
+        }
+        let wait = self.spec.due_ms(self.next_time).saturating_sub(now.wall);
+        Some(now.steady + wait)
+    }
+
+    pub fn task(&self, id: TaskId) -> Option<&Task> {
+        let step = self.times.get(&id.time)?.steps.get(usize::from(id.step))?;
+        step.tasks.get(usize::try_from(id.index).ok()?)
+    }
+
+    /// Returns a task with its step.
+    pub fn step_mut(&mut self, id: TaskId) -> Option<(&mut StepRun, usize)> {
+        let step = self.times.get_mut(&id.time)?.steps.get_mut(usize::from(id.step))?;
+        let index = usize::try_from(id.index).ok().filter(|&i| i < step.tasks.len())?;
+        Some((step, index))
+    }
+
+    /// Returns the steps whose turn has come and that have waiting tasks: repetition, step, count.
+    pub fn ready_steps(&self) -> impl Iterator<Item = (u32, usize, u32)> {
+        self.times.iter().flat_map(move |(&time, run)| {
+            let ready = move |&(i, step): &(usize, &StepRun)| {
+                let before = &self.spec.steps[i].depends_on;
+                step.waiting > 0 && before.iter().all(|&on| run.steps[usize::from(on)].is_done())
+            };
+            run.steps.iter().enumerate().filter(ready).map(move |(i, s)| (time, i, s.waiting))
+        })
+    }
+
+    /// Closes a repetition whose tasks are all done; returns whether the whole job is done.
+    pub fn close_done_time(&mut self, time: u32) -> bool {
+        if self.times.get(&time).is_some_and(TimeRun::is_done) {
+            self.times.remove(&time);
+            self.done_times.push(time);
+        }
+        self.times.is_empty() && self.next_time >= self.spec.times()
+    }
+
+    /// Returns the record of how far the job is.
+    pub fn progress(&self, vm_id: impl Fn(VmKey) -> Option<VmId>) -> Progress {
+        let mut progress = Progress {
+            phase: self.phase,
+            begun: self.begun,
+            settled_ms: self.settled_ms,
+            ..Progress::default()
+        };
+        if self.phase != Phase::Open {
+            return progress;
+        }
+        progress.done_times.clone_from(&self.done_times);
+        for (&time, run) in &self.times {
+            for (step, step_run) in (0..).zip(&run.steps) {
+                let tasks = (0..).zip(&step_run.tasks);
+                for (index, task) in tasks.filter(|(_, t)| t.spot != Spot::Waiting || t.attempt > 0)
+                {
+                    let place = match task.spot {
+                        Spot::Waiting => Place::Waiting,
+                        Spot::Done => Place::Done,
+                        Spot::On(vm) => {
+                            vm_id(vm).map_or(Place::Waiting, |id| Place::On(id.as_ref().to_owned()))
+                        }
+                    };
+                    let (attempt, failures) = (task.attempt, task.failures);
+                    // Only a task that waits resumes from it; while it runs, the VM has a newer one.
+                    let checkpoint = match task.spot {
+                        Spot::Waiting => task.checkpoint.clone(),
+                        Spot::On(_) | Spot::Done => String::new(),
+                    };
+                    progress.tasks.push(TaskRecord {
+                        time,
+                        step,
+                        index,
+                        place,
+                        attempt,
+                        failures,
+                        checkpoint,
+                    });
+                }
+            }
+        }
+        progress
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/place.rs
@@ -0,0 +1,260 @@
+//! Which waiting task runs on which VM.
+
+use super::job::Spot;
+use super::vms::{Run, Vm};
+use super::{JobKey, Now, Order, Pool, StartOrder, VmKey};
+use crate::Ms;
+use crate::id::{JobId, RunId, TaskId};
+use crate::progress::Phase;
+use crate::spec::Step;
+
+/// A step of one repetition of a job that has waiting tasks.
+#[derive(Clone, Copy, Debug)]
+struct ReadyStep {
+    job: JobKey,
+    id: JobId,
+    time: u32,
+    step: usize,
+}
+
+impl ReadyStep {
+    fn task(&self, index: usize) -> TaskId {
+        TaskId {
+            job: self.id,
+            time: self.time,
+            step: u16::try_from(self.step).unwrap_or(u16::MAX),
+            index: u32::try_from(index).unwrap_or(u32::MAX),
+        }
+    }
+}
+
+impl Pool {
+    pub(super) fn begin_due_times(&mut self, now: Now) {
+        for job in self.jobs.values_mut().filter(|j| j.phase == Phase::Open) {
+            job.begin_due(now);
+        }
+    }
+
+    /// Places waiting tasks, best job first, for as long as there is room.
+    pub(super) fn place_waiting(&mut self, now: Now) {
+        if !self.vms.values().any(|vm| vm.takes_work() && vm.aside_until <= now.steady) {
+            return;
+        }
+        let mut ranked = Vec::new();
+        for (key, job) in self.jobs.iter().filter(|(_, j)| j.phase == Phase::Open) {
+            if job.ready_steps().next().is_some() {
+                ranked.push((self.rank(job, now.steady), job.accepted, key));
+            }
+        }
+        ranked.sort_unstable();
+        for (_, _, key) in ranked {
+            self.place_job(key, now);
+        }
+    }
+
+    fn place_job(&mut self, key: JobKey, now: Now) {
+        let job = &self.jobs[key];
+        let id = job.id;
+        let ready: Vec<ReadyStep> = job
+            .ready_steps()
+            .map(|(time, step, _)| ReadyStep { job: key, id, time, step })
+            .collect();
+        for step in ready {
+            let spec = self.jobs[key].spec.clone();
+            if spec.steps[step.step].gang {
+                self.place_gang(step, &spec.steps[step.step], now);
+            } else {
+                self.place_step(step, &spec.steps[step.step], now);
+            }
+        }
+    }
+
+    fn place_step(&mut self, ready: ReadyStep, shape: &Step, now: Now) {
+        let waiting = self.waiting_tasks(ready);
+        for index in waiting {
+            let Some(vm) = self.choose_vm(ready, shape, index, None, now.steady) else {
+                // Tasks of a step are alike, but for the VM that each avoids.
+                if self.avoids(ready, index).is_none() {
+                    return;
+                }
+                continue;
+            };
+            let attempt = self.next_attempt(ready, index);
+            self.start(ready, shape, index, attempt, vm, now);
+        }
+    }
+
+    /// Places all tasks of a gang or none, on one rack if they are slow when spread.
+    fn place_gang(&mut self, ready: ReadyStep, shape: &Step, now: Now) {
+        let waiting = self.waiting_tasks(ready);
+        let all = self.jobs[ready.job].times[&ready.time].steps[ready.step].tasks.len();
+        if waiting.len() < all {
+            return;
+        }
+        let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
+        if shape.rack_local {
+            for vm in self.vms.values().filter_map(|vm| vm.facts.as_ref()) {
+                if !racks.iter().flatten().any(|r| *r == vm.rack) {
+                    racks.push(Some(vm.rack.clone()));
+                }
+            }
+        }
+        racks.push(None);
+        let attempt = waiting.iter().map(|&i| self.next_attempt(ready, i)).max().unwrap_or(1);
+        for rack in racks {
+            let mut placed = Vec::new();
+            for &index in &waiting {
+                let Some(vm) = self.choose_vm(ready, shape, index, rack.as_deref(), now.steady)
+                else {
+                    break;
+                };
+                let before = self.next_attempt(ready, index) - 1;
+                self.reserve(ready, shape, index, attempt, vm, now);
+                placed.push((index, vm, before));
+            }
+            if placed.len() == waiting.len() {
+                for (index, vm, _) in placed {
+                    self.order_start(ready, index, attempt, vm);
+                }
+                return;
+            }
+            for (index, vm, before) in placed {
+                let run = RunId { task: ready.task(index), attempt };
+                self.unreserve(ready, vm, run, before);
+            }
+        }
+    }
+
+    fn waiting_tasks(&self, ready: ReadyStep) -> Vec<usize> {
+        let step = &self.jobs[ready.job].times[&ready.time].steps[ready.step];
+        let waits = |&i: &usize| step.tasks[i].spot == Spot::Waiting;
+        (0..step.tasks.len()).filter(waits).collect()
+    }
+
+    fn avoids(&self, ready: ReadyStep, index: usize) -> Option<VmKey> {
+        self.jobs[ready.job].task(ready.task(index)).and_then(|t| t.avoid)
+    }
+
+    fn next_attempt(&self, ready: ReadyStep, index: usize) -> u32 {
+        self.jobs[ready.job].task(ready.task(index)).map_or(1, |t| t.attempt + 1)
+    }
+
+    /// Picks the emptiest VM that may run a task, near its data if there is room.
+    fn choose_vm(
+        &self,
+        ready: ReadyStep,
+        shape: &Step,
+        index: usize,
+        rack: Option<&str>,
+        now: Ms,
+    ) -> Option<VmKey> {
+        let avoid = self.avoids(ready, index);
+        let fits = |vm: &Vm| {
+            vm.takes_work()
+                && vm.aside_until <= now
+                && vm.free().holds(shape.room())
+                && rack.is_none_or(|r| vm.facts.as_ref().is_some_and(|f| &*f.rack == r))
+                && has_labels(vm, shape)
+                && below_spread(vm, ready, shape)
+        };
+        let score = |(key, vm): &(VmKey, &Vm)| {
+            let near = shape.affinity.as_deref().is_some_and(|a| has_label(vm, a));
+            // A task goes back to where it failed only if there is no other place.
+            (Some(*key) != avoid, !disturbs(vm, shape), near, vm.free().cpu)
+        };
+        self.vms.iter().filter(|(_, vm)| fits(vm)).max_by_key(score).map(|(key, _)| key)
+    }
+
+    fn start(
+        &mut self,
+        ready: ReadyStep,
+        shape: &Step,
+        index: usize,
+        attempt: u32,
+        vm: VmKey,
+        now: Now,
+    ) {
+        self.reserve(ready, shape, index, attempt, vm, now);
+        self.order_start(ready, index, attempt, vm);
+    }
+
+    /// Takes the room of a run and moves its task there.
+    fn reserve(
+        &mut self,
+        ready: ReadyStep,
+        shape: &Step,
+        index: usize,
+        attempt: u32,
+        vm: VmKey,
+        now: Now,
+    ) {
+        let run = Run {
+            attempt,
+            demand: shape.room(),
+            confirmed: None,
+            started: now.steady,
+            stopping: false,
+            tail_target_ms: shape.tail_target_ms,
+            fills: shape.fills,
+            percent: 100,
+            checkpoint: String::new(),
+        };
+        self.vms[vm].add_run(ready.task(index), run);
+        if let Some((step, index)) = self.jobs[ready.job].step_mut(ready.task(index)) {
+            step.set(index, Spot::On(vm));
+            step.tasks[index].attempt = attempt;
+        }
+    }
+
+    /// Undoes [`Pool::reserve`]; `before` is the attempt that the task was at.
+    fn unreserve(&mut self, ready: ReadyStep, vm: VmKey, run: RunId, before: u32) {
+        self.vms[vm].remove_run(run);
+        if let Some((step, index)) = self.jobs[ready.job].step_mut(run.task) {
+            step.set(index, Spot::Waiting);
+            step.tasks[index].attempt = before;
+        }
+    }
+
+    fn order_start(&mut self, ready: ReadyStep, index: usize, attempt: u32, vm: VmKey) {
+        let task = ready.task(index);
+        let job = &mut self.jobs[ready.job];
+        job.begun = true;
+        let order = StartOrder {
+            vm: self.vms[vm].id.clone(),
+            run: RunId { task, attempt },
+            spec: job.spec.clone(),
+            checkpoint: job.task(task).map(|t| t.checkpoint.clone()).unwrap_or_default(),
+            free_cpu: self.vms[vm].free().cpu,
+        };
+        self.orders.push(Order::Start(order));
+        self.touch(ready.job);
+    }
+}
+
+fn has_label(vm: &Vm, label: &str) -> bool {
+    vm.facts.as_ref().is_some_and(|f| f.labels.iter().any(|l| &**l == label))
+}
+
+fn has_labels(vm: &Vm, shape: &Step) -> bool {
+    shape.constraints.iter().all(|label| has_label(vm, label))
+}
+
+/// Returns whether one more task of the step may run on the VM.
+fn below_spread(vm: &Vm, ready: ReadyStep, shape: &Step) -> bool {
+    if shape.anti_affinity == 0 {
+        return true;
+    }
+    let of_step = |t: &&TaskId| {
+        t.job == ready.id && t.time == ready.time && usize::from(t.step) == ready.step
+    };
+    let there = vm.runs.keys().filter(of_step).count();
+    there < usize::try_from(shape.anti_affinity).unwrap_or(usize::MAX)
+}
+
+/// Returns whether the task would fill beside a serving task, or serve beside a filling one.
+fn disturbs(vm: &Vm, shape: &Step) -> bool {
+    if shape.fills {
+        return vm.runs.values().any(|r| r.tail_target_ms > 0);
+    }
+    shape.tail_target_ms > 0 && vm.runs.values().any(|r| r.fills)
+}
--- /dev/null
+++ b/crates/schedule/src/pool/rank.rs
@@ -0,0 +1,50 @@
+//! Which job goes first.
+
+use super::{Job, Ms, Pool};
+
+/// A job finished by this many times its objective still earns a little.
+const LATE_FACTOR: u64 = 3;
+
+/// The order in which jobs are placed: smaller goes first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Rank {
+    /// Lasting tasks first: they earn by the second, for as long as they run.
+    not_lasting: bool,
+    priority: u32,
+    /// 0: can finish in time; 1: late, but still of use; 2: too late.
+    lateness: u8,
+    /// When it is due, or how much work it has left if it is late.
+    then: u64,
+}
+
+impl Pool {
+    pub(super) fn rank(&self, job: &Job, now: Ms) -> Rank {
+        let factor = self.estimates.factor(&job.spec.queue);
+        let whole = scale(job.chains.iter().copied().max().unwrap_or(0), factor);
+        let ready = job.ready_steps().map(|(_, step, _)| job.chains[step]).max().unwrap_or(0);
+        let left = scale(ready, factor);
+        let objective = scale(whole, f64::from(job.spec.objective.stretch))
+            + u64::from(job.spec.objective.target_ms);
+        let due = job.accepted + objective;
+        let finish = now + left;
+        let (lateness, then) = if finish <= due {
+            (0, due)
+        } else if finish <= job.accepted + objective * LATE_FACTOR {
+            (1, left)
+        } else {
+            (2, left)
+        };
+        let not_lasting = !job.spec.is_lasting();
+        Rank { not_lasting, priority: job.spec.objective.priority, lateness, then }
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "times of jobs are far below 2^52 ms, and factors are not negative"
+)]
+fn scale(ms: u64, factor: f64) -> u64 {
+    (ms as f64 * factor) as u64
+}
--- /dev/null
+++ b/crates/schedule/src/pool/report.rs
@@ -0,0 +1,87 @@
+//! Taking in what a VM says of its runs.
+
+use std::collections::HashSet;
+
+use super::vms::Run;
+use super::{JobKey, Now, Pool, VmKey};
+use crate::id::{RunId, TaskId, VmId};
+use crate::vm::{RunRow, VmReport};
+
+/// Ends listed at once at most; a longer list comes in parts, and a run that is not in one part
+/// may be in the next.
+const MAX_ENDS: usize = 500;
+/// A lasting task that works at this share is at work.
+const FULL_SPEED: u32 = 100;
+
+impl Pool {
+    /// Takes in a VM's report, asked for under this owner's token.
+    pub fn report(&mut self, vm: &VmId, report: &VmReport, now: Now) {
+        let key = self.vm_key(vm);
+        for end in &report.ended {
+            self.take_end(key, end, now);
+        }
+        if let Some(last) = report.ended.iter().map(|e| e.sequence).max() {
+            self.acks.push((vm.clone(), last));
+        }
+        let complete = report.ended.len() < MAX_ENDS;
+        let listed: HashSet<RunId> = report.running.iter().map(|r| r.run).collect();
+        for row in &report.running {
+            self.take_row(key, row);
+        }
+        if complete {
+            self.drop_missing(key, report, &listed, now);
+        }
+        let vm = &mut self.vms[key];
+        vm.reachable = true;
+        vm.held |= complete;
+        vm.strays.retain(|run| listed.contains(run));
+        self.forget_vm_if_empty(key);
+    }
+
+    fn take_row(&mut self, key: VmKey, row: &RunRow) {
+        let vm = &mut self.vms[key];
+        let task = row.run.task;
+        if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
+            run.percent = row.percent;
+            run.checkpoint.clone_from(&row.checkpoint);
+            self.note_at_work(row);
+            return;
+        }
+        if vm.strays.insert(row.run) {
+            self.order_stop(key, task, row.run.attempt);
+        }
+    }
+
+    fn note_at_work(&mut self, row: &RunRow) {
+        let Some(job) = self.job_mut(row.run.task) else { return };
+        let lasting = job.spec.steps.get(usize::from(row.run.task.step)).is_some_and(|s| s.lasting);
+        let Some((step, index)) = job.step_mut(row.run.task) else { return };
+        if lasting {
+            step.tasks[index].at_work = row.percent >= FULL_SPEED;
+        }
+    }
+
+    /// Drops the runs that a complete report would list if they were there.
+    fn drop_missing(&mut self, key: VmKey, report: &VmReport, listed: &HashSet<RunId>, now: Now) {
+        let vm = &self.vms[key];
+        let first = !vm.held;
+        let missing = |(&task, run): (&TaskId, &Run)| {
+            let id = RunId { task, attempt: run.attempt };
+            let answered_before = run.confirmed.is_some_and(|at| report.asked_at > at);
+            ((first || answered_before) && !listed.contains(&id)).then_some(id)
+        };
+        let gone: Vec<RunId> = vm.runs.iter().filter_map(missing).collect();
+        for run in gone {
+            self.release(key, run, now);
+        }
+    }
+
+    pub(super) fn job_mut(&mut self, task: TaskId) -> Option<&mut super::Job> {
+        let key = self.job_key(task)?;
+        self.jobs.get_mut(key)
+    }
+
+    pub(super) fn job_key(&self, task: TaskId) -> Option<JobKey> {
+        self.job_keys.get(&task.job).copied()
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/takeover.rs
@@ -0,0 +1,75 @@
+//! Taking over a pool from its records.
+
+use std::sync::Arc;
+
+use super::job::{Job, Spot};
+use super::vms::Run;
+use super::{Now, Pool};
+use crate::id::{JobId, TaskId, VmId};
+use crate::job_log::JobEntry;
+use crate::progress::{Phase, Place, TaskRecord};
+use crate::vm::Room;
+
+impl Pool {
+    /// Takes in a job as its records tell. Tasks ordered to run somewhere count as running there
+    /// until that VM has answered under this owner's token, or its lease is over.
+    pub fn adopt(&mut self, id: JobId, entry: &JobEntry, now: Now) {
+        let Some(spec) = &entry.spec else { return };
+        if entry.progress.phase != Phase::Open || self.job_keys.contains_key(&id) {
+            return;
+        }
+        let mut job = Job::new(id, spec.clone(), now);
+        job.begun = entry.progress.begun;
+        job.done_times.clone_from(&entry.progress.done_times);
+        job.begin_due(now);
+        for record in &entry.progress.tasks {
+            job.open_time(record.time);
+            job.next_time = job.next_time.max(record.time + 1);
+        }
+        let key = self.jobs.insert(job);
+        self.job_keys.insert(id, key);
+        for record in &entry.progress.tasks {
+            self.adopt_task(id, record, now);
+        }
+        if entry.cancelled {
+            self.cancel(id, now);
+        }
+    }
+
+    fn adopt_task(&mut self, job_id: JobId, record: &TaskRecord, now: Now) {
+        let id = TaskId { job: job_id, time: record.time, step: record.step, index: record.index };
+        let spot = match &record.place {
+            Place::Waiting => Spot::Waiting,
+            Place::Done => Spot::Done,
+            Place::On(vm) => Spot::On(self.vm_key(&VmId::from(vm.as_str()))),
+        };
+        let Some(job) = self.job_mut(id) else { return };
+        let shape = job.spec.steps.get(usize::from(id.step)).cloned();
+        let Some((step, index)) = job.step_mut(id) else { return };
+        step.set(index, spot);
+        let task = &mut step.tasks[index];
+        task.attempt = record.attempt;
+        task.failures = record.failures;
+        task.checkpoint.clone_from(&record.checkpoint);
+        let Spot::On(vm) = spot else { return };
+        let demand = shape.as_ref().map_or(Room::default(), crate::spec::Step::room);
+        let run = Run {
+            attempt: record.attempt,
+            demand,
+            confirmed: None,
+            started: now.steady,
+            stopping: false,
+            tail_target_ms: shape.as_ref().map_or(0, |s| s.tail_target_ms),
+            fills: shape.is_some_and(|s| s.fills),
+            percent: 0,
+            checkpoint: String::new(),
+        };
+        self.vms[vm].add_run(id, run);
+    }
+
+    /// Returns the incarnations that have runs, each with its listing if there is one.
+    pub fn vms_with_runs(&self) -> Vec<(VmId, Option<Arc<crate::vm::VmFacts>>)> {
+        let busy = |vm: &&super::Vm| !vm.runs.is_empty();
+        self.vms.values().filter(busy).map(|vm| (vm.id.clone(), vm.facts.clone())).collect()
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pool/vms.rs
@@ -0,0 +1,244 @@
+//! VMs within a pool's schedule.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+
+use super::{Now, Pool, VmKey};
+use crate::Ms;
+use crate::id::{JobId, RunId, TaskId, VmId};
+use crate::vm::{Room, VmFacts};
+
+/// Failures of different jobs in a row after which a VM is set aside. One job that can never be
+/// done fails anywhere; two may meet by chance at today's share of such jobs (3%).
+const STRIKES: usize = 3;
+/// How long a VM that fails its tasks gets no new ones, in milliseconds: about the length of the
+/// trouble that the users' sites describe.
+const ASIDE_MS: Ms = 5_000;
+/// How long a VM that turned a start away gets no new ones, in milliseconds.
+const ASIDE_BRIEFLY_MS: Ms = 500;
+
+/// A run that a VM has, may have, or is about to get.
+#[derive(Clone, Debug)]
+pub(super) struct Run {
+    pub attempt: u32,
+    pub demand: Room,
+    /// When the VM last answered an order about it; a report asked for after that lists it.
+    pub confirmed: Option<Ms>,
+    pub started: Ms,
+    pub stopping: bool,
+    /// It serves users of its own, with this tail to keep.
+    pub tail_target_ms: u32,
+    pub fills: bool,
+    pub percent: u32,
+    pub checkpoint: String,
+}
+
+/// One incarnation of a VM.
+#[derive(Clone, Debug)]
+pub(super) struct Vm {
+    pub id: VmId,
+    /// What the platform lists; none for a VM known from records only.
+    pub facts: Option<Arc<VmFacts>>,
+    /// The platform lists it now.
+    pub listed: bool,
+    /// It has answered under this owner's token, so that no older order can start anything there.
+    pub held: bool,
+    /// Its last call was answered.
+    pub reachable: bool,
+    pub cordoned: bool,
+    pub used: Room,
+    pub runs: HashMap<TaskId, Run>,
+    /// Runs that are not ours; nothing is started beside them, since their room is unknown.
+    pub strays: HashSet<RunId>,
+    strikes: Vec<JobId>,
+    pub aside_until: Ms,
+}
+
+/// A VM's standing, for operators.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct VmSummary {
+    /// The incarnation.
+    pub id: VmId,
+    /// The VM's lasting name.
+    pub name: Arc<str>,
+    /// Processor in use, in thousandths of a core.
+    pub used: Room,
+    /// Tasks ordered to run there.
+    pub runs: usize,
+    /// It takes new work.
+    pub takes_work: bool,
+}
+
+impl Vm {
+    pub fn new(id: VmId) -> Self {
+        Self {
+            id,
+            facts: None,
+            listed: false,
+            held: false,
+            reachable: true,
+            cordoned: false,
+            used: Room::default(),
+            runs: HashMap::new(),
+            strays: HashSet::new(),
+            strikes: Vec::new(),
+            aside_until: 0,
+        }
+    }
+
+    pub fn room(&self) -> Room {
+        self.facts.as_ref().map(|f| f.room).unwrap_or_default()
+    }
+
+    pub fn name(&self) -> Option<&Arc<str>> {
+        self.facts.as_ref().map(|f| &f.name)
+    }
+
+    pub fn draining(&self) -> bool {
+        self.facts.as_ref().is_some_and(|f| f.draining)
+    }
+
+    /// Returns whether new tasks may be ordered to run there, room aside.
+    pub fn takes_work(&self) -> bool {
+        let fit = self.listed && self.held && self.reachable && self.strays.is_empty();
+        fit && !self.cordoned && !self.draining()
+    }
+
+    pub fn free(&self) -> Room {
+        self.room().minus(self.used)
+    }
+
+    pub fn add_run(&mut self, task: TaskId, run: Run) {
+        self.used = self.used.plus(run.demand);
+        if let Some(old) = self.runs.insert(task, run) {
+            self.used = self.used.minus(old.demand);
+        }
+    }
+
+    /// Removes a run; returns whether it was there.
+    pub fn remove_run(&mut self, run: RunId) -> bool {
+        if self.runs.get(&run.task).is_none_or(|r| r.attempt != run.attempt) {
+            return false;
+        }
+        if let Some(old) = self.runs.remove(&run.task) {
+            self.used = self.used.minus(old.demand);
+        }
+        true
+    }
+
+    pub fn note_success(&mut self) {
+        self.strikes.clear();
+    }
+
+    /// Notes a failed run; returns whether the VM is set aside for it.
+    pub fn note_failure(&mut self, job: JobId, now: Ms) -> bool {
+        if !self.strikes.contains(&job) {
+            self.strikes.push(job);
+        }
+        if self.strikes.len() < STRIKES {
+            return false;
+        }
+        // One more failure after the pause sets it aside again.
+        self.strikes.remove(0);
+        self.aside_until = now + ASIDE_MS;
+        true
+    }
+
+    pub fn set_aside_briefly(&mut self, now: Ms) {
+        self.aside_until = self.aside_until.max(now + ASIDE_BRIEFLY_MS);
+    }
+}
+
+impl Pool {
+    /// Takes in a VM incarnation as the platform lists it.
+    pub fn list_vm(&mut self, facts: Arc<VmFacts>) {
+        let key = self.vm_key(&facts.id);
+        let cordoned = self.cordoned.contains(&facts.name);
+        let vm = &mut self.vms[key];
+        vm.listed = true;
+        vm.cordoned = cordoned;
+        vm.facts = Some(facts);
+    }
+
+    /// Takes in that the platform no longer lists a VM incarnation. What runs there counts until
+    /// its lease is over or its end is known.
+    pub fn unlist_vm(&mut self, id: &VmId) {
+        let Some(&key) = self.vm_keys.get(id) else { return };
+        self.vms[key].listed = false;
+        self.forget_vm_if_empty(key);
+    }
+
+    /// Sets which VMs, by lasting name, are to be emptied.
+    pub fn set_cordoned(&mut self, names: HashSet<Arc<str>>) {
+        for vm in self.vms.values_mut() {
+            vm.cordoned = vm.name().is_some_and(|n| names.contains(n));
+        }
+        self.cordoned = names;
+    }
+
+    /// Takes in whether a VM answers.
+    pub fn set_reachable(&mut self, id: &VmId, reachable: bool) {
+        if let Some(&key) = self.vm_keys.get(id) {
+            self.vms[key].reachable = reachable;
+        }
+    }
+
+    /// Takes in that nothing runs on a VM incarnation any more: its lease is over, or another
+    /// incarnation has taken its place.
+    pub fn vm_lost(&mut self, id: &VmId, now: Now) {
+        let Some(&key) = self.vm_keys.get(id) else { return };
+        let vm = &mut self.vms[key];
+        vm.held = false;
+        vm.reachable = false;
+        vm.strays.clear();
+        let run = |(&task, r): (&TaskId, &Run)| RunId { task, attempt: r.attempt };
+        let runs: Vec<RunId> = vm.runs.iter().map(run).collect();
+        for run in runs {
+            self.release(key, run, now);
+        }
+        self.forget_vm_if_empty(key);
+    }
+
+    /// Returns the VMs that still have runs or strays although the platform does not list them.
+    pub fn unlisted_with_runs(&self) -> Vec<VmId> {
+        let busy = |vm: &&Vm| !vm.listed && !(vm.runs.is_empty() && vm.strays.is_empty());
+        self.vms.values().filter(busy).map(|vm| vm.id.clone()).collect()
+    }
+
+    /// Returns the lasting names of VMs that are to be emptied and have nothing running.
+    pub fn emptied(&self) -> Vec<(Arc<str>, VmId)> {
+        let empty = |vm: &&Vm| vm.cordoned && vm.runs.is_empty() && vm.strays.is_empty() && vm.held;
+        let name = |vm: &Vm| vm.name().map(|n| (n.clone(), vm.id.clone()));
+        self.vms.values().filter(empty).filter_map(name).collect()
+    }
+
+    /// Returns how each VM stands.
+    pub fn vm_summaries(&self) -> Vec<VmSummary> {
+        let summary = |vm: &Vm| VmSummary {
+            id: vm.id.clone(),
+            name: vm.name().cloned().unwrap_or_default(),
+            used: vm.used,
+            runs: vm.runs.len(),
+            takes_work: vm.takes_work(),
+        };
+        self.vms.values().map(summary).collect()
+    }
+
+    /// Returns a VM's key, making one for an incarnation that is not known yet.
+    pub(super) fn vm_key(&mut self, id: &VmId) -> VmKey {
+        if let Some(&key) = self.vm_keys.get(id) {
+            return key;
+        }
+        let key = self.vms.insert(Vm::new(id.clone()));
+        self.vm_keys.insert(id.clone(), key);
+        key
+    }
+
+    pub(super) fn forget_vm_if_empty(&mut self, key: VmKey) {
+        let Some(vm) = self.vms.get(key) else { return };
+        if !vm.listed && vm.runs.is_empty() && vm.strays.is_empty() {
+            self.vm_keys.remove(&vm.id);
+            self.vms.remove(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/callers.rs
@@ -0,0 +1,265 @@
+//! The HTTP server for callers: submit a job, ask its state, cancel it, count a queue.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, HOST, HeaderValue};
+use hyper::service::service_fn;
+use hyper::{Method, Request};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use metrics::{counter, histogram};
+use thistle_model::clock::wall_ms;
+use thistle_platform::{KeyedRecord, body};
+use thistle_schedule::job_log::{cancel_key, encode, submit_key};
+use thistle_schedule::{Catalog, JobId, JobSpec, Queue};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::oneshot;
+
+use crate::node::{Node, steady_ms};
+use crate::pool_log::{PROGRESS, PoolLog, SUBMISSIONS};
+use crate::reply::{self, Reply};
+use crate::submit::{Submission, Written};
+
+/// Time for headers before a configuration says otherwise.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Largest headers before a configuration says otherwise, in bytes.
+const HEADER_BYTES: usize = 16 * 1024;
+/// The least buffer that the HTTP library takes.
+const MIN_BUFFER: usize = 8 * 1024;
+
+/// Serves callers until the task is dropped.
+pub async fn run(node: Arc<Node>, listener: TcpListener) {
+    thistle_wire::serve::accept(listener, move |stream| {
+        tokio::spawn(serve(node.clone(), stream));
+    })
+    .await;
+}
+
+async fn serve(node: Arc<Node>, stream: TcpStream) {
+    // Small answers go out at once; a connection on which this fails still works.
+    let _ = stream.set_nodelay(true);
+    let limits = node.catalog.borrow().as_ref().map(|c| c.limits);
+    let header_bytes = limits.map_or(HEADER_BYTES, |l| l.header_bytes);
+    let idle = limits.map_or(HEADER_TIMEOUT, |l| Duration::from_millis(l.idle_timeout_ms));
+    let respond = service_fn(|req: Request<Incoming>| {
+        let node = node.clone();
+        async move { Ok::<_, Infallible>(respond(&node, req).await) }
+    });
+    let conn = hyper::server::conn::http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_buf_size(header_bytes.max(MIN_BUFFER))
+        .serve_connection(TokioIo::new(stream), respond);
+    tokio::pin!(conn);
+    let mut closing = node.closing.subscribe();
+    // A caller that goes away is no fault.
+    tokio::select! {
+        _ = &mut conn => return,
+        _ = closing.wait_for(|&close| close) => (),
+    }
+    // The request under way is answered; then the connection is closed.
+    conn.as_mut().graceful_shutdown();
+    let _ = conn.await;
+}
+
+async fn respond(node: &Arc<Node>, req: Request<Incoming>) -> Reply {
+    let mut reply = answer(node, req).await;
+    if *node.stopping.borrow() {
+        // The caller's next request goes to another node.
+        reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+async fn answer(node: &Arc<Node>, req: Request<Incoming>) -> Reply {
+    let began = steady_ms();
+    let Some(catalog) = node.catalog.borrow().clone() else {
+        return reply::not_taken("this node has no configuration yet: ask another, or come back");
+    };
+    let host = host(&req);
+    let path = req.uri().path().to_owned();
+    let Some((queue, rest)) = catalog.route(&host, &path) else {
+        log::info!("request step=no-queue host={host} path={path} version={}", catalog.version);
+        return reply::no_such_queue();
+    };
+    let reply = match (req.method(), rest) {
+        (&Method::GET, "") => pending(node, queue).await,
+        (&Method::POST | &Method::GET | &Method::DELETE, id) => match id.parse::<JobId>() {
+            Ok(id) => for_job(node, &catalog, queue, id, req).await,
+            Err(e) => reply::bad_request(&e.to_string()),
+        },
+        _ => reply::wrong_method(),
+    };
+    let status = reply.status().as_u16().to_string();
+    counter!("thistle_requests", "status" => status).increment(1);
+    histogram!("thistle_request_seconds").record(seconds(steady_ms().saturating_sub(began)));
+    reply
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times of requests are far below 2^52 ms")]
+fn seconds(ms: u64) -> f64 {
+    ms as f64 / 1_000.0
+}
+
+fn host(req: &Request<Incoming>) -> String {
+    let header = req.headers().get(HOST).and_then(|h| h.to_str().ok());
+    let host = header.or_else(|| req.uri().host()).unwrap_or_default();
+    // A port after the name does not count.
+    host.split(':').next().unwrap_or_default().to_owned()
+}
+
+async fn for_job(
+    node: &Arc<Node>,
+    catalog: &Catalog,
+    queue: &Queue,
+    id: JobId,
+    req: Request<Incoming>,
+) -> Reply {
+    match *req.method() {
+        Method::POST => submit(node, catalog, queue, id, req).await,
+        Method::DELETE => cancel(node, queue, id).await,
+        _ => state(node, queue, id).await,
+    }
+}
+
+async fn submit(
+    node: &Arc<Node>,
+    catalog: &Catalog,
+    queue: &Queue,
+    id: JobId,
+    req: Request<Incoming>,
+) -> Reply {
+    let limit = catalog.limits.body_bytes;
+    let body: Bytes = match Limited::new(req.into_body(), limit).collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(e) if e.is::<http_body_util::LengthLimitError>() => return reply::too_large(limit),
+        Err(e) => return reply::bad_request(&format!("the body cannot be read: {e}")),
+    };
+    let mut spec: JobSpec = match body::decode_job(&body) {
+        Ok(spec) => spec,
+        Err(e) => return reply::bad_request(&format!("the body is no job: {}", e.0)),
+    };
+    if let Err(e) = spec.check() {
+        return reply::bad_request(&e.to_string());
+    }
+    queue.name.as_ref().clone_into(&mut spec.queue);
+    spec.objective = queue.objective;
+    spec.accepted_ms = wall_ms();
+    // A copy of a job that is kept is not kept twice.
+    if find(node, id).is_some() {
+        log::info!("accept id={id} queue={} step=copy", queue.name);
+        return reply::accepted();
+    }
+    let began = steady_ms();
+    let record = KeyedRecord::new(submit_key(id), encode(&spec));
+    let written = write(&node.pool_log(&queue.pool), record).await;
+    log::info!(
+        "accept id={id} queue={} pool={} version={} steps={} written={written:?} took_ms={}",
+        queue.name,
+        queue.pool,
+        catalog.version,
+        spec.steps.len(),
+        steady_ms().saturating_sub(began),
+    );
+    answer_written(written)
+}
+
+fn answer_written(written: Written) -> Reply {
+    match written {
+        Written::Kept => reply::accepted(),
+        Written::NotWritten => {
+            reply::not_taken("the store cannot be reached from here; nothing was taken: come back")
+        }
+        Written::Unknown => reply::unknown(),
+    }
+}
+
+async fn write(log: &PoolLog, record: KeyedRecord) -> Written {
+    let (done, told) = oneshot::channel();
+    log.submit(Submission { record, at: steady_ms(), done });
+    // Without an answer the append may be under way.
+    told.await.unwrap_or(Written::Unknown)
+}
+
+async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> Reply {
+    let known = match find(node, id) {
+        Some(log) => Some(log),
+        None => look_up(node, queue, id).await,
+    };
+    // An unknown job is cancelled too: its submission may still be on the way to the store.
+    let log = known.clone().unwrap_or_else(|| node.pool_log(&queue.pool));
+    let settled = log.jobs().get(id).and_then(thistle_schedule::job_log::JobEntry::state);
+    let written = match settled {
+        Some(state) if is_final(state) => Written::Kept,
+        _ => write(&log, KeyedRecord::new(cancel_key(id), vec![1])).await,
+    };
+    log::info!("cancel id={id} queue={} state={settled:?} written={written:?}", queue.name);
+    match (written, known) {
+        (Written::Kept, None) => reply::no_such_job(),
+        (written, _) => answer_written(written),
+    }
+}
+
+const fn is_final(state: thistle_schedule::JobState) -> bool {
+    use thistle_schedule::JobState::{Cancelled, Completed, Failed, Queued, Running};
+    match state {
+        Completed | Failed | Cancelled => true,
+        Queued | Running => false,
+    }
+}
+
+async fn state(node: &Arc<Node>, queue: &Queue, id: JobId) -> Reply {
+    let log = match find(node, id) {
+        Some(log) => log,
+        None => match look_up(node, queue, id).await {
+            Some(log) => log,
+            None if node.in_touch() => {
+                log::info!("state id={id} queue={} step=unknown", queue.name);
+                return reply::no_such_job();
+            }
+            None => return reply::not_taken("the store cannot be reached from here: come back"),
+        },
+    };
+    let known = |log: &PoolLog| log.jobs().get(id).and_then(|e| e.state());
+    let mut state = known(&log);
+    if !state.is_some_and(is_final) && !log.is_owned() {
+        // A state that is some moments old is better than none.
+        if let Err(e) = log.catch_up(node, PROGRESS, steady_ms()).await {
+            log::debug!("state id={id} step=old error=\"{e}\"");
+        }
+        state = known(&log);
+    }
+    state.map_or_else(reply::no_such_job, reply::state)
+}
+
+async fn pending(node: &Arc<Node>, queue: &Queue) -> Reply {
+    let log = node.pool_log(&queue.pool);
+    let count = log.jobs().pending(&queue.name);
+    reply::pending(count)
+}
+
+/// Returns the log of the pool that has a job, as far as this node has read.
+fn find(node: &Node, id: JobId) -> Option<Arc<PoolLog>> {
+    let has = |log: &Arc<PoolLog>| log.jobs().get(id).is_some_and(|e| e.spec.is_some());
+    node.pool_logs().into_iter().find(has)
+}
+
+/// Reads on and looks for a job, first in its queue's pool of today.
+async fn look_up(node: &Arc<Node>, queue: &Queue, id: JobId) -> Option<Arc<PoolLog>> {
+    let since = steady_ms();
+    let mut logs = node.pool_logs();
+    logs.sort_by_key(|log| log.pool != queue.pool);
+    for log in logs {
+        if let Err(e) = log.catch_up(node, SUBMISSIONS, since).await {
+            log::debug!("state id={id} step=read-failed pool={} error=\"{e}\"", log.pool);
+        }
+        if log.jobs().get(id).is_some_and(|e| e.spec.is_some()) {
+            return Some(log);
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/scheduler/src/cmd/mod.rs
@@ -0,0 +1,4 @@
+//! The subcommands, one file each.
+
+pub mod check_settings;
+pub mod run;
--- /dev/null
+++ b/crates/scheduler/src/control.rs
@@ -0,0 +1,227 @@
+//! Being a member, owning pools: heartbeats, claims, and starting and stopping owners.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use thistle_platform::{Appended, Guard, KeyedRecord, Stored};
+use thistle_schedule::Ms;
+use thistle_schedule::ownership::{Claim, Heartbeat};
+use tokio::task::AbortHandle;
+
+use crate::follow::{News, Tail, follow};
+use crate::node::{Node, lock, steady_ms};
+use crate::owner;
+
+/// The topic of claims and heartbeats.
+const TOPIC: &str = "control";
+/// Its partition of claims.
+const CLAIMS: u32 = 0;
+/// Its partition of heartbeats.
+const HEARTBEATS: u32 = 1;
+const OWNER_PREFIX: &str = "owner/";
+const MEMBER_PREFIX: &str = "member/";
+/// How often a node sends a heartbeat: four of them fit in an owner's lease.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(700);
+/// How often a node looks for pools without an owner.
+const CLAIM_EVERY: Duration = Duration::from_millis(100);
+/// A pause between two looks at heartbeats after which silence counts anew, in milliseconds.
+const DEAF_MS: Ms = 1_400;
+
+/// Owners that run on this node, by pool, with their tokens.
+type Running = HashMap<Arc<str>, (u64, AbortHandle)>;
+
+/// Takes part in ownership until the task is dropped.
+pub async fn run(node: Arc<Node>) {
+    let claims_end = Arc::new(AtomicU64::new(u64::MAX));
+    let follow_claims = follow_claims(node.clone(), claims_end.clone());
+    tokio::join!(follow_claims, beat(node.clone()), claim(node.clone(), claims_end));
+}
+
+async fn follow_claims(node: Arc<Node>, claims_end: Arc<AtomicU64>) {
+    let cx = node.clone();
+    follow(&node, Tail::new(TOPIC, CLAIMS), move |news, next| {
+        let records = match news {
+            News::Reloaded(records) | News::Records(records) => records,
+        };
+        for stored in records {
+            take_claim(&cx, &stored);
+        }
+        claims_end.store(next.unwrap_or(u64::MAX), Ordering::Relaxed);
+        cx.ownership_changed.notify_one();
+    })
+    .await;
+}
+
+fn take_claim(node: &Node, stored: &Stored) {
+    let Some(pool) = stored.record.key.strip_prefix(OWNER_PREFIX) else { return };
+    let Some(value) = stored.record.value() else { return };
+    match serde_json::from_slice::<Claim>(value) {
+        Ok(claim) => {
+            log::info!(
+                "owner pool={pool} step={} node={} token_offset={}",
+                if claim.released { "released" } else { "claimed" },
+                claim.owner.name,
+                stored.offset,
+            );
+            lock(&node.ownership).claimed(&pool.into(), claim, stored.offset, steady_ms());
+        }
+        Err(e) => log::error!("owner step=unreadable offset={} error=\"{e}\"", stored.offset),
+    }
+}
+
+/// Sends heartbeats and reads those of others.
+async fn beat(node: Arc<Node>) {
+    let mut tail = Tail::new(TOPIC, HEARTBEATS);
+    let mut sequence = 0;
+    let mut heard_at = steady_ms();
+    loop {
+        let sent_at = steady_ms();
+        sequence += 1;
+        let leaving = *node.stopping.borrow();
+        let beat = Heartbeat { life: node.me.life, sequence, leaving };
+        let key = format!("{MEMBER_PREFIX}{}", node.me.name);
+        let record = KeyedRecord::new(key, to_json(&beat));
+        let appended = node.store.append(TOPIC, HEARTBEATS, Guard::Always, &[record]).await;
+        match appended {
+            Ok(Appended::Done { .. }) => {
+                node.note_store(true);
+                if !leaving {
+                    node.renew_lease(sent_at);
+                }
+            }
+            Ok(other) => log::error!("heartbeat step=refused answer={other:?}"),
+            Err(e) => {
+                node.note_store(false);
+                log::debug!("heartbeat step=failed error=\"{e}\"");
+            }
+        }
+        if let Ok(news) = tail.read(&node.store, Duration::ZERO).await {
+            take_beats(&node, news, &mut heard_at);
+        }
+        let next = sent_at + u64::try_from(HEARTBEAT_EVERY.as_millis()).unwrap_or(0);
+        let pause = next.saturating_sub(steady_ms()).max(50);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+}
+
+fn take_beats(node: &Node, news: News, heard_at: &mut Ms) {
+    let now = steady_ms();
+    let mut ownership = lock(&node.ownership);
+    let records = match news {
+        News::Reloaded(records) | News::Records(records) => records,
+    };
+    for Stored { record, offset } in records {
+        let Some(name) = record.key.strip_prefix(MEMBER_PREFIX) else { continue };
+        let Some(value) = record.value() else { continue };
+        match serde_json::from_slice::<Heartbeat>(value) {
+            Ok(beat) => ownership.heard(name, &beat, now),
+            Err(e) => log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\""),
+        }
+    }
+    if now.saturating_sub(*heard_at) > DEAF_MS {
+        log::info!("heartbeat step=was-deaf ms={}", now.saturating_sub(*heard_at));
+        ownership.was_deaf(now);
+    }
+    *heard_at = now;
+}
+
+fn to_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+    // Encoding plain structs into memory cannot fail.
+    serde_json::to_vec(value).unwrap_or_default()
+}
+
+/// Claims pools without an owner, and keeps the owners on this node in step with the claims.
+async fn claim(node: Arc<Node>, claims_end: Arc<AtomicU64>) {
+    let mut running = Running::new();
+    let mut stopping = node.stopping.subscribe();
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(CLAIM_EVERY) => (),
+            () = node.ownership_changed.notified() => (),
+            _ = stopping.wait_for(|&stop| stop) => break,
+        }
+        for pool in wanted(&node) {
+            claim_pool(&node, &pool, claims_end.load(Ordering::Relaxed)).await;
+        }
+        start_and_stop(&node, &mut running);
+    }
+    release_all(&node, running).await;
+    std::future::pending::<()>().await;
+}
+
+fn wanted(node: &Node) -> Vec<Arc<str>> {
+    let logs = node.pool_logs();
+    if !node.in_touch() || !logs.iter().all(|log| log.is_loaded()) {
+        return Vec::new();
+    }
+    lock(&node.ownership).to_claim(logs.iter().map(|log| &log.pool), steady_ms())
+}
+
+async fn claim_pool(node: &Node, pool: &Arc<str>, end: u64) {
+    if end == u64::MAX {
+        return;
+    }
+    let sent_at = steady_ms();
+    let claim = Claim { owner: node.me.clone(), released: false };
+    let record = KeyedRecord::new(format!("{OWNER_PREFIX}{pool}"), to_json(&claim));
+    match node.store.append(TOPIC, CLAIMS, Guard::EndsAt(end), &[record]).await {
+        Ok(Appended::Done { offset, .. }) => {
+            node.renew_lease(sent_at);
+            lock(&node.ownership).claimed(pool, claim, offset, steady_ms());
+        }
+        // Another node was first, or the tail will tell.
+        Ok(other) => log::debug!("owner pool={pool} step=not-claimed answer={other:?}"),
+        Err(e) => log::debug!("owner pool={pool} step=claim-failed error=\"{e}\""),
+    }
+}
+
+fn start_and_stop(node: &Arc<Node>, running: &mut Running) {
+    for log in node.pool_logs() {
+        let token = lock(&node.ownership).my_token(&log.pool);
+        let same = running
+            .get(&log.pool)
+            .is_some_and(|(t, task)| Some(*t) == token && !task.is_finished());
+        if same {
+            continue;
+        }
+        if let Some((old, task)) = running.remove(&log.pool) {
+            log::info!("owner pool={} step=ended token={old}", log.pool);
+            task.abort();
+            drop(log.connect_owner(None));
+        }
+        if let Some(token) = token {
+            let task = tokio::spawn(owner::run(node.clone(), log.clone(), token));
+            running.insert(log.pool.clone(), (token, task.abort_handle()));
+        }
+    }
+}
+
+/// Ends all owners and gives their pools up, so that others take them at once.
+async fn release_all(node: &Arc<Node>, running: Running) {
+    node.end_lease();
+    let mut records = Vec::new();
+    for (pool, (token, task)) in running {
+        task.abort();
+        drop(node.pool_log(&pool).connect_owner(None));
+        log::info!("owner pool={pool} step=given-up token={token}");
+        let claim = Claim { owner: node.me.clone(), released: true };
+        records.push(KeyedRecord::new(format!("{OWNER_PREFIX}{pool}"), to_json(&claim)));
+    }
+    if records.is_empty() {
+        return;
+    }
+    // Orders under way are answered or lost by then.
+    tokio::time::sleep(owner::ORDERS_SETTLE).await;
+    for _ in 0..RELEASE_TRIES {
+        match node.store.append(TOPIC, CLAIMS, Guard::Always, &records).await {
+            Ok(_) => return,
+            Err(e) => log::warn!("owner step=release-failed error=\"{e}\""),
+        }
+        tokio::time::sleep(CLAIM_EVERY).await;
+    }
+}
+
+/// How often giving pools up is tried; others take them after the lease anyway.
+const RELEASE_TRIES: u32 = 10;
--- /dev/null
+++ b/crates/scheduler/src/follow.rs
@@ -0,0 +1,86 @@
+//! Following a partition of a keyed topic.
+
+use std::time::Duration;
+
+use thistle_platform::{ReadError, Store, StoreError, Stored};
+
+use crate::node::Node;
+
+/// How long a read waits for records. Longer costs fewer calls; while a link is cut silently, the
+/// node is deaf for this long after it has healed.
+pub const WAIT: Duration = Duration::from_millis(1_500);
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// What was read.
+pub enum News {
+    /// The newest record of each key: what is not in it is gone.
+    Reloaded(Vec<Stored>),
+    /// Records since the last ones.
+    Records(Vec<Stored>),
+}
+
+/// A reader of one partition.
+pub struct Tail {
+    topic: String,
+    part: u32,
+    next: Option<u64>,
+}
+
+impl Tail {
+    /// Makes a reader that starts with the newest record of each key.
+    pub fn new(topic: impl Into<String>, part: u32) -> Self {
+        Self { topic: topic.into(), part, next: None }
+    }
+
+    /// Returns the offset of the next record.
+    pub const fn next_offset(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// Reads what is new, waiting for it up to `wait`.
+    pub async fn read(&mut self, store: &Store, wait: Duration) -> Result<News, StoreError> {
+        let Some(from) = self.next else {
+            let newest = store.newest(&self.topic, self.part).await?;
+            self.next = Some(newest.end);
+            return Ok(News::Reloaded(newest.records));
+        };
+        match store.read(&self.topic, self.part, from, wait).await {
+            Ok(batch) => {
+                self.next = Some(from + batch.records.len() as u64);
+                Ok(News::Records(batch.records))
+            }
+            Err(ReadError::Dropped) => {
+                log::info!("tail topic={} part={} step=dropped from={from}", self.topic, self.part);
+                self.next = None;
+                Ok(News::Records(Vec::new()))
+            }
+            Err(ReadError::Store(e)) => Err(e),
+        }
+    }
+}
+
+/// Follows a partition until the task is dropped, handing on what is read with the next offset.
+pub async fn follow(node: &Node, mut tail: Tail, mut apply: impl FnMut(News, Option<u64>)) {
+    let mut wait = Duration::ZERO;
+    loop {
+        match tail.read(&node.store, wait).await {
+            Ok(news) => {
+                node.note_store(true);
+                let next = tail.next_offset();
+                apply(news, next);
+                wait = WAIT;
+            }
+            Err(e) => {
+                node.note_store(false);
+                log::debug!(
+                    "tail topic={} part={} step=failed error=\"{e}\"",
+                    tail.topic,
+                    tail.part
+                );
+                tokio::time::sleep(PAUSE).await;
+                wait = Duration::ZERO;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/lib.rs
@@ -0,0 +1,21 @@
+//! The job scheduler's daemon: takes callers' jobs, keeps them in the platform's store, schedules
+//! the pools that this node owns, and maintains VMs.
+//!
+//! Nodes do not talk to each other: all that they agree on goes through the store. Lock order: a
+//! pool log's cursors, then its jobs, then the node's tables; no lock but a cursor's is held
+//! across an await.
+
+mod callers;
+mod control;
+mod follow;
+mod listing;
+mod node;
+mod owner;
+mod pool_log;
+mod readiness;
+mod reply;
+mod run;
+mod stats;
+mod submit;
+
+pub use run::run;
--- /dev/null
+++ b/crates/scheduler/src/listing.rs
@@ -0,0 +1,115 @@
+//! The configuration and the VMs, as the store tells them.
+
+use std::sync::Arc;
+
+use thistle_platform::{Stored, config, listing};
+
+use crate::follow::{News, Tail, follow};
+use crate::node::{Node, VmTable};
+
+/// Follows the operator's configuration.
+pub async fn follow_config(node: Arc<Node>) {
+    let cx = node.clone();
+    follow(&node, Tail::new(config::TOPIC, 0), move |news, _| {
+        let records = match news {
+            News::Reloaded(records) | News::Records(records) => records,
+        };
+        for stored in records {
+            if stored.record.key == config::CATALOG_KEY {
+                take_catalog(&cx, &stored);
+            }
+        }
+    })
+    .await;
+}
+
+fn take_catalog(node: &Arc<Node>, stored: &Stored) {
+    let Some(value) = stored.record.value() else { return };
+    let catalog = match config::decode_catalog(value) {
+        Ok(catalog) => catalog,
+        Err(e) => {
+            log::error!("config step=unreadable offset={} error=\"{}\"", stored.offset, e.0);
+            return;
+        }
+    };
+    let known = node.catalog.borrow().as_ref().map_or(0, |c| c.version);
+    if catalog.version <= known {
+        return;
+    }
+    log::info!(
+        "config step=in-force version={} before={known} offset={} queues={} pools={}",
+        catalog.version,
+        stored.offset,
+        catalog.queues().len(),
+        catalog.pools.len(),
+    );
+    let catalog = Arc::new(catalog);
+    for pool in catalog.working_pools() {
+        node.pool_log(pool);
+    }
+    for queue in catalog.queues() {
+        node.pool_log(&queue.pool);
+    }
+    node.catalog.send_replace(Some(catalog));
+}
+
+/// Follows the VM incarnations that the store lists.
+pub async fn follow_vms(node: Arc<Node>) {
+    let cx = node.clone();
+    follow(&node, Tail::new(listing::TOPIC, 0), move |news, _| {
+        let (mut table, records) = match news {
+            News::Reloaded(records) => (VmTable::new(), records),
+            News::Records(records) if records.is_empty() => return,
+            News::Records(records) => (VmTable::clone(&cx.vms.borrow()), records),
+        };
+        for stored in records {
+            take_vm(&mut table, &stored);
+        }
+        // Most records are heartbeats that change nothing.
+        cx.vms.send_if_modified(|known| {
+            let changed = **known != table;
+            if changed {
+                log_changes(known, &table);
+                *known = Arc::new(table);
+            }
+            changed
+        });
+    })
+    .await;
+}
+
+fn take_vm(table: &mut VmTable, stored: &Stored) {
+    let id = stored.record.key.as_str();
+    let Some(value) = stored.record.value() else {
+        table.remove(id);
+        return;
+    };
+    match listing::decode(id, value) {
+        Ok(facts) if table.get(id).is_some_and(|known| **known == facts) => (),
+        Ok(facts) => {
+            table.insert(facts.id.clone(), Arc::new(facts));
+        }
+        Err(e) => log::error!("vm step=unreadable offset={} error=\"{}\"", stored.offset, e.0),
+    }
+}
+
+fn log_changes(before: &VmTable, after: &VmTable) {
+    for (id, facts) in after {
+        match before.get(id) {
+            Some(known) if known.draining == facts.draining => (),
+            known => log::info!(
+                "vm step={} vm={id} name={} pool={} addr={} hall={} rack={} draining={}",
+                if known.is_some() { "changed" } else { "listed" },
+                facts.name,
+                facts.pool,
+                facts.addr,
+                facts.hall,
+                facts.rack,
+                facts.draining,
+            ),
+        }
+    }
+    for (id, facts) in before.iter().filter(|(id, _)| !after.contains_key(*id)) {
+        log::info!("vm step=unlisted vm={id} name={} pool={}", facts.name, facts.pool);
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/main.rs
@@ -0,0 +1,21 @@
+//! `thistle-scheduler`: the program on every entry VM of the prepared platform.
+
+mod cmd;
+mod flags;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = flags::Scheduler::from_env_or_exit();
+    let result = match flags.subcommand {
+        flags::SchedulerCmd::Run(f) => cmd::run::run(&f.settings),
+        flags::SchedulerCmd::CheckSettings(f) => cmd::check_settings::run(&f.settings),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("thistle-scheduler: {e}");
+            ExitCode::from(e.exit_code())
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/node.rs
@@ -0,0 +1,148 @@
+//! What all tasks of a node share.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use thistle_model::clock::{Instant, wall_ms};
+use thistle_platform::Store;
+use thistle_schedule::ownership::{NodeLife, OWNER_LEASE_MS, Ownership};
+use thistle_schedule::pool::Now;
+use thistle_schedule::{Catalog, Ms, VmFacts, VmId};
+use thistle_settings::SchedulerSettings;
+use tokio::sync::watch;
+
+use crate::pool_log::PoolLog;
+
+/// How long a node counts as in touch with the store after a call that it answered: more than the
+/// longest wait for records.
+const IN_TOUCH_MS: Ms = 2_200;
+/// Longest lease that is given to tasks, in milliseconds: long enough for a pool to change hands
+/// without losing work, short enough that tasks of a VM that is cut off start elsewhere soon.
+const TASK_LEASE_MS: Ms = 6_000;
+
+/// Returns the present by both clocks.
+pub fn now() -> Now {
+    Now { steady: steady_ms(), wall: wall_ms() }
+}
+
+/// Returns the steady clock in milliseconds.
+pub fn steady_ms() -> Ms {
+    Instant::now().as_micros() / 1_000
+}
+
+/// Locks a table. A panic elsewhere while it was held left it whole: each change is one statement.
+pub fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// VM incarnations by ID, as the store lists them.
+pub type VmTable = HashMap<VmId, Arc<VmFacts>>;
+
+/// What all tasks of a node share.
+pub struct Node {
+    /// Its settings.
+    pub settings: SchedulerSettings,
+    /// Its name and this life of it.
+    pub me: NodeLife,
+    /// The platform's store.
+    pub store: Store,
+    /// The configuration in force.
+    pub catalog: watch::Sender<Option<Arc<Catalog>>>,
+    /// The VMs.
+    pub vms: watch::Sender<Arc<VmTable>>,
+    /// VMs, by lasting name, that are to be emptied.
+    pub cordoned: watch::Sender<Arc<HashSet<Arc<str>>>>,
+    /// Owners and members.
+    pub ownership: Mutex<Ownership>,
+    /// Wakes the task that starts and stops owners.
+    pub ownership_changed: tokio::sync::Notify,
+    pools: Mutex<HashMap<Arc<str>, Arc<PoolLog>>>,
+    /// Until when this node may act as owner.
+    lease_until: AtomicU64,
+    /// When the store last answered.
+    store_answered: AtomicU64,
+    store_lost: AtomicBool,
+    /// This node is about to stop: it takes no new connections and owns nothing.
+    pub stopping: watch::Sender<bool>,
+    /// Connections are closed once the request under way on each is answered.
+    pub closing: watch::Sender<bool>,
+}
+
+impl Node {
+    /// Makes a node that knows nothing yet.
+    pub fn new(settings: SchedulerSettings) -> Self {
+        let me = NodeLife { name: settings.name.clone(), life: rand::random() };
+        Self {
+            store: Store::new(settings.store),
+            ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
+            settings,
+            me,
+            catalog: watch::Sender::new(None),
+            vms: watch::Sender::new(Arc::default()),
+            cordoned: watch::Sender::new(Arc::default()),
+            ownership_changed: tokio::sync::Notify::new(),
+            pools: Mutex::default(),
+            lease_until: AtomicU64::new(0),
+            store_answered: AtomicU64::new(0),
+            store_lost: AtomicBool::new(false),
+            stopping: watch::Sender::new(false),
+            closing: watch::Sender::new(false),
+        }
+    }
+
+    /// Returns a pool's log, making it when it is first asked for.
+    pub fn pool_log(self: &Arc<Self>, pool: &Arc<str>) -> Arc<PoolLog> {
+        let mut pools = lock(&self.pools);
+        if let Some(log) = pools.get(pool) {
+            return log.clone();
+        }
+        let log = PoolLog::start(self, pool);
+        pools.insert(pool.clone(), log.clone());
+        log
+    }
+
+    /// Returns the logs of all pools.
+    pub fn pool_logs(&self) -> Vec<Arc<PoolLog>> {
+        lock(&self.pools).values().cloned().collect()
+    }
+
+    /// Returns whether this node may act as owner now.
+    pub fn lease_valid(&self) -> bool {
+        steady_ms() < self.lease_until.load(Ordering::Relaxed)
+    }
+
+    /// Takes in that the store took a heartbeat which was sent at `sent_at`.
+    pub fn renew_lease(&self, sent_at: Ms) {
+        self.lease_until.fetch_max(sent_at + OWNER_LEASE_MS, Ordering::Relaxed);
+    }
+
+    /// Ends the right to act as owner.
+    pub fn end_lease(&self) {
+        self.lease_until.store(0, Ordering::Relaxed);
+    }
+
+    /// Returns the longest lease given to tasks, in milliseconds.
+    pub fn task_lease(&self) -> Ms {
+        let max = self.settings.max_task_lease.0.as_millis();
+        u64::try_from(max).map_or(TASK_LEASE_MS, |max| max.min(TASK_LEASE_MS))
+    }
+
+    /// Takes in whether the store answered a call.
+    pub fn note_store(&self, answered: bool) {
+        if answered {
+            self.store_answered.store(steady_ms(), Ordering::Relaxed);
+            if self.store_lost.swap(false, Ordering::Relaxed) {
+                log::info!("store step=regained");
+            }
+        } else if !self.in_touch() && !self.store_lost.swap(true, Ordering::Relaxed) {
+            log::warn!("store step=lost silent_ms={IN_TOUCH_MS}");
+        }
+    }
+
+    /// Returns whether the store answered lately.
+    pub fn in_touch(&self) -> bool {
+        let answered = self.store_answered.load(Ordering::Relaxed);
+        answered > 0 && steady_ms().saturating_sub(answered) < IN_TOUCH_MS
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/link.rs
@@ -0,0 +1,283 @@
+//! The link to one VM incarnation: renewing its lease, hearing what ends, giving orders.
+
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use metrics::counter;
+use thistle_platform::worker::{Hold, Start};
+use thistle_platform::{OrderError, StartAnswer, WorkerClient};
+use thistle_schedule::pool::{StartOrder, StartResult};
+use thistle_schedule::{RunId, TaskLease, VmFacts, VmId};
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::{Semaphore, watch};
+use tokio::task::AbortHandle;
+
+use super::Event;
+use crate::node::{Node, lock, steady_ms};
+
+/// How long a call waits for an end. Longer costs fewer calls; the lease is renewed at each.
+const WAIT: Duration = Duration::from_millis(1_500);
+/// Pause before a VM that does not answer is asked again.
+const RETRY: Duration = Duration::from_millis(200);
+/// Pause while this node may not act as owner.
+const NO_LEASE: Duration = Duration::from_millis(50);
+/// How long the acknowledgement of ends is waited for before leases are renewed without it.
+const ACK_WAIT: Duration = Duration::from_millis(500);
+/// Pause between renewals while ends cannot be acknowledged: the VM answers at once then.
+const UNACKED_PAUSE: Duration = Duration::from_millis(500);
+/// Orders of one kind to one VM that are under way at once.
+const ORDERS_AT_ONCE: usize = 2;
+
+struct Shared {
+    node: Arc<Node>,
+    vm: VmId,
+    token: u64,
+    client: WorkerClient,
+    lease: Mutex<TaskLease>,
+    acked: watch::Sender<u64>,
+    closed: AtomicBool,
+    /// Counts how often the lease ran out: a start from before must not be repeated after it.
+    lapses: AtomicU32,
+    starts: Semaphore,
+    stops: Semaphore,
+    tx: UnboundedSender<Event>,
+}
+
+/// The link to one VM incarnation. Dropping it ends all that it does.
+pub struct Link {
+    shared: Arc<Shared>,
+    holding: AbortHandle,
+}
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.shared.closed.store(true, Ordering::Relaxed);
+        self.holding.abort();
+    }
+}
+
+impl Link {
+    /// Opens the link.
+    pub fn open(node: &Arc<Node>, vm: &VmFacts, token: u64, tx: UnboundedSender<Event>) -> Self {
+        let shared = Arc::new(Shared {
+            node: node.clone(),
+            vm: vm.id.clone(),
+            token,
+            client: WorkerClient::new(vm.addr, vm.id.clone()),
+            lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
+            acked: watch::Sender::new(0),
+            closed: AtomicBool::new(false),
+            lapses: AtomicU32::new(0),
+            starts: Semaphore::new(ORDERS_AT_ONCE),
+            stops: Semaphore::new(ORDERS_AT_ONCE),
+            tx,
+        });
+        let holding = tokio::spawn(hold(shared.clone())).abort_handle();
+        Self { shared, holding }
+    }
+
+    /// Lets the VM forget ends up to a number.
+    pub fn acknowledge(&self, sequence: u64) {
+        self.shared.acked.send_if_modified(|acked| {
+            let more = sequence > *acked;
+            *acked = sequence.max(*acked);
+            more
+        });
+    }
+
+    /// Gives a start order.
+    pub fn start(&self, order: StartOrder) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            if let Some(result) = start(&shared, &order).await {
+                shared.tell(Event::Started(shared.vm.clone(), order.run, result));
+            }
+        });
+    }
+
+    /// Gives a stop order.
+    pub fn stop(&self, run: RunId) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            if stop(&shared, run).await.is_some() {
+                shared.tell(Event::Stopped(shared.vm.clone(), run));
+            }
+        });
+    }
+
+    /// Sets the share of its full speed at which a run works.
+    pub fn pace(&self, run: RunId, percent: u32) {
+        let shared = self.shared.clone();
+        tokio::spawn(async move {
+            if shared.may_send() {
+                if let Err(e) = shared.client.pace(run, percent, shared.token).await {
+                    log::debug!("pace step=failed run={run} vm={} error=\"{e}\"", shared.vm);
+                }
+            }
+        });
+    }
+}
+
+impl Shared {
+    fn tell(&self, event: Event) {
+        // An owner that has ended needs no news.
+        let _ = self.tx.send(event);
+    }
+
+    fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether orders may go out: checked last before each.
+    fn may_send(&self) -> bool {
+        !self.is_closed() && self.node.lease_valid()
+    }
+
+    /// Waits until orders may go out; returns false when the link was closed.
+    async fn until_may_send(&self) -> bool {
+        while !self.is_closed() {
+            if self.node.lease_valid() {
+                return true;
+            }
+            tokio::time::sleep(NO_LEASE).await;
+        }
+        false
+    }
+
+    fn lost(&self) {
+        self.lapses.fetch_add(1, Ordering::Relaxed);
+        self.tell(Event::Lost(self.vm.clone()));
+    }
+}
+
+/// Renews the lease and takes in what the VM says, until the link is closed.
+async fn hold(link: Arc<Shared>) {
+    let mut reachable = true;
+    let mut lost = false;
+    let mut wait = Duration::ZERO;
+    let mut acked = link.acked.subscribe();
+    loop {
+        if !link.node.lease_valid() {
+            tokio::time::sleep(NO_LEASE).await;
+            continue;
+        }
+        let asked_at = steady_ms();
+        let deadline_ms = lock(&link.lease).give(asked_at);
+        let last_seen = *acked.borrow_and_update();
+        let ask = Hold { token: link.token, last_seen, deadline_ms, wait };
+        let result = link.client.hold(ask, asked_at).await;
+        counter!("thistle_vm_calls").increment(1);
+        match result {
+            Ok(held) => {
+                lock(&link.lease).read_clock(held.clock_ms, steady_ms());
+                if !reachable {
+                    link.tell(Event::Reachable(link.vm.clone(), true));
+                }
+                (reachable, lost) = (true, false);
+                // The first answer brings the clock; leases can be given from the next call on.
+                wait = if deadline_ms.is_some() { WAIT } else { Duration::ZERO };
+                let last = held.report.ended.iter().map(|e| e.sequence).max();
+                link.tell(Event::Report(link.vm.clone(), held.report));
+                if let Some(last) = last {
+                    let settled = acked.wait_for(|&acked| acked >= last);
+                    if tokio::time::timeout(ACK_WAIT, settled).await.is_err() {
+                        tokio::time::sleep(UNACKED_PAUSE).await;
+                        wait = Duration::ZERO;
+                    }
+                }
+            }
+            Err(OrderError::Gone) => {
+                link.lost();
+                return;
+            }
+            Err(OrderError::Fenced) => {
+                link.tell(Event::Fenced(link.vm.clone()));
+                return;
+            }
+            Err(e) => {
+                if reachable {
+                    log::info!("vm step=no-answer vm={} error=\"{e}\"", link.vm);
+                    link.tell(Event::Reachable(link.vm.clone(), false));
+                }
+                reachable = false;
+                wait = Duration::ZERO;
+                let over = lock(&link.lease).is_over(steady_ms());
+                if over && !lost {
+                    lost = true;
+                    link.lost();
+                }
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+/// Sends a start until its outcome is known. Sending it again is harmless: the VM has a run once.
+async fn start(link: &Shared, order: &StartOrder) -> Option<StartResult> {
+    let _permit = link.starts.acquire().await.ok()?;
+    let lapses = link.lapses.load(Ordering::Relaxed);
+    let mut may_be_there = false;
+    loop {
+        if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
+            return None;
+        }
+        let deadline_ms = lock(&link.lease).give(steady_ms())?;
+        let start = Start {
+            run: order.run,
+            text: &order.spec.text,
+            deadline_ms,
+            token: link.token,
+            checkpoint: &order.checkpoint,
+            ticket: None,
+        };
+        let refused = if may_be_there { StartResult::Unclear } else { StartResult::NotTaken };
+        match link.client.start(start).await {
+            Ok(StartAnswer::Started) => return Some(StartResult::Started),
+            Ok(StartAnswer::NoRoom) if !may_be_there => return Some(StartResult::NoRoom),
+            Err(OrderError::Unhealthy(_)) if !may_be_there => return Some(StartResult::Unhealthy),
+            Err(OrderError::NotSent(_)) if !may_be_there => return Some(StartResult::Unhealthy),
+            Ok(answer) => {
+                log::info!("start step=refused run={} vm={} answer={answer:?}", order.run, link.vm);
+                return Some(refused);
+            }
+            Err(OrderError::Gone) => {
+                link.lost();
+                return None;
+            }
+            Err(OrderError::Fenced) => {
+                link.tell(Event::Fenced(link.vm.clone()));
+                return None;
+            }
+            Err(e) => {
+                log::info!("start step=no-answer run={} vm={} error=\"{e}\"", order.run, link.vm);
+                may_be_there |= matches!(e, OrderError::Unanswered(_) | OrderError::Malformed(_));
+            }
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
+
+/// Sends a stop until it is answered.
+async fn stop(link: &Shared, run: RunId) -> Option<()> {
+    let _permit = link.stops.acquire().await.ok()?;
+    let lapses = link.lapses.load(Ordering::Relaxed);
+    loop {
+        if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
+            return None;
+        }
+        match link.client.stop(run, link.token).await {
+            Ok(()) => return Some(()),
+            Err(OrderError::Gone) => {
+                link.lost();
+                return None;
+            }
+            Err(OrderError::Fenced) => {
+                link.tell(Event::Fenced(link.vm.clone()));
+                return None;
+            }
+            Err(e) => log::info!("stop step=no-answer run={run} vm={} error=\"{e}\"", link.vm),
+        }
+        tokio::time::sleep(RETRY).await;
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/mod.rs
@@ -0,0 +1,311 @@
+//! Owning a pool: its schedule, its records and the links to its VMs.
+
+mod journal;
+mod link;
+mod vms;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::{counter, gauge};
+use thistle_platform::KeyedRecord;
+use thistle_schedule::job_log::{cancel_key, progress_key, submit_key};
+use thistle_schedule::pool::{Load, Order, StartResult};
+use thistle_schedule::{JobId, LogChange, Ms, Phase, Pool, RunId, VmId, VmReport};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+use crate::node::{Node, now, steady_ms};
+use crate::pool_log::{PROGRESS, PoolLog, SUBMISSIONS};
+use journal::{Fenced, Journal};
+use link::Link;
+
+/// How long orders that were sent when an owner ends may still be under way: the time-out of one.
+pub const ORDERS_SETTLE: Duration = Duration::from_millis(650);
+/// How often the schedule is looked at when nothing happens.
+const TICK: Duration = Duration::from_millis(100);
+/// How often settled jobs are looked through for those to be dropped, in milliseconds.
+const PURGE_EVERY_MS: Ms = 5_000;
+/// How much longer than promised settled jobs are kept, in milliseconds: callers' clocks and ours
+/// may differ by seconds.
+const PURGE_SLACK_MS: Ms = 30_000;
+/// Settled jobs dropped in one go at most.
+const PURGE_BATCH: usize = 500;
+
+/// What an owner takes in.
+#[derive(Debug)]
+pub enum Event {
+    /// A submission or a cancel was read.
+    Log(LogChange),
+    /// A VM answered what runs there.
+    Report(VmId, VmReport),
+    /// A start has come to something.
+    Started(VmId, RunId, StartResult),
+    /// A stop was answered.
+    Stopped(VmId, RunId),
+    /// A VM answers, or does not.
+    Reachable(VmId, bool),
+    /// Nothing runs on a VM any more.
+    Lost(VmId),
+    /// A VM has seen a higher token.
+    Fenced(VmId),
+}
+
+/// The owner of a pool.
+struct Owner {
+    node: Arc<Node>,
+    log: Arc<PoolLog>,
+    token: u64,
+    pool: Pool,
+    journal: Journal,
+    links: HashMap<VmId, Link>,
+    /// When runs on VMs that cannot be asked are surely over.
+    orphans: HashMap<VmId, Ms>,
+    tx: UnboundedSender<Event>,
+    purged_at: Ms,
+}
+
+/// Owns a pool until another node does, or the task is aborted.
+pub async fn run(node: Arc<Node>, log: Arc<PoolLog>, token: u64) {
+    let (tx, rx) = unbounded_channel();
+    let pool_name = log.pool.clone();
+    let began = steady_ms();
+    let journal = match Journal::open(&node, &log, token).await {
+        Ok(journal) => journal,
+        Err(Fenced) => {
+            log::warn!("owner pool={pool_name} step=fenced token={token}");
+            return;
+        }
+    };
+    // The predecessor can write no more: what is there now is all there is.
+    let since = steady_ms();
+    while let Err(e) = read_all(&node, &log, since).await {
+        log::debug!("owner pool={pool_name} step=read-failed error=\"{e}\"");
+        tokio::time::sleep(TICK).await;
+    }
+    let mut owner = Owner {
+        node,
+        log,
+        token,
+        pool: Pool::new(),
+        journal,
+        links: HashMap::new(),
+        orphans: HashMap::new(),
+        tx: tx.clone(),
+        purged_at: steady_ms(),
+    };
+    owner.adopt();
+    let load = owner.pool.load();
+    log::info!(
+        "owner pool={pool_name} step=took-over token={token} jobs={} placed={} took_ms={}",
+        load.jobs,
+        load.placed,
+        steady_ms().saturating_sub(began),
+    );
+    if owner.work(rx).await == Err(Fenced) {
+        log::warn!("owner pool={pool_name} step=fenced token={token}");
+    }
+    drop(owner.log.connect_owner(None));
+}
+
+async fn read_all(
+    node: &Node,
+    log: &PoolLog,
+    since: Ms,
+) -> Result<(), thistle_platform::StoreError> {
+    log.catch_up(node, SUBMISSIONS, since).await?;
+    log.catch_up(node, PROGRESS, since).await
+}
+
+impl Owner {
+    /// Takes in all jobs, and from here on all news.
+    fn adopt(&mut self) {
+        let log = self.log.clone();
+        let jobs = log.connect_owner(Some(self.tx.clone()));
+        for (id, entry) in jobs.iter() {
+            self.pool.adopt(id, entry, now());
+        }
+    }
+
+    async fn work(&mut self, mut rx: UnboundedReceiver<Event>) -> Result<(), Fenced> {
+        let mut vms = self.node.vms.subscribe();
+        let mut cordoned = self.node.cordoned.subscribe();
+        vms.mark_changed();
+        cordoned.mark_changed();
+        loop {
+            let pause = self.pause();
+            tokio::select! {
+                Some(event) = rx.recv() => self.take(event)?,
+                Ok(()) = vms.changed() => {
+                    let table = vms.borrow_and_update().clone();
+                    self.list_vms(&table);
+                }
+                Ok(()) = cordoned.changed() => {
+                    let names = cordoned.borrow_and_update().clone();
+                    self.pool.set_cordoned(names.as_ref().clone());
+                }
+                () = tokio::time::sleep(pause) => (),
+            }
+            // What has piled up meanwhile is decided on together.
+            while let Ok(event) = rx.try_recv() {
+                self.take(event)?;
+            }
+            self.drop_orphans();
+            if self.node.lease_valid() {
+                self.step().await?;
+            }
+        }
+    }
+
+    fn pause(&self) -> Duration {
+        let now = now();
+        let due = self.pool.next_due(now).unwrap_or(Ms::MAX).saturating_sub(now.steady);
+        TICK.min(Duration::from_millis(due.max(1)))
+    }
+
+    fn take(&mut self, event: Event) -> Result<(), Fenced> {
+        let now = now();
+        match event {
+            Event::Log(LogChange::Submitted(id)) => {
+                let log = self.log.clone();
+                let jobs = log.jobs();
+                if let Some(entry) = jobs.get(id) {
+                    self.pool.adopt(id, entry, now);
+                }
+            }
+            Event::Log(LogChange::Cancelled(id)) => self.pool.cancel(id, now),
+            Event::Report(vm, report) => {
+                log_ends(&vm, &report);
+                self.pool.report(&vm, &report, now);
+            }
+            Event::Started(vm, run, result) => {
+                if result != StartResult::Started {
+                    log::info!("start step={result:?} run={run} vm={vm}");
+                }
+                self.pool.start_result(&vm, run, result, now);
+            }
+            Event::Stopped(vm, run) => self.pool.stop_answered(&vm, run, now),
+            Event::Reachable(vm, reachable) => {
+                log::info!("vm step=reachable vm={vm} reachable={reachable}");
+                self.pool.set_reachable(&vm, reachable);
+            }
+            Event::Lost(vm) => {
+                log::info!("vm step=lost vm={vm}");
+                self.pool.vm_lost(&vm, now);
+            }
+            Event::Fenced(vm) => {
+                log::warn!("vm step=fenced vm={vm} token={}", self.token);
+                return Err(Fenced);
+            }
+        }
+        Ok(())
+    }
+
+    /// Decides, writes what was decided, and only then lets orders and acknowledgements go.
+    async fn step(&mut self) -> Result<(), Fenced> {
+        let orders = self.pool.plan(now());
+        let records = self.pool.take_records();
+        let acks = self.pool.take_acks();
+        if !records.is_empty() {
+            self.journal.append(&self.node, &self.log, records).await?;
+        }
+        for (vm, sequence) in acks {
+            if let Some(link) = self.links.get(&vm) {
+                link.acknowledge(sequence);
+            }
+        }
+        for order in orders {
+            self.dispatch(order);
+        }
+        self.drop_links();
+        self.tell_load();
+        self.purge().await
+    }
+
+    fn dispatch(&self, order: Order) {
+        let vm = match &order {
+            Order::Start(start) => &start.vm,
+            Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm,
+        };
+        let Some(link) = self.links.get(vm) else {
+            log::warn!("order step=no-link vm={vm}");
+            return;
+        };
+        match order {
+            Order::Start(start) => {
+                log::info!(
+                    "start step=ordered run={} vm={} queue={} token={} free_cpu={}",
+                    start.run,
+                    start.vm,
+                    start.spec.queue,
+                    self.token,
+                    start.free_cpu,
+                );
+                counter!("thistle_starts").increment(1);
+                link.start(start);
+            }
+            Order::Stop { vm, run } => {
+                log::info!("stop step=ordered run={run} vm={vm} token={}", self.token);
+                counter!("thistle_stops").increment(1);
+                link.stop(run);
+            }
+            Order::Pace { run, percent, .. } => link.pace(run, percent),
+        }
+    }
+
+    fn tell_load(&self) {
+        let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load();
+        let pool = self.log.pool.to_string();
+        gauge!("thistle_pool_tasks_waiting", "pool" => pool.clone()).set(f64::from(waiting));
+        gauge!("thistle_pool_tasks_placed", "pool" => pool.clone()).set(f64::from(placed));
+        gauge!("thistle_pool_jobs", "pool" => pool.clone()).set(f64::from(jobs));
+        gauge!("thistle_pool_vms", "pool" => pool.clone()).set(f64::from(vms));
+        let used = used_cpu as f64 / (cpu as f64).max(1.0);
+        gauge!("thistle_pool_cpu_used", "pool" => pool).set(used);
+    }
+
+    /// Drops the records of jobs that were settled long ago.
+    async fn purge(&mut self) -> Result<(), Fenced> {
+        if steady_ms().saturating_sub(self.purged_at) < PURGE_EVERY_MS {
+            return Ok(());
+        }
+        self.purged_at = steady_ms();
+        let keep = u64::try_from(self.node.settings.keep_settled.0.as_millis()).unwrap_or(Ms::MAX);
+        let before = now().wall.saturating_sub(keep.saturating_add(PURGE_SLACK_MS));
+        let old: Vec<JobId> = {
+            let jobs = self.log.jobs();
+            let is_old = |p: &thistle_schedule::Progress| {
+                p.phase != Phase::Open && p.settled_ms > 0 && p.settled_ms < before
+            };
+            let old = jobs.iter().filter(|(_, e)| is_old(&e.progress)).map(|(id, _)| id);
+            old.take(PURGE_BATCH).collect()
+        };
+        if old.is_empty() {
+            return Ok(());
+        }
+        log::info!("jobs step=dropped pool={} count={}", self.log.pool, old.len());
+        let progress: Vec<KeyedRecord> =
+            old.iter().map(|&id| KeyedRecord::dropping(progress_key(id))).collect();
+        self.journal.append_raw(&self.node, &self.log, &progress).await?;
+        let drop_both = |&id: &JobId| {
+            [KeyedRecord::dropping(cancel_key(id)), KeyedRecord::dropping(submit_key(id))]
+        };
+        let records: Vec<KeyedRecord> = old.iter().flat_map(drop_both).collect();
+        let guard = thistle_platform::Guard::Always;
+        match self.node.store.append(&self.log.topic, SUBMISSIONS, guard, &records).await {
+            Ok(_) => (),
+            Err(e) => log::warn!("jobs step=drop-failed pool={} error=\"{e}\"", self.log.pool),
+        }
+        Ok(())
+    }
+}
+
+fn log_ends(vm: &VmId, report: &VmReport) {
+    for end in &report.ended {
+        log::info!("end run={} vm={vm} how={:?} number={}", end.run, end.kind, end.sequence);
+        counter!("thistle_ends", "how" => format!("{:?}", end.kind)).increment(1);
+    }
+}
+
+/// The partition that only the owner appends to; named here for its two users.
+const JOURNAL: u32 = PROGRESS;
--- /dev/null
+++ b/crates/scheduler/src/owner/vms.rs
@@ -0,0 +1,78 @@
+//! Keeping an owner's links in step with the VMs that the store lists.
+
+use std::collections::HashSet;
+
+use thistle_schedule::{Ms, TaskLease, VmId};
+
+use super::link::Link;
+use super::{Event, Owner};
+use crate::node::{VmTable, now, steady_ms};
+
+impl Owner {
+    /// Takes in the VMs as the store lists them now.
+    pub(super) fn list_vms(&mut self, table: &VmTable) {
+        let listed = self.pool.vm_summaries();
+        for facts in table.values().filter(|f| f.pool == self.log.pool) {
+            self.pool.list_vm(facts.clone());
+            self.orphans.remove(&facts.id);
+            if !self.links.contains_key(&facts.id) {
+                let link = Link::open(&self.node, facts, self.token, self.tx.clone());
+                self.links.insert(facts.id.clone(), link);
+            }
+        }
+        for vm in listed {
+            if table.get(&vm.id).is_some_and(|f| f.pool == self.log.pool) {
+                continue;
+            }
+            self.pool.unlist_vm(&vm.id);
+            // Another incarnation of the VM has come up: this one is gone.
+            let reborn = |f: &&std::sync::Arc<_>| is_reborn(f, &vm);
+            if table.values().any(|f| reborn(&f)) {
+                let _ = self.tx.send(Event::Lost(vm.id));
+            }
+        }
+        self.watch_orphans();
+    }
+
+    /// Notes runs on VMs to which there is no link: they count until their lease is over.
+    fn watch_orphans(&mut self) {
+        let over_at = steady_ms() + lease_bound(self.node.task_lease());
+        for vm in self.pool.unlisted_with_runs() {
+            if !self.links.contains_key(&vm) {
+                self.orphans.entry(vm).or_insert(over_at);
+            }
+        }
+    }
+
+    /// Gives up the runs on VMs to which there is no link, once their lease is over.
+    pub(super) fn drop_orphans(&mut self) {
+        let now = now();
+        let over: Vec<VmId> = self
+            .orphans
+            .iter()
+            .filter(|(_, at)| now.steady >= **at)
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        for vm in over {
+            log::info!("vm step=lost vm={vm} reason=lease-over-and-not-listed");
+            self.orphans.remove(&vm);
+            self.pool.vm_lost(&vm, now);
+        }
+    }
+
+    /// Closes the links to VMs that are neither listed nor have anything running.
+    pub(super) fn drop_links(&mut self) {
+        let known: HashSet<VmId> = self.pool.vm_summaries().into_iter().map(|vm| vm.id).collect();
+        self.links.retain(|vm, _| known.contains(vm));
+    }
+}
+
+fn is_reborn(facts: &thistle_schedule::VmFacts, old: &thistle_schedule::pool::VmSummary) -> bool {
+    !old.name.is_empty() && facts.name == old.name && facts.id != old.id
+}
+
+/// Returns after how long a lease that was given at the latest now is surely over.
+fn lease_bound(length: Ms) -> Ms {
+    let lease = TaskLease::new(length, 0);
+    (length..).find(|&at| lease.is_over(at)).unwrap_or(length)
+}
--- /dev/null
+++ b/crates/scheduler/src/pool_log.rs
@@ -0,0 +1,248 @@
+//! One pool's records, as this node has read them.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
+
+use thistle_platform::{KeyedRecord, ReadError, StoreError, Stored};
+use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::follow::WAIT;
+use crate::node::{Node, lock, steady_ms};
+use crate::owner::Event;
+use crate::submit::{Submission, start_submitter};
+
+/// The partition to which any node appends submissions and cancels.
+pub const SUBMISSIONS: u32 = 0;
+/// The partition to which only the pool's owner appends.
+pub const PROGRESS: u32 = 1;
+/// How often a node that does not own a pool reads on: callers may be told counts that are two
+/// seconds old.
+const READ_EVERY: Duration = Duration::from_millis(1_000);
+/// Pause after a failure.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// How far a partition was read.
+#[derive(Debug, Default)]
+struct Cursor {
+    /// The offset of the next record; none before the newest of each key were read.
+    next: Option<u64>,
+    /// When the last read that reached the end was begun.
+    read_at: Ms,
+}
+
+/// One pool's records, as this node has read them.
+pub struct PoolLog {
+    /// The pool.
+    pub pool: Arc<str>,
+    /// The topic of its partitions.
+    pub topic: String,
+    jobs: Mutex<JobLog>,
+    cursors: [tokio::sync::Mutex<Cursor>; 2],
+    /// Where the owner on this node takes in changes.
+    owner: Mutex<Option<UnboundedSender<Event>>>,
+    owned: AtomicBool,
+    loaded: AtomicBool,
+    submitter: UnboundedSender<Submission>,
+    /// Jobs read so far; for metrics.
+    pub submitted: AtomicU64,
+}
+
+impl PoolLog {
+    /// Makes a pool's log and starts the tasks that read and write it.
+    pub fn start(node: &Arc<Node>, pool: &Arc<str>) -> Arc<Self> {
+        let (submitter, rx) = tokio::sync::mpsc::unbounded_channel();
+        let log = Arc::new(Self {
+            pool: pool.clone(),
+            topic: format!("jobs.{pool}"),
+            jobs: Mutex::default(),
+            cursors: Default::default(),
+            owner: Mutex::default(),
+            owned: AtomicBool::new(false),
+            loaded: AtomicBool::new(false),
+            submitter,
+            submitted: AtomicU64::new(0),
+        });
+        tokio::spawn(start_submitter(node.clone(), log.clone(), rx));
+        tokio::spawn(read_on(node.clone(), log.clone()));
+        log
+    }
+
+    /// Locks what is known of its jobs.
+    pub fn jobs(&self) -> MutexGuard<'_, JobLog> {
+        lock(&self.jobs)
+    }
+
+    /// Returns whether all of its records were read once.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether an owner runs on this node, so that its progress is known at once.
+    pub fn is_owned(&self) -> bool {
+        self.owned.load(Ordering::Relaxed)
+    }
+
+    /// Hands a submission or a cancel to the task that appends.
+    pub fn submit(&self, submission: Submission) {
+        // The task ends with the process only; if it has, the caller finds its answer dropped.
+        let _ = self.submitter.send(submission);
+    }
+
+    /// Makes sure that everything the store had at `since` was read.
+    pub async fn catch_up(&self, node: &Node, part: u32, since: Ms) -> Result<(), StoreError> {
+        let mut cursor = self.cursor(part).lock().await;
+        while cursor.read_at < since {
+            let began = steady_ms();
+            let result = self.read_once(node, part, &mut cursor, began).await;
+            node.note_store(result.is_ok());
+            result?;
+        }
+        Ok(())
+    }
+
+    async fn read_once(
+        &self,
+        node: &Node,
+        part: u32,
+        cursor: &mut Cursor,
+        began: Ms,
+    ) -> Result<(), StoreError> {
+        let Some(from) = cursor.next else {
+            let newest = node.store.newest(&self.topic, part).await?;
+            self.apply(newest.records);
+            cursor.next = Some(newest.end);
+            return Ok(());
+        };
+        match node.store.read(&self.topic, part, from, Duration::ZERO).await {
+            Ok(batch) => {
+                let next = from + batch.records.len() as u64;
+                let reached_end = next >= batch.end;
+                self.apply(batch.records);
+                cursor.next = Some(next);
+                if reached_end {
+                    cursor.read_at = began;
+                }
+                Ok(())
+            }
+            Err(ReadError::Dropped) => {
+                log::info!("jobs step=reload pool={} part={part} from={from}", self.pool);
+                cursor.next = None;
+                Ok(())
+            }
+            Err(ReadError::Store(e)) => Err(e),
+        }
+    }
+
+    /// Waits for new submissions and takes them in; for the owner, who acts on them at once.
+    async fn wait_for_submissions(&self, node: &Node) -> Result<(), StoreError> {
+        let Some(from) = self.cursor(SUBMISSIONS).lock().await.next else {
+            return self.catch_up(node, SUBMISSIONS, steady_ms()).await;
+        };
+        // The cursor is free while this waits, so that callers' reads go on.
+        let batch = match node.store.read(&self.topic, SUBMISSIONS, from, WAIT).await {
+            Ok(batch) => batch,
+            Err(ReadError::Dropped) => {
+                self.cursor(SUBMISSIONS).lock().await.next = None;
+                return Ok(());
+            }
+            Err(ReadError::Store(e)) => return Err(e),
+        };
+        let mut cursor = self.cursor(SUBMISSIONS).lock().await;
+        let next = from + batch.records.len() as u64;
+        if cursor.next.is_some_and(|known| known < next) {
+            self.apply(batch.records);
+            cursor.next = Some(next);
+        }
+        Ok(())
+    }
+
+    fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
+        if part == SUBMISSIONS { &self.cursors[0] } else { &self.cursors[1] }
+    }
+
+    fn apply(&self, records: Vec<Stored>) {
+        let mut jobs = self.jobs();
+        for Stored { offset, record } in records {
+            self.apply_one(&mut jobs, offset, &record);
+        }
+    }
+
+    fn apply_one(&self, jobs: &mut JobLog, offset: u64, record: &KeyedRecord) {
+        match jobs.apply(&record.key, record.value()) {
+            Ok(Some(change)) => self.pass_on(change),
+            Ok(None) => (),
+            Err(e) => {
+                log::error!("jobs step=unreadable pool={} offset={offset} key={}", self.pool, e.0);
+            }
+        }
+    }
+
+    fn pass_on(&self, change: LogChange) {
+        if matches!(change, LogChange::Submitted(_)) {
+            self.submitted.fetch_add(1, Ordering::Relaxed);
+        }
+        if let Some(tx) = &*lock(&self.owner) {
+            // An owner that has just ended needs no news.
+            let _ = tx.send(Event::Log(change));
+        }
+    }
+
+    /// Takes in submissions and cancels that this node has just appended.
+    pub fn apply_own(&self, records: &[KeyedRecord], offset: u64) {
+        let mut jobs = self.jobs();
+        for record in records {
+            self.apply_one(&mut jobs, offset, record);
+        }
+    }
+
+    /// Takes in progress that this node has just appended as owner.
+    pub async fn apply_progress(&self, records: Vec<(JobId, Progress)>, offset: u64, end: u64) {
+        let mut cursor = self.cursor(PROGRESS).lock().await;
+        if cursor.next != Some(offset) {
+            // Someone on this node has read it already, or a read will bring it in order.
+            return;
+        }
+        cursor.next = Some(end);
+        let mut jobs = self.jobs();
+        for (id, progress) in records {
+            jobs.set_progress(id, progress);
+        }
+    }
+
+    /// Connects an owner on this node, or disconnects it. Returns the jobs locked, so that the
+    /// owner takes in what is there before anything new is handed to it.
+    pub fn connect_owner(&self, tx: Option<UnboundedSender<Event>>) -> MutexGuard<'_, JobLog> {
+        let jobs = self.jobs();
+        self.owned.store(tx.is_some(), Ordering::Relaxed);
+        *lock(&self.owner) = tx;
+        jobs
+    }
+}
+
+async fn read_on(node: Arc<Node>, log: Arc<PoolLog>) {
+    loop {
+        let result = if log.is_owned() {
+            log.wait_for_submissions(&node).await
+        } else {
+            let since = steady_ms();
+            match log.catch_up(&node, SUBMISSIONS, since).await {
+                Ok(()) => log.catch_up(&node, PROGRESS, since).await,
+                Err(e) => Err(e),
+            }
+        };
+        match result {
+            Ok(()) if log.is_owned() => node.note_store(true),
+            Ok(()) => {
+                log.loaded.store(true, Ordering::Relaxed);
+                tokio::time::sleep(READ_EVERY).await;
+            }
+            Err(e) => {
+                node.note_store(false);
+                log::debug!("jobs step=read-failed pool={} error=\"{e}\"", log.pool);
+                tokio::time::sleep(PAUSE).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/run.rs
@@ -0,0 +1,95 @@
+//! Starting a node and stopping it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use thistle_settings::{RunError, SchedulerSettings};
+use thistle_wire::metrics_http;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::node::{Node, steady_ms};
+use crate::{callers, control, listing, readiness, stats};
+
+/// Bounds of the buckets of answer times, in seconds.
+const SECONDS: [f64; 9] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
+/// How often samples are folded together.
+const UPKEEP_EVERY: Duration = Duration::from_secs(5);
+/// How long a node that stops goes on answering new connections, until the balancer has noticed.
+const STOP_NOTICE: Duration = Duration::from_millis(2_500);
+/// How long requests that are under way when connections are closed may take.
+const LAST_ANSWERS: Duration = Duration::from_millis(1_500);
+/// How long the last log lines may take.
+const LAST_LINES: Duration = Duration::from_millis(20);
+
+/// Runs a node until it is told to stop and its callers are answered.
+pub async fn run(settings: SchedulerSettings) -> Result<(), RunError> {
+    let handle = PrometheusBuilder::new()
+        .set_buckets(&SECONDS)
+        .and_then(PrometheusBuilder::install_recorder)
+        .map_err(|e| RunError::Metrics(e.to_string()))?;
+    let listener = TcpListener::bind(settings.listen).await?;
+    let readiness_listener = TcpListener::bind(settings.readiness_listen).await?;
+    let node = Arc::new(Node::new(settings));
+    log::info!(
+        "node name={} life={:016x} hall={} step=start version={}",
+        node.me.name,
+        node.me.life,
+        node.settings.hall,
+        env!("CARGO_PKG_VERSION"),
+    );
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+
+    tokio::spawn(upkeep(handle.clone()));
+    let for_metrics = node.clone();
+    let render = move || stats::render(&for_metrics, &handle);
+    tokio::spawn(serve_metrics(node.settings.metrics_listen, render));
+    tokio::spawn(listing::follow_config(node.clone()));
+    tokio::spawn(listing::follow_vms(node.clone()));
+    tokio::spawn(control::run(node.clone()));
+    tokio::spawn(readiness::run(node.clone(), readiness_listener));
+    tokio::spawn(callers::run(node.clone(), listener));
+
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // All that can change while it runs comes from the store.
+            _ = reload.recv() => log::info!("node name={} step=reload nothing=changed", node.me.name),
+        }
+    }
+    stop(&node).await;
+    Ok(())
+}
+
+async fn serve_metrics<F>(addr: std::net::SocketAddr, render: F)
+where
+    F: Fn() -> String + Clone + Send + Sync + 'static,
+{
+    if let Err(e) = metrics_http::serve(addr, render).await {
+        log::error!("metrics step=not-served addr={addr} error=\"{e}\"");
+    }
+}
+
+/// Folds the samples of histograms together, which would pile up between two scrapes.
+async fn upkeep(handle: PrometheusHandle) {
+    loop {
+        tokio::time::sleep(UPKEEP_EVERY).await;
+        handle.run_upkeep();
+    }
+}
+
+/// Gives pools up, turns new connections away, and answers those that are open.
+async fn stop(node: &Node) {
+    log::info!("node name={} step=stop", node.me.name);
+    let began = steady_ms();
+    node.stopping.send_replace(true);
+    let grace = node.settings.stop_grace.0;
+    tokio::time::sleep(STOP_NOTICE.min(grace / 2)).await;
+    node.closing.send_replace(true);
+    tokio::time::sleep(LAST_ANSWERS.min(grace / 4)).await;
+    log::info!("node name={} step=stopped took_ms={}", node.me.name, steady_ms() - began);
+    // The thread that writes log lines gets a moment.
+    tokio::time::sleep(LAST_LINES).await;
+}
--- /dev/null
+++ b/crates/scheduler/src/stats.rs
@@ -0,0 +1,26 @@
+//! Metrics of a node.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use metrics::gauge;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::node::Node;
+
+/// Takes the figures and returns them as text.
+pub fn render(node: &Arc<Node>, handle: &PrometheusHandle) -> String {
+    let version = node.catalog.borrow().as_ref().map_or(0, |c| c.version);
+    gauge!("thistle_config_version").set(version as f64);
+    gauge!("thistle_store_in_touch").set(f64::from(u8::from(node.in_touch())));
+    gauge!("thistle_lease_valid").set(f64::from(u8::from(node.lease_valid())));
+    gauge!("thistle_vms_listed").set(node.vms.borrow().len() as f64);
+    for log in node.pool_logs() {
+        let pool = log.pool.to_string();
+        gauge!("thistle_jobs_held", "pool" => pool.clone()).set(log.jobs().len() as f64);
+        let submitted = log.submitted.load(Ordering::Relaxed);
+        gauge!("thistle_jobs_read", "pool" => pool.clone()).set(submitted as f64);
+        gauge!("thistle_pool_owned", "pool" => pool).set(f64::from(u8::from(log.is_owned())));
+    }
+    handle.render()
+}
--- a/crates/settings/src/logs.rs
+++ b/crates/settings/src/logs.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::error::SettingsError;
+use crate::stdout_writer::StdoutWriter;
 
 /// The form of log lines.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,6 +17,17 @@
     Json,
 }
 
+/// Where log lines go.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum LogOutput {
+    /// The standard error output, or `file` if that is set.
+    #[default]
+    Stderr,
+    /// The standard output: bounded, and never waiting for the reader.
+    Stdout,
+}
+
 /// What is logged, and how.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -24,24 +36,48 @@
     pub format: LogFormat,
     /// The least level: error, warn, info, debug or trace; or a list of them by module.
     pub level: String,
+    /// Where lines go.
+    pub output: LogOutput,
     /// A file to write to in place of the standard error output.
     pub file: Option<std::path::PathBuf>,
 }
 
 impl Default for LogSettings {
     fn default() -> Self {
-        Self { format: LogFormat::Text, level: "info".to_owned(), file: None }
+        Self {
+            format: LogFormat::Text,
+            level: "info".to_owned(),
+            output: LogOutput::Stderr,
+            file: None,
+        }
     }
 }
 
 /// Libraries that would write a line for each call.
 const QUIET: &str = "tarpc=error";
 
+/// One line of `key=value` pairs after the time and the level.
+fn line_format(
+    w: &mut dyn std::io::Write,
+    now: &mut flexi_logger::DeferredNow,
+    record: &log::Record<'_>,
+) -> std::io::Result<()> {
+    write!(w, "{} {} {}", now.format("%H:%M:%S%.3f"), record.level(), record.args())
+}
+
 /// Starts the logs; lines are written by a thread of their own, off the callers' way.
 pub fn start_logs(settings: &LogSettings) -> Result<LoggerHandle, SettingsError> {
     let failed = |e: flexi_logger::FlexiLoggerError| SettingsError::Logs(e.to_string());
     let level = format!("{}, {QUIET}", settings.level);
     let logger = Logger::try_with_str(level).map_err(failed)?;
+    if settings.output == LogOutput::Stdout {
+        let format = match settings.format {
+            LogFormat::Text => line_format,
+            LogFormat::Json => flexi_logger::json_format,
+        };
+        let writer = StdoutWriter::new(format).map_err(|e| SettingsError::Logs(e.to_string()))?;
+        return logger.log_to_writer(Box::new(writer)).start().map_err(failed);
+    }
     let logger = match &settings.file {
         Some(path) => {
             let file = FileSpec::try_from(path).map_err(failed)?;
--- /dev/null
+++ b/crates/settings/src/scheduler.rs
@@ -0,0 +1,93 @@
+//! Settings of `thistle-scheduler`.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::SettingsError;
+use crate::load::{Checked, in_range};
+use crate::logs::LogSettings;
+use crate::span::Span;
+
+/// Settings of a node of the job scheduler.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct SchedulerSettings {
+    /// The name of its entry VM.
+    pub name: String,
+    /// Its data hall.
+    pub hall: String,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where the balancer asks whether it takes new connections.
+    pub readiness_listen: SocketAddr,
+    /// Where metrics are served.
+    pub metrics_listen: SocketAddr,
+    /// The platform's metadata store.
+    pub store: SocketAddr,
+    /// The platform's machine service, if there is one.
+    #[serde(default)]
+    pub machine_service: Option<SocketAddr>,
+    /// The service that knows the policies of queues, if there is one.
+    #[serde(default)]
+    pub advice: Option<SocketAddr>,
+    /// Largest append to the store, in bytes.
+    #[serde(default = "default_append")]
+    pub max_append_bytes: usize,
+    /// Longest lease that VMs give to tasks.
+    #[serde(default = "default_task_lease")]
+    pub max_task_lease: Span,
+    /// Least time between orders about one VM from different nodes.
+    #[serde(default = "default_gap")]
+    pub machine_order_gap: Span,
+    /// How long the state of settled jobs is told at least.
+    #[serde(default = "default_keep")]
+    pub keep_settled: Span,
+    /// How long a process that is told to stop may take.
+    #[serde(default = "default_stop")]
+    pub stop_grace: Span,
+    /// Log lines.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+const fn default_append() -> usize {
+    1024 * 1024
+}
+const fn default_task_lease() -> Span {
+    Span::from_secs(6)
+}
+const fn default_gap() -> Span {
+    Span::from_secs(3)
+}
+const fn default_keep() -> Span {
+    Span::from_secs(120)
+}
+const fn default_stop() -> Span {
+    Span::from_secs(6)
+}
+
+impl Checked for SchedulerSettings {
+    fn check(&self) -> Result<(), SettingsError> {
+        if self.name.is_empty() {
+            return Err(SettingsError::value("name", "is empty; give the entry VM's name"));
+        }
+        in_range("max_append_bytes", &self.max_append_bytes, &65_536, &(64 * 1024 * 1024))?;
+        let second = Span::from_secs(1);
+        in_range("max_task_lease", &self.max_task_lease, &second, &Span::from_secs(600))?;
+        in_range("stop_grace", &self.stop_grace, &second, &Span::from_secs(900))?;
+        let day = Span::from_secs(86_400);
+        in_range("keep_settled", &self.keep_settled, &second, &day)?;
+        in_range("machine_order_gap", &self.machine_order_gap, &second, &Span::from_secs(600))?;
+        let listeners = [self.listen, self.readiness_listen, self.metrics_listen];
+        for (i, addr) in listeners.iter().enumerate() {
+            if listeners[..i].contains(addr) {
+                return Err(SettingsError::value(
+                    "listen",
+                    format!("{addr} is given twice; use another port for each listener"),
+                ));
+            }
+        }
+        Ok(())
+    }
+}
