--- /dev/null
+++ b/crates/schedule/src/fleet/mod.rs
@@ -0,0 +1,316 @@
+//! The fleet: which VMs are maintained or moved to another pool, and when.
+//!
+//! One node owns the fleet and gives all orders to the machine service. It empties a VM by its
+//! record, which the pools' owners read, and orders only once the pool's owner reports it empty.
+
+mod moves;
+mod record;
+mod wave;
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Ms;
+use crate::id::VmId;
+
+pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
+use wave::Wave;
+
+/// How long after an order without an answer a VM is left alone: the order may be carried out up
+/// to 12 s later, by the platform's word on late orders.
+const LATE_ORDER_MS: Ms = 13_000;
+/// How long after an answered order a VM that shows no other incarnation counts as one for which
+/// the order had been carried out before: an upkeep or move takes about two seconds.
+const DONE_BEFORE_MS: Ms = 6_000;
+/// Pause before an order is given again.
+const AGAIN_MS: Ms = 400;
+
+/// What a VM is doing, by the machine service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmState {
+    /// It is up.
+    Up,
+    /// It is on its way to another pool, or being maintained.
+    Away,
+    /// It is down.
+    Down,
+}
+
+/// A VM as the machine service tells it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetVm {
+    /// Its lasting name.
+    pub name: Arc<str>,
+    /// Its pool.
+    pub pool: Arc<str>,
+    /// What it is doing.
+    pub state: VmState,
+    /// Its rack.
+    pub rack: Arc<str>,
+    /// Its incarnation, if it has one.
+    pub incarnation: Option<VmId>,
+}
+
+/// What a pool's owner reports to the fleet's.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct PoolReport {
+    /// Processor that waiting tasks ask for, in thousandths of a core.
+    pub waiting_cpu: u64,
+    /// Processor in use, in thousandths of a core.
+    pub used_cpu: u64,
+    /// Processor of VMs that take work, in thousandths of a core.
+    pub cpu: u64,
+    /// VMs that are to be emptied and have nothing running: lasting name and incarnation.
+    pub emptied: Vec<(String, String)>,
+    /// VMs on which nothing runs.
+    pub idle: Vec<String>,
+}
+
+/// A wave of maintenance, as the operator asked for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WaveRequest {
+    /// Its number.
+    pub wave: u64,
+    /// The VMs, by lasting name.
+    pub vms: Vec<String>,
+    /// How long it may take, in milliseconds.
+    pub duration_ms: Ms,
+    /// How many VMs may be down for it at once.
+    pub cap: usize,
+}
+
+/// An order to the machine service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FleetOrder {
+    /// The VM's lasting name.
+    pub vm: String,
+    /// What for.
+    pub purpose: Purpose,
+}
+
+/// What the machine service made of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// Done, now or before.
+    Done,
+    /// Surely not done.
+    NotDone,
+    /// Maybe done, or done later.
+    Unknown,
+    /// It can never be done: no such VM, or not part of that wave.
+    Impossible,
+}
+
+/// What is known of an order that was given in this term.
+#[derive(Clone, Copy, Debug, Default)]
+struct Given {
+    under_way: bool,
+    again_at: Ms,
+    done_at: Option<Ms>,
+}
+
+/// The fleet's schedule.
+#[derive(Debug)]
+pub struct Fleet {
+    vms: BTreeMap<Arc<str>, FleetVm>,
+    waves: BTreeMap<u64, Wave>,
+    record: FleetRecord,
+    reports: HashMap<Arc<str>, PoolReport>,
+    given: HashMap<String, Given>,
+    /// VMs that may still be hit by an order without an answer, and until when.
+    unsettled: HashMap<String, Ms>,
+    /// The pool whose VMs are switched off.
+    off_pool: Option<Arc<str>>,
+    working_pools: HashSet<Arc<str>>,
+    pressure: moves::Pressure,
+    /// Before this no order is given: a predecessor may just have given one.
+    not_before: Ms,
+}
+
+impl Fleet {
+    /// Takes over from a record; no order is given before `not_before`.
+    pub fn new(record: FleetRecord, not_before: Ms) -> Self {
+        Self {
+            vms: BTreeMap::new(),
+            waves: BTreeMap::new(),
+            record,
+            reports: HashMap::new(),
+            given: HashMap::new(),
+            unsettled: HashMap::new(),
+            off_pool: None,
+            working_pools: HashSet::new(),
+            pressure: moves::Pressure::default(),
+            not_before,
+        }
+    }
+
+    /// Returns the record to write.
+    pub const fn record(&self) -> &FleetRecord {
+        &self.record
+    }
+
+    /// Takes in the VMs.
+    pub fn set_vms(&mut self, vms: Vec<FleetVm>) {
+        self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+    }
+
+    /// Takes in the pools: those that work, and the one whose VMs are switched off.
+    pub fn set_pools(&mut self, working: HashSet<Arc<str>>, off: Option<Arc<str>>) {
+        self.working_pools = working;
+        self.off_pool = off;
+    }
+
+    /// Takes in a pool owner's report.
+    pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
+        self.pressure.note(pool, &report, now);
+        self.reports.insert(pool.clone(), report);
+    }
+
+    /// Takes in a wave.
+    pub fn set_wave(&mut self, request: WaveRequest) {
+        let number = request.wave;
+        let known = self.record.waves.iter().any(|w| w.wave == number);
+        if !known {
+            let left = request.vms.clone();
+            self.record.waves.push(WaveRecord { wave: number, left, ..WaveRecord::default() });
+        }
+        self.waves.entry(number).or_insert_with(|| Wave::new(request));
+    }
+
+    /// Returns whether anything is to be done, so that the VMs are to be looked at often.
+    pub fn is_busy(&self) -> bool {
+        !self.record.work.is_empty() || self.record.waves.iter().any(|w| !w.completed)
+    }
+
+    /// Decides what to do next. The record is to be written before the orders are given.
+    pub fn plan(&mut self, now: Ms) -> Vec<FleetOrder> {
+        self.finish_work(now);
+        self.finish_waves();
+        if now < self.not_before {
+            return Vec::new();
+        }
+        self.begin_maintenance(now);
+        self.begin_moves(now);
+        self.order_emptied(now);
+        self.give_orders(now)
+    }
+
+    /// Takes in what came of an order.
+    pub fn order_result(&mut self, vm: &str, outcome: OrderOutcome, now: Ms) {
+        let given = self.given.entry(vm.to_owned()).or_default();
+        given.under_way = false;
+        given.again_at = now + AGAIN_MS;
+        match outcome {
+            OrderOutcome::Done => given.done_at = Some(now),
+            OrderOutcome::NotDone => (),
+            OrderOutcome::Unknown => {
+                self.unsettled.insert(vm.to_owned(), now + LATE_ORDER_MS);
+            }
+            OrderOutcome::Impossible => self.abandon(vm),
+        }
+    }
+
+    /// Returns the waves whose VMs are all maintained and that the operator is not told of yet.
+    pub fn to_complete(&self) -> Vec<u64> {
+        let over = |w: &&WaveRecord| w.left.is_empty() && !w.completed;
+        self.record.waves.iter().filter(over).map(|w| w.wave).collect()
+    }
+
+    /// Takes in that the operator was told.
+    pub fn completed(&mut self, wave: u64) {
+        if let Some(record) = self.record.waves.iter_mut().find(|w| w.wave == wave) {
+            record.completed = true;
+        }
+    }
+
+    /// Ends the work on VMs whose orders were carried out.
+    fn finish_work(&mut self, now: Ms) {
+        let done: Vec<VmWork> =
+            self.record.work.iter().filter(|w| self.is_carried_out(w, now)).cloned().collect();
+        for work in done {
+            self.given.remove(&work.vm);
+            self.record.work.retain(|w| w.vm != work.vm);
+            if let Purpose::Maintain { wave } = work.purpose {
+                self.mark_maintained(wave, &work.vm);
+            }
+        }
+    }
+
+    fn is_carried_out(&self, work: &VmWork, now: Ms) -> bool {
+        let Stage::Ordered { incarnation } = &work.stage else { return false };
+        let Some(done_at) = self.given.get(&work.vm).and_then(|g| g.done_at) else { return false };
+        let Some(vm) = self.vms.get(work.vm.as_str()) else { return true };
+        if vm.state != VmState::Up {
+            return false;
+        }
+        let settled = match &work.purpose {
+            Purpose::Move { to } => &*vm.pool == to.as_str(),
+            Purpose::Maintain { .. } => true,
+        };
+        let reborn = vm.incarnation.as_deref() != incarnation.as_deref();
+        settled && (reborn || now.saturating_sub(done_at) >= DONE_BEFORE_MS)
+    }
+
+    /// Orders what concerns VMs that are empty now.
+    fn order_emptied(&mut self, now: Ms) {
+        for i in 0..self.record.work.len() {
+            let work = &self.record.work[i];
+            if work.stage != Stage::Emptying || !self.is_empty(&work.vm) {
+                continue;
+            }
+            if !self.may_take_down(&work.purpose) {
+                continue;
+            }
+            let incarnation = self
+                .vms
+                .get(work.vm.as_str())
+                .and_then(|vm| vm.incarnation.as_deref())
+                .map(str::to_owned);
+            self.given.insert(work.vm.clone(), Given { again_at: now, ..Given::default() });
+            self.record.work[i].stage = Stage::Ordered { incarnation };
+        }
+    }
+
+    /// Returns whether nothing runs on a VM, by the word of its pool's owner about this very
+    /// incarnation; a VM that is switched off has nothing running.
+    fn is_empty(&self, name: &str) -> bool {
+        let Some(vm) = self.vms.get(name) else { return false };
+        if vm.state != VmState::Up {
+            return false;
+        }
+        if self.off_pool.as_ref() == Some(&vm.pool) {
+            return true;
+        }
+        let Some(report) = self.reports.get(&vm.pool) else { return false };
+        let incarnation = vm.incarnation.as_deref().unwrap_or_default();
+        report.emptied.iter().any(|(n, i)| n == name && i == incarnation)
+    }
+
+    fn give_orders(&mut self, now: Ms) -> Vec<FleetOrder> {
+        let mut orders = Vec::new();
+        for work in &self.record.work {
+            if work.stage == Stage::Emptying {
+                continue;
+            }
+            let given = self.given.entry(work.vm.clone()).or_default();
+            if given.under_way || given.done_at.is_some() || now < given.again_at {
+                continue;
+            }
+            given.under_way = true;
+            orders.push(FleetOrder { vm: work.vm.clone(), purpose: work.purpose.clone() });
+        }
+        orders
+    }
+
+    /// Gives up the work on a VM for which it cannot be done.
+    fn abandon(&mut self, vm: &str) {
+        self.given.remove(vm);
+        let Some(i) = self.record.work.iter().position(|w| w.vm == vm) else { return };
+        let work = self.record.work.remove(i);
+        if let Purpose::Maintain { wave } = work.purpose {
+            self.mark_maintained(wave, vm);
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/fleet/record.rs
@@ -0,0 +1,82 @@
+//! What the owner of the fleet writes: which VMs are being worked on, how far each wave is.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a VM is emptied.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Purpose {
+    /// Its maintenance in a wave.
+    Maintain {
+        /// The wave.
+        wave: u64,
+    },
+    /// A move to another pool.
+    Move {
+        /// The pool.
+        to: String,
+    },
+}
+
+/// How far the work on a VM is.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Stage {
+    /// Its tasks end or move away.
+    Emptying,
+    /// The machine service is told, or about to be.
+    Ordered {
+        /// The incarnation that it had then; another one shows that the order was carried out.
+        incarnation: Option<String>,
+    },
+}
+
+/// Work on one VM.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VmWork {
+    /// The VM's lasting name.
+    pub vm: String,
+    /// Why.
+    pub purpose: Purpose,
+    /// How far.
+    pub stage: Stage,
+}
+
+/// How far a wave is.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WaveRecord {
+    /// Its number.
+    pub wave: u64,
+    /// VMs that were maintained, or left for good.
+    pub done: Vec<String>,
+    /// VMs that are still to be maintained.
+    pub left: Vec<String>,
+    /// All are done, and the operator was told.
+    pub completed: bool,
+}
+
+/// What the owner of the fleet writes, whole each time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetRecord {
+    /// VMs that are worked on; they take no new tasks.
+    pub work: Vec<VmWork>,
+    /// The waves.
+    pub waves: Vec<WaveRecord>,
+}
+
+impl FleetRecord {
+    /// Returns the VMs, by lasting name, that are to be emptied and kept empty.
+    pub fn cordoned(&self) -> impl Iterator<Item = &str> {
+        self.work.iter().map(|w| w.vm.as_str())
+    }
+
+    /// Returns the VMs, by lasting name, that a wave will take down before long.
+    pub fn due(&self) -> impl Iterator<Item = &str> {
+        self.waves.iter().flat_map(|w| w.left.iter().map(String::as_str))
+    }
+
+    /// Returns the work on a VM.
+    pub fn work_on(&self, vm: &str) -> Option<&VmWork> {
+        self.work.iter().find(|w| w.vm == vm)
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/fleet/wave.rs
@@ -0,0 +1,123 @@
+//! Waves of maintenance.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{Fleet, FleetVm, Purpose, Stage, VmState, VmWork, WaveRecord, WaveRequest};
+use crate::Ms;
+
+/// Share of a pool's VMs that are emptied or down for waves at once, in percent: what remains
+/// carries the load of today's sites with their switched-off VMs brought in.
+const POOL_SHARE_PERCENT: usize = 34;
+/// VMs that are emptied beyond those that may be down, so that the next is ready when one is back.
+const AHEAD: usize = 2;
+
+/// A wave that was asked for.
+#[derive(Clone, Debug)]
+pub(super) struct Wave {
+    pub request: WaveRequest,
+}
+
+impl Wave {
+    pub const fn new(request: WaveRequest) -> Self {
+        Self { request }
+    }
+}
+
+impl Fleet {
+    pub(super) fn mark_maintained(&mut self, wave: u64, vm: &str) {
+        if let Some(record) = self.record.waves.iter_mut().find(|w| w.wave == wave) {
+            record.left.retain(|name| name != vm);
+            record.done.push(vm.to_owned());
+        }
+    }
+
+    /// Counts VMs that have left for good as done.
+    pub(super) fn finish_waves(&mut self) {
+        if self.vms.is_empty() {
+            return;
+        }
+        for record in &mut self.record.waves {
+            let vms = &self.vms;
+            let (left, gone): (Vec<String>, Vec<String>) =
+                record.left.drain(..).partition(|name| vms.contains_key(name.as_str()));
+            record.left = left;
+            record.done.extend(gone);
+        }
+    }
+
+    /// Begins to empty VMs of waves, as many as may be down and a few more.
+    pub(super) fn begin_maintenance(&mut self, now: Ms) {
+        let mut by_pool: HashMap<Arc<str>, usize> = HashMap::new();
+        for work in &self.record.work {
+            if let Some(vm) = self.vms.get(work.vm.as_str()) {
+                *by_pool.entry(vm.pool.clone()).or_default() += 1;
+            }
+        }
+        let waves: Vec<WaveRecord> =
+            self.record.waves.iter().filter(|w| !w.completed).cloned().collect();
+        for record in waves {
+            let Some(wave) = self.waves.get(&record.wave) else { continue };
+            let cap = wave.request.cap.max(1);
+            let mut at_work = self.work_of(record.wave).count();
+            for name in self.order_of(&record, now) {
+                if at_work >= cap + AHEAD {
+                    break;
+                }
+                if self.begin_vm(record.wave, &name, &mut by_pool) {
+                    at_work += 1;
+                }
+            }
+        }
+    }
+
+    fn begin_vm(&mut self, wave: u64, name: &str, by_pool: &mut HashMap<Arc<str>, usize>) -> bool {
+        let Some(vm) = self.vms.get(name).filter(|vm| vm.state == VmState::Up) else {
+            return false;
+        };
+        let off = self.off_pool.as_ref() == Some(&vm.pool);
+        let size = self.vms.values().filter(|v| v.pool == vm.pool).count();
+        let most = (size * POOL_SHARE_PERCENT / 100).max(1);
+        let busy = by_pool.entry(vm.pool.clone()).or_default();
+        if !off && *busy >= most {
+            return false;
+        }
+        *busy += 1;
+        let purpose = Purpose::Maintain { wave };
+        self.record.work.push(VmWork { vm: name.to_owned(), purpose, stage: Stage::Emptying });
+        true
+    }
+
+    /// Returns the VMs of a wave that are not worked on: those that are switched off or idle
+    /// first, then those of the pools that use least of their room.
+    fn order_of(&self, record: &WaveRecord, now: Ms) -> Vec<String> {
+        let rank = |name: &String| {
+            let vm = self.vms.get(name.as_str());
+            let off = vm.is_some_and(|vm| self.off_pool.as_ref() == Some(&vm.pool));
+            let report = vm.and_then(|vm| self.reports.get(&vm.pool));
+            let idle = report.is_some_and(|r| r.idle.contains(name));
+            let load = vm.map_or(0, |vm: &FleetVm| self.pressure.of(&vm.pool, now));
+            (!off, !idle, load)
+        };
+        let is_free = |name: &&String| {
+            self.record.work_on(name).is_none() && !self.unsettled.contains_key(*name)
+        };
+        let mut names: Vec<String> = record.left.iter().filter(is_free).cloned().collect();
+        names.sort_by_key(rank);
+        names
+    }
+
+    fn work_of(&self, wave: u64) -> impl Iterator<Item = &VmWork> {
+        let of_wave = move |w: &&VmWork| w.purpose == Purpose::Maintain { wave };
+        self.record.work.iter().filter(of_wave)
+    }
+
+    /// Returns whether one more VM may be taken down for a purpose. One that was ordered down
+    /// counts until its new incarnation is up.
+    pub(super) fn may_take_down(&self, purpose: &Purpose) -> bool {
+        let Purpose::Maintain { wave } = purpose else { return true };
+        let Some(known) = self.waves.get(wave) else { return false };
+        let down = self.work_of(*wave).filter(|w| w.stage != Stage::Emptying).count();
+        down < known.request.cap.max(1)
+    }
+}
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -75,6 +75,8 @@
     vm_keys: HashMap<VmId, VmKey>,
     /// VMs, by lasting name, that are to be emptied.
     cordoned: HashSet<Arc<str>>,
+    /// VMs, by lasting name, that maintenance will take down before long.
+    due: HashSet<Arc<str>>,
     orders: Vec<Order>,
     dirty: Vec<JobKey>,
     acks: Vec<(VmId, u64)>,
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -160,7 +160,9 @@
         let score = |(key, vm): &(VmKey, &Vm)| {
             let near = shape.affinity.as_deref().is_some_and(|a| has_label(vm, a));
             // A task goes back to where it failed only if there is no other place.
-            (Some(*key) != avoid, !disturbs(vm, shape), near, vm.free().cpu)
+            // A lasting task would have to move again where maintenance is due.
+            let stays = !shape.lasting || !vm.name().is_some_and(|n| self.due.contains(n));
+            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, vm.free().cpu)
         };
         self.vms.iter().filter(|(_, vm)| fits(vm)).max_by_key(score).map(|(key, _)| key)
     }
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -44,7 +44,10 @@
         if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
             run.percent = row.percent;
             run.checkpoint.clone_from(&row.checkpoint);
-            self.note_at_work(row);
+            // One that was told to stop is as good as gone, though it still works.
+            if !run.stopping {
+                self.note_at_work(row);
+            }
             return;
         }
         if vm.strays.insert(row.run) {
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -176,6 +176,17 @@
         self.cordoned = names;
     }
 
+    /// Sets which VMs, by lasting name, maintenance will take down before long.
+    pub fn set_due(&mut self, names: HashSet<Arc<str>>) {
+        self.due = names;
+    }
+
+    /// Returns the lasting names of VMs on which nothing runs.
+    pub fn idle(&self) -> Vec<Arc<str>> {
+        let idle = |vm: &&Vm| vm.takes_work() && vm.runs.is_empty();
+        self.vms.values().filter(idle).filter_map(|vm| vm.name().cloned()).collect()
+    }
+
     /// Takes in whether a VM answers.
     pub fn set_reachable(&mut self, id: &VmId, reachable: bool) {
         if let Some(&key) = self.vm_keys.get(id) {
@@ -201,7 +212,7 @@
 
     /// Returns the VMs that still have runs or strays although the platform does not list them.
     pub fn unlisted_with_runs(&self) -> Vec<VmId> {
-        let busy = |vm: &&Vm| !vm.listed && !(vm.runs.is_empty() && vm.strays.is_empty());
+        let busy = |vm: &&Vm| !(vm.listed || vm.runs.is_empty() && vm.strays.is_empty());
         self.vms.values().filter(busy).map(|vm| vm.id.clone()).collect()
     }
 
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -14,7 +14,7 @@
 use metrics::{counter, histogram};
 use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, body};
-use thistle_schedule::job_log::{cancel_key, encode, submit_key};
+use thistle_schedule::job_log::{JobEntry, cancel_key, encode, submit_key};
 use thistle_schedule::{Catalog, JobId, JobSpec, Queue};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -171,7 +171,7 @@
 fn answer_written(written: Written) -> Reply {
     match written {
         Written::Kept => reply::accepted(),
-        Written::NotWritten => {
+        Written::Lost => {
             reply::not_taken("the store cannot be reached from here; nothing was taken: come back")
         }
         Written::Unknown => reply::unknown(),
@@ -192,7 +192,7 @@
     };
     // An unknown job is cancelled too: its submission may still be on the way to the store.
     let log = known.clone().unwrap_or_else(|| node.pool_log(&queue.pool));
-    let settled = log.jobs().get(id).and_then(thistle_schedule::job_log::JobEntry::state);
+    let settled = log.jobs().get(id).and_then(JobEntry::state);
     let written = match settled {
         Some(state) if is_final(state) => Written::Kept,
         _ => write(&log, KeyedRecord::new(cancel_key(id), vec![1])).await,
@@ -224,7 +224,7 @@
             None => return reply::not_taken("the store cannot be reached from here: come back"),
         },
     };
-    let known = |log: &PoolLog| log.jobs().get(id).and_then(|e| e.state());
+    let known = |log: &PoolLog| log.jobs().get(id).and_then(JobEntry::state);
     let mut state = known(&log);
     if !state.is_some_and(is_final) && !log.is_owned() {
         // A state that is some moments old is better than none.
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -10,12 +10,14 @@
 use thistle_schedule::ownership::{Claim, Heartbeat};
 use tokio::task::AbortHandle;
 
+use crate::fleet_owner::FLEET;
 use crate::follow::{News, Tail, follow};
 use crate::node::{Node, lock, steady_ms};
-use crate::owner;
+use crate::pool_log::PoolLog;
+use crate::{fleet_owner, owner};
 
 /// The topic of claims and heartbeats.
-const TOPIC: &str = "control";
+pub const TOPIC: &str = "control";
 /// Its partition of claims.
 const CLAIMS: u32 = 0;
 /// Its partition of heartbeats.
@@ -36,7 +38,9 @@
 pub async fn run(node: Arc<Node>) {
     let claims_end = Arc::new(AtomicU64::new(u64::MAX));
     let follow_claims = follow_claims(node.clone(), claims_end.clone());
-    tokio::join!(follow_claims, beat(node.clone()), claim(node.clone(), claims_end));
+    let follow_fleet = fleet_owner::follow_record(node.clone());
+    let claim = claim(node.clone(), claims_end);
+    tokio::join!(follow_claims, follow_fleet, beat(node.clone()), claim);
 }
 
 async fn follow_claims(node: Arc<Node>, claims_end: Arc<AtomicU64>) {
@@ -127,7 +131,8 @@
     *heard_at = now;
 }
 
-fn to_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
+/// Encodes a record that operators may read.
+pub fn to_json<T: serde::Serialize>(value: &T) -> Vec<u8> {
     // Encoding plain structs into memory cannot fail.
     serde_json::to_vec(value).unwrap_or_default()
 }
@@ -156,7 +161,10 @@
     if !node.in_touch() || !logs.iter().all(|log| log.is_loaded()) {
         return Vec::new();
     }
-    lock(&node.ownership).to_claim(logs.iter().map(|log| &log.pool), steady_ms())
+    let fleet: Arc<str> = FLEET.into();
+    let fleet = node.settings.machine_service.map(|_| &fleet);
+    let shards = logs.iter().map(|log| &log.pool).chain(fleet);
+    lock(&node.ownership).to_claim(shards, steady_ms())
 }
 
 async fn claim_pool(node: &Node, pool: &Arc<str>, end: u64) {
@@ -179,23 +187,36 @@
 
 fn start_and_stop(node: &Arc<Node>, running: &mut Running) {
     for log in node.pool_logs() {
-        let token = lock(&node.ownership).my_token(&log.pool);
-        let same = running
-            .get(&log.pool)
-            .is_some_and(|(t, task)| Some(*t) == token && !task.is_finished());
-        if same {
-            continue;
-        }
-        if let Some((old, task)) = running.remove(&log.pool) {
-            log::info!("owner pool={} step=ended token={old}", log.pool);
-            task.abort();
+        keep_in_step(node, running, &log.pool.clone(), Some(&log));
+    }
+    keep_in_step(node, running, &FLEET.into(), None);
+}
+
+/// Starts or ends the owner of a pool, or of the fleet if there is no log.
+fn keep_in_step(
+    node: &Arc<Node>,
+    running: &mut Running,
+    shard: &Arc<str>,
+    log: Option<&Arc<PoolLog>>,
+) {
+    let token = lock(&node.ownership).my_token(shard);
+    let same = running.get(shard).is_some_and(|(t, task)| Some(*t) == token && !task.is_finished());
+    if same {
+        return;
+    }
+    if let Some((old, task)) = running.remove(shard) {
+        log::info!("owner pool={shard} step=ended token={old}");
+        task.abort();
+        if let Some(log) = log {
             drop(log.connect_owner(None));
         }
-        if let Some(token) = token {
-            let task = tokio::spawn(owner::run(node.clone(), log.clone(), token));
-            running.insert(log.pool.clone(), (token, task.abort_handle()));
-        }
     }
+    let Some(token) = token else { return };
+    let task = match log {
+        Some(log) => tokio::spawn(owner::run(node.clone(), log.clone(), token)),
+        None => tokio::spawn(fleet_owner::run(node.clone(), token)),
+    };
+    running.insert(shard.clone(), (token, task.abort_handle()));
 }
 
 /// Ends all owners and gives their pools up, so that others take them at once.
@@ -204,7 +225,9 @@
     let mut records = Vec::new();
     for (pool, (token, task)) in running {
         task.abort();
-        drop(node.pool_log(&pool).connect_owner(None));
+        if &*pool != FLEET {
+            drop(node.pool_log(&pool).connect_owner(None));
+        }
         log::info!("owner pool={pool} step=given-up token={token}");
         let claim = Claim { owner: node.me.clone(), released: true };
         records.push(KeyedRecord::new(format!("{OWNER_PREFIX}{pool}"), to_json(&claim)));
--- /dev/null
+++ b/crates/scheduler/src/fleet_owner.rs
@@ -0,0 +1,325 @@
+//! Owning the fleet: waves of maintenance and moves between pools.
+
+use std::collections::HashSet;
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use thistle_platform::config::{STATUS_TOPIC, WaveState, encode_wave_status};
+use thistle_platform::machines::{Holder, Machine, MachineError, MachineState};
+use thistle_platform::{Guard, KeyedRecord, MachineClient, Stored};
+use thistle_schedule::Ms;
+use thistle_schedule::fleet::{
+    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, PoolReport, Purpose, VmState,
+};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use crate::control::{TOPIC, to_json};
+use crate::follow::{News, Tail, follow};
+use crate::journal::{Fenced, Journal};
+use crate::node::{Node, steady_ms};
+
+/// The name under which the fleet is owned, beside the pools' names.
+pub const FLEET: &str = "#fleet";
+/// The partition of the fleet's record.
+pub const RECORD: u32 = 2;
+/// The partition of the pools' reports.
+pub const REPORTS: u32 = 3;
+/// The key of the fleet's record.
+const RECORD_KEY: &str = "fleet";
+const POOL_PREFIX: &str = "pool/";
+/// How often the schedule is looked at.
+const TICK: Duration = Duration::from_millis(100);
+/// How often the VMs are read while some are worked on, in milliseconds.
+const LIST_BUSY_MS: Ms = 400;
+/// How often the VMs are read otherwise, in milliseconds.
+const LIST_IDLE_MS: Ms = 3_000;
+/// Added to the least time between orders of different nodes, in milliseconds.
+const GAP_MARGIN_MS: Ms = 300;
+
+/// Returns the key of a pool's report.
+pub fn pool_key(pool: &str) -> String {
+    format!("{POOL_PREFIX}{pool}")
+}
+
+enum Event {
+    Report(Arc<str>, PoolReport),
+    Result(FleetOrder, Result<(), MachineError>),
+    Vms(Result<Vec<Machine>, MachineError>),
+}
+
+/// Follows the fleet's record, so that pools on this node know which VMs to empty.
+pub async fn follow_record(node: Arc<Node>) {
+    let cx = node.clone();
+    follow(&node, Tail::new(TOPIC, RECORD), move |news, _| {
+        let records = match news {
+            News::Reloaded(records) | News::Records(records) => records,
+        };
+        for Stored { record, offset } in records {
+            let Some(value) = record.value() else { continue };
+            match serde_json::from_slice::<FleetRecord>(value) {
+                Ok(record) => {
+                    cx.fleet.send_replace(Arc::new(record));
+                }
+                Err(e) => log::error!("fleet step=unreadable offset={offset} error=\"{e}\""),
+            }
+        }
+    })
+    .await;
+}
+
+struct FleetOwner {
+    node: Arc<Node>,
+    token: u64,
+    client: Arc<MachineClient>,
+    fleet: Fleet,
+    journal: Journal,
+    written: FleetRecord,
+    tx: UnboundedSender<Event>,
+    listed_at: Ms,
+    listing: bool,
+}
+
+/// Owns the fleet until another node does, or the task is aborted.
+pub async fn run(node: Arc<Node>, token: u64) {
+    let Some(addr) = node.settings.machine_service else { return };
+    let Ok(journal) = Journal::open(&node, TOPIC, RECORD, token).await else {
+        log::warn!("fleet step=fenced token={token}");
+        return;
+    };
+    let Some(record) = read_record(&node).await else { return };
+    let (tx, mut rx) = unbounded_channel();
+    let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
+    // Without a record nobody has given an order yet.
+    let wait = record.as_ref().map_or(0, |_| gap + GAP_MARGIN_MS);
+    let written = record.unwrap_or_default();
+    log::info!("fleet step=took-over token={token} work={} wait_ms={wait}", written.work.len());
+    let mut owner = FleetOwner {
+        fleet: Fleet::new(written.clone(), steady_ms() + wait),
+        client: Arc::new(MachineClient::new(addr)),
+        node: node.clone(),
+        token,
+        journal,
+        written,
+        tx: tx.clone(),
+        listed_at: 0,
+        listing: false,
+    };
+    let work = async {
+        loop {
+            if let Ok(Some(event)) = tokio::time::timeout(TICK, rx.recv()).await {
+                owner.take(event);
+            }
+            while let Ok(event) = rx.try_recv() {
+                owner.take(event);
+            }
+            owner.list_vms();
+            if owner.node.lease_valid() && owner.step().await == Err(Fenced) {
+                log::warn!("fleet step=fenced token={token}");
+                return;
+            }
+        }
+    };
+    // Both end with this task.
+    tokio::select! {
+        () = follow_reports(node.clone(), tx) => (),
+        () = work => (),
+    }
+}
+
+/// Returns the record as it is now that nobody else can write it; `None` for the outer if the
+/// task is to end.
+async fn read_record(node: &Node) -> Option<Option<FleetRecord>> {
+    loop {
+        match node.store.newest(TOPIC, RECORD).await {
+            Ok(newest) => {
+                let record = newest.records.into_iter().find(|s| s.record.key == RECORD_KEY);
+                let Some(stored) = record else { return Some(None) };
+                return match serde_json::from_slice(&stored.record.value) {
+                    Ok(record) => Some(Some(record)),
+                    Err(e) => {
+                        log::error!("fleet step=unreadable offset={} error=\"{e}\"", stored.offset);
+                        None
+                    }
+                };
+            }
+            Err(e) => {
+                node.note_store(false);
+                log::debug!("fleet step=read-failed error=\"{e}\"");
+                tokio::time::sleep(TICK).await;
+            }
+        }
+    }
+}
+
+async fn follow_reports(node: Arc<Node>, tx: UnboundedSender<Event>) {
+    follow(&node, Tail::new(TOPIC, REPORTS), move |news, _| {
+        let records = match news {
+            News::Reloaded(records) | News::Records(records) => records,
+        };
+        for Stored { record, offset } in records {
+            let Some(pool) = record.key.strip_prefix(POOL_PREFIX) else { continue };
+            let Some(value) = record.value() else { continue };
+            match serde_json::from_slice(value) {
+                Ok(report) => {
+                    let _ = tx.send(Event::Report(pool.into(), report));
+                }
+                Err(e) => log::error!("report step=unreadable offset={offset} error=\"{e}\""),
+            }
+        }
+    })
+    .await;
+}
+
+impl FleetOwner {
+    fn take(&mut self, event: Event) {
+        let now = steady_ms();
+        match event {
+            Event::Report(pool, report) => self.fleet.set_report(&pool, report, now),
+            Event::Result(order, result) => {
+                let outcome = outcome(&result);
+                let error = result.err().map(|e| e.to_string()).unwrap_or_default();
+                log::info!(
+                    "fleet step=answered vm={} purpose={:?} outcome={outcome:?} error=\"{error}\"",
+                    order.vm,
+                    order.purpose,
+                );
+                self.fleet.order_result(&order.vm, outcome, now);
+                // What has come of it shows in the list.
+                self.listed_at = 0;
+            }
+            Event::Vms(result) => {
+                self.listing = false;
+                match result {
+                    Ok(machines) => {
+                        self.fleet.set_vms(machines.into_iter().map(fleet_vm).collect());
+                    }
+                    Err(e) => log::debug!("fleet step=list-failed error=\"{e}\""),
+                }
+            }
+        }
+    }
+
+    /// Asks for the VMs if it is time to.
+    fn list_vms(&mut self) {
+        let every = if self.fleet.is_busy() { LIST_BUSY_MS } else { LIST_IDLE_MS };
+        if self.listing || steady_ms().saturating_sub(self.listed_at) < every {
+            return;
+        }
+        self.listing = true;
+        self.listed_at = steady_ms();
+        let (client, tx) = (self.client.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            let _ = tx.send(Event::Vms(client.list().await));
+        });
+    }
+
+    async fn step(&mut self) -> Result<(), Fenced> {
+        let now = steady_ms();
+        self.take_config();
+        let orders = self.fleet.plan(now);
+        for wave in self.fleet.to_complete() {
+            self.tell(wave, WaveState::Completed).await;
+        }
+        if *self.fleet.record() != self.written {
+            let written = self.fleet.record().clone();
+            let record = KeyedRecord::new(RECORD_KEY, to_json(&written));
+            self.journal.append(&self.node, &[record]).await?;
+            self.log_changes(&written);
+            self.written = written;
+        }
+        for order in orders {
+            self.give(order);
+        }
+        Ok(())
+    }
+
+    fn take_config(&mut self) {
+        let Some(catalog) = self.node.catalog.borrow().clone() else { return };
+        let working: HashSet<Arc<str>> = catalog.working_pools().cloned().collect();
+        let off = catalog.pools.iter().find(|p| p.switched_off).map(|p| p.name.clone());
+        self.fleet.set_pools(working, off);
+        for wave in self.node.waves.borrow().iter() {
+            self.fleet.set_wave(wave.clone());
+        }
+    }
+
+    /// Tells the operator how far a wave is.
+    async fn tell(&mut self, wave: u64, state: WaveState) {
+        let (key, value) = encode_wave_status(wave, state);
+        let record = KeyedRecord::new(key, value);
+        match self.node.store.append(STATUS_TOPIC, 0, Guard::Always, &[record]).await {
+            Ok(_) => {
+                log::info!("wave wave={wave} step=told state={state:?}");
+                if state == WaveState::Completed {
+                    self.fleet.completed(wave);
+                }
+            }
+            Err(e) => log::warn!("wave wave={wave} step=not-told state={state:?} error=\"{e}\""),
+        }
+    }
+
+    fn log_changes(&self, now: &FleetRecord) {
+        for work in now.work.iter().filter(|w| !self.written.work.contains(w)) {
+            log::info!(
+                "fleet step=work vm={} purpose={:?} stage={:?}",
+                work.vm,
+                work.purpose,
+                work.stage
+            );
+        }
+        for work in self.written.work.iter().filter(|w| now.work_on(&w.vm).is_none()) {
+            log::info!("fleet step=finished vm={} purpose={:?}", work.vm, work.purpose);
+        }
+    }
+
+    fn give(&self, order: FleetOrder) {
+        log::info!(
+            "fleet step=ordered vm={} purpose={:?} token={}",
+            order.vm,
+            order.purpose,
+            self.token,
+        );
+        counter!("thistle_fleet_orders").increment(1);
+        let (client, tx, token) = (self.client.clone(), self.tx.clone(), self.token);
+        let node = self.node.clone();
+        tokio::spawn(async move {
+            let holder = Holder { name: &node.me.name, token };
+            let result = if !node.lease_valid() {
+                Err(MachineError::NotNow("this node may not act as owner now".to_owned()))
+            } else {
+                match &order.purpose {
+                    Purpose::Move { to } => client.move_to(holder, &order.vm, to).await,
+                    Purpose::Maintain { wave } => client.maintain(holder, &order.vm, *wave).await,
+                }
+            };
+            let _ = tx.send(Event::Result(order, result));
+        });
+    }
+}
+
+fn outcome(result: &Result<(), MachineError>) -> OrderOutcome {
+    match result {
+        Ok(()) => OrderOutcome::Done,
+        Err(MachineError::NotNow(_) | MachineError::Busy | MachineError::Fenced) => {
+            OrderOutcome::NotDone
+        }
+        Err(MachineError::Unanswered(_) | MachineError::Malformed(_)) => OrderOutcome::Unknown,
+        Err(MachineError::NotInWave | MachineError::Invalid) => OrderOutcome::Impossible,
+    }
+}
+
+fn fleet_vm(machine: Machine) -> FleetVm {
+    let state = match machine.state {
+        MachineState::Up => VmState::Up,
+        MachineState::Moving | MachineState::Upkeep => VmState::Away,
+        MachineState::Down => VmState::Down,
+    };
+    FleetVm {
+        name: machine.name,
+        pool: machine.pool,
+        state,
+        rack: machine.rack,
+        incarnation: machine.incarnation,
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,7 +7,9 @@
 
 mod callers;
 mod control;
+mod fleet_owner;
 mod follow;
+mod journal;
 mod listing;
 mod node;
 mod owner;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -17,6 +17,8 @@
         for stored in records {
             if stored.record.key == config::CATALOG_KEY {
                 take_catalog(&cx, &stored);
+            } else if let Some(wave) = config::wave_of_key(&stored.record.key) {
+                take_wave(&cx, wave, &stored);
             }
         }
     })
@@ -53,6 +55,31 @@
     node.catalog.send_replace(Some(catalog));
 }
 
+fn take_wave(node: &Node, wave: u64, stored: &Stored) {
+    let Some(value) = stored.record.value() else { return };
+    let request = match config::decode_wave(value) {
+        Ok(request) => request,
+        Err(e) => {
+            log::error!("wave wave={wave} step=unreadable error=\"{}\"", e.0);
+            return;
+        }
+    };
+    node.waves.send_if_modified(|waves| {
+        if waves.iter().any(|w| w.wave == request.wave) {
+            return false;
+        }
+        log::info!(
+            "wave wave={} step=asked vms={} cap={} duration_ms={}",
+            request.wave,
+            request.vms.len(),
+            request.cap,
+            request.duration_ms,
+        );
+        waves.push(request);
+        true
+    });
+}
+
 /// Follows the VM incarnations that the store lists.
 pub async fn follow_vms(node: Arc<Node>) {
     let cx = node.clone();
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,11 +1,12 @@
 //! What all tasks of a node share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use thistle_model::clock::{Instant, wall_ms};
 use thistle_platform::Store;
+use thistle_schedule::fleet::{FleetRecord, WaveRequest};
 use thistle_schedule::ownership::{NodeLife, OWNER_LEASE_MS, Ownership};
 use thistle_schedule::pool::Now;
 use thistle_schedule::{Catalog, Ms, VmFacts, VmId};
@@ -51,8 +52,10 @@
     pub catalog: watch::Sender<Option<Arc<Catalog>>>,
     /// The VMs.
     pub vms: watch::Sender<Arc<VmTable>>,
-    /// VMs, by lasting name, that are to be emptied.
-    pub cordoned: watch::Sender<Arc<HashSet<Arc<str>>>>,
+    /// Which VMs are worked on.
+    pub fleet: watch::Sender<Arc<FleetRecord>>,
+    /// The waves that the operator asks for.
+    pub waves: watch::Sender<Vec<WaveRequest>>,
     /// Owners and members.
     pub ownership: Mutex<Ownership>,
     /// Wakes the task that starts and stops owners.
@@ -80,7 +83,8 @@
             me,
             catalog: watch::Sender::new(None),
             vms: watch::Sender::new(Arc::default()),
-            cordoned: watch::Sender::new(Arc::default()),
+            fleet: watch::Sender::new(Arc::default()),
+            waves: watch::Sender::new(Vec::new()),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
             lease_until: AtomicU64::new(0),
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -110,10 +110,11 @@
     pub fn pace(&self, run: RunId, percent: u32) {
         let shared = self.shared.clone();
         tokio::spawn(async move {
-            if shared.may_send() {
-                if let Err(e) = shared.client.pace(run, percent, shared.token).await {
-                    log::debug!("pace step=failed run={run} vm={} error=\"{e}\"", shared.vm);
-                }
+            if !shared.may_send() {
+                return;
+            }
+            if let Err(e) = shared.client.pace(run, percent, shared.token).await {
+                log::debug!("pace step=failed run={run} vm={} error=\"{e}\"", shared.vm);
             }
         });
     }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -1,7 +1,8 @@
 //! Owning a pool: its schedule, its records and the links to its VMs.
 
-mod journal;
 mod link;
+mod progress;
+mod report;
 mod vms;
 
 use std::collections::HashMap;
@@ -15,10 +16,11 @@
 use thistle_schedule::{JobId, LogChange, Ms, Phase, Pool, RunId, VmId, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
+use crate::journal::{Fenced, Journal};
 use crate::node::{Node, now, steady_ms};
 use crate::pool_log::{PROGRESS, PoolLog, SUBMISSIONS};
-use journal::{Fenced, Journal};
 use link::Link;
+use report::Reporter;
 
 /// How long orders that were sent when an owner ends may still be under way: the time-out of one.
 pub const ORDERS_SETTLE: Duration = Duration::from_millis(650);
@@ -63,6 +65,7 @@
     orphans: HashMap<VmId, Ms>,
     tx: UnboundedSender<Event>,
     purged_at: Ms,
+    reporter: Reporter,
 }
 
 /// Owns a pool until another node does, or the task is aborted.
@@ -70,7 +73,7 @@
     let (tx, rx) = unbounded_channel();
     let pool_name = log.pool.clone();
     let began = steady_ms();
-    let journal = match Journal::open(&node, &log, token).await {
+    let journal = match Journal::open(&node, &log.topic, PROGRESS, token).await {
         Ok(journal) => journal,
         Err(Fenced) => {
             log::warn!("owner pool={pool_name} step=fenced token={token}");
@@ -93,6 +96,7 @@
         orphans: HashMap::new(),
         tx: tx.clone(),
         purged_at: steady_ms(),
+        reporter: Reporter::default(),
     };
     owner.adopt();
     let load = owner.pool.load();
@@ -129,9 +133,9 @@
 
     async fn work(&mut self, mut rx: UnboundedReceiver<Event>) -> Result<(), Fenced> {
         let mut vms = self.node.vms.subscribe();
-        let mut cordoned = self.node.cordoned.subscribe();
+        let mut fleet = self.node.fleet.subscribe();
         vms.mark_changed();
-        cordoned.mark_changed();
+        fleet.mark_changed();
         loop {
             let pause = self.pause();
             tokio::select! {
@@ -140,9 +144,10 @@
                     let table = vms.borrow_and_update().clone();
                     self.list_vms(&table);
                 }
-                Ok(()) = cordoned.changed() => {
-                    let names = cordoned.borrow_and_update().clone();
-                    self.pool.set_cordoned(names.as_ref().clone());
+                Ok(()) = fleet.changed() => {
+                    let record = fleet.borrow_and_update().clone();
+                    self.pool.set_cordoned(record.cordoned().map(Arc::from).collect());
+                    self.pool.set_due(record.due().map(Arc::from).collect());
                 }
                 () = tokio::time::sleep(pause) => (),
             }
@@ -207,7 +212,7 @@
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
         if !records.is_empty() {
-            self.journal.append(&self.node, &self.log, records).await?;
+            self.write_progress(records).await?;
         }
         for (vm, sequence) in acks {
             if let Some(link) = self.links.get(&vm) {
@@ -219,6 +224,7 @@
         }
         self.drop_links();
         self.tell_load();
+        self.report();
         self.purge().await
     }
 
@@ -286,7 +292,7 @@
         log::info!("jobs step=dropped pool={} count={}", self.log.pool, old.len());
         let progress: Vec<KeyedRecord> =
             old.iter().map(|&id| KeyedRecord::dropping(progress_key(id))).collect();
-        self.journal.append_raw(&self.node, &self.log, &progress).await?;
+        self.journal.append(&self.node, &progress).await?;
         let drop_both = |&id: &JobId| {
             [KeyedRecord::dropping(cancel_key(id)), KeyedRecord::dropping(submit_key(id))]
         };
@@ -306,6 +312,3 @@
         counter!("thistle_ends", "how" => format!("{:?}", end.kind)).increment(1);
     }
 }
-
-/// The partition that only the owner appends to; named here for its two users.
-const JOURNAL: u32 = PROGRESS;
--- /dev/null
+++ b/crates/scheduler/src/owner/report.rs
@@ -0,0 +1,63 @@
+//! Telling the owner of the fleet how a pool is doing.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+
+use thistle_platform::{Guard, KeyedRecord};
+use thistle_schedule::Ms;
+use thistle_schedule::fleet::PoolReport;
+
+use super::Owner;
+use crate::control::{TOPIC, to_json};
+use crate::fleet_owner::{REPORTS, pool_key};
+use crate::node::steady_ms;
+
+/// How often a report goes out at most, in milliseconds, unless a VM has become empty.
+const EVERY_MS: Ms = 700;
+
+/// What was reported last.
+#[derive(Debug, Default)]
+pub(super) struct Reporter {
+    last: PoolReport,
+    at: Ms,
+    under_way: Arc<AtomicBool>,
+}
+
+impl Owner {
+    /// Reports how the pool is doing, if that has changed.
+    pub(super) fn report(&mut self) {
+        let waited = steady_ms().saturating_sub(self.reporter.at);
+        let emptied = self.pool.emptied();
+        let news = emptied.len() != self.reporter.last.emptied.len();
+        if (!news && waited < EVERY_MS) || self.reporter.under_way.load(Ordering::Relaxed) {
+            return;
+        }
+        let load = self.pool.load();
+        let text = |s: Arc<str>| s.as_ref().to_owned();
+        let report = PoolReport {
+            waiting_cpu: load.waiting_cpu,
+            used_cpu: load.used_cpu,
+            cpu: load.cpu,
+            emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
+            idle: self.pool.idle().into_iter().map(text).collect(),
+        };
+        if report == self.reporter.last {
+            return;
+        }
+        self.reporter.at = steady_ms();
+        self.reporter.last = report.clone();
+        self.reporter.under_way.store(true, Ordering::Relaxed);
+        let (node, pool) = (self.node.clone(), self.log.pool.clone());
+        let under_way = self.reporter.under_way.clone();
+        tokio::spawn(async move {
+            let record = KeyedRecord::new(pool_key(&pool), to_json(&report));
+            let result = node.store.append(TOPIC, REPORTS, Guard::Always, &[record]).await;
+            node.note_store(result.is_ok());
+            if let Err(e) = result {
+                // The next report tells the same and more.
+                log::debug!("report step=failed pool={pool} error=\"{e}\"");
+            }
+            under_way.store(false, Ordering::Relaxed);
+        });
+    }
+}
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -26,7 +26,7 @@
     /// The store has it.
     Kept,
     /// The store surely does not have it and will not get it.
-    NotWritten,
+    Lost,
     /// The store may have it.
     Unknown,
 }
@@ -95,7 +95,7 @@
             }
             Ok(other) => {
                 log::error!("submit step=refused pool={} answer={other:?}", log.pool);
-                return if may_be_written { Written::Unknown } else { Written::NotWritten };
+                return if may_be_written { Written::Unknown } else { Written::Lost };
             }
             Err(e) => {
                 node.note_store(false);
@@ -108,7 +108,7 @@
         }
         match may_be_written {
             true if waited >= ASK_FOR_MS => return Written::Unknown,
-            false if waited >= TRY_FOR_MS => return Written::NotWritten,
+            false if waited >= TRY_FOR_MS => return Written::Lost,
             _ => tokio::time::sleep(PAUSE).await,
         }
     }
