--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -62,10 +62,14 @@
     pub used_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
+    /// VMs that take work.
+    pub vms: u32,
     /// VMs that are to be emptied and have nothing running: lasting name and incarnation.
     pub emptied: Vec<(String, String)>,
     /// VMs on which nothing runs.
     pub idle: Vec<String>,
+    /// VMs that run only tasks that end by themselves, those with the least work first.
+    pub light: Vec<String>,
 }
 
 /// A wave of maintenance, as the operator asked for it.
@@ -124,7 +128,11 @@
     /// The pool whose VMs are switched off.
     off_pool: Option<Arc<str>>,
     working_pools: HashSet<Arc<str>>,
-    pressure: moves::Pressure,
+    needs: moves::Needs,
+    /// Since when VMs have had nothing running, by their pools' reports.
+    idle_since: HashMap<String, Ms>,
+    /// Since when VMs of waves are missing from the list.
+    missing_since: HashMap<String, Ms>,
     /// Before this no order is given: a predecessor may just have given one.
     not_before: Ms,
 }
@@ -141,7 +149,9 @@
             unsettled: HashMap::new(),
             off_pool: None,
             working_pools: HashSet::new(),
-            pressure: moves::Pressure::default(),
+            needs: moves::Needs::default(),
+            idle_since: HashMap::new(),
+            missing_since: HashMap::new(),
             not_before,
         }
     }
@@ -151,9 +161,10 @@
         &self.record
     }
 
-    /// Takes in the VMs.
-    pub fn set_vms(&mut self, vms: Vec<FleetVm>) {
+    /// Takes in the VMs, as they were when they were asked for.
+    pub fn set_vms(&mut self, vms: Vec<FleetVm>, asked_at: Ms) {
         self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        self.note_missing(asked_at);
     }
 
     /// Takes in the pools: those that work, and the one whose VMs are switched off.
@@ -164,8 +175,15 @@
 
     /// Takes in a pool owner's report.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
-        self.pressure.note(pool, &report, now);
-        self.reports.insert(pool.clone(), report);
+        self.needs.note(pool, &report, now);
+        let before = self.reports.insert(pool.clone(), report).unwrap_or_default();
+        let Some(report) = self.reports.get(pool) else { return };
+        for vm in before.idle.iter().filter(|vm| !report.idle.contains(vm)) {
+            self.idle_since.remove(vm);
+        }
+        for vm in &report.idle {
+            self.idle_since.entry(vm.clone()).or_insert(now);
+        }
     }
 
     /// Takes in a wave.
@@ -187,11 +205,11 @@
     /// Decides what to do next. The record is to be written before the orders are given.
     pub fn plan(&mut self, now: Ms) -> Vec<FleetOrder> {
         self.finish_work(now);
-        self.finish_waves();
         if now < self.not_before {
             return Vec::new();
         }
-        self.begin_maintenance(now);
+        self.unsettled.retain(|_, until| now < *until);
+        self.begin_maintenance();
         self.begin_moves(now);
         self.order_emptied(now);
         self.give_orders(now)
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -1,88 +1,192 @@
-//! Moving VMs to the pools that need them.
+//! Moving VMs to the pools that need them, and switching off those that none needs.
+//!
+//! The users' load turns from one pool to the next within seconds, and a move takes about two. A
+//! pool's need is met at once from VMs on which nothing runs; a VM is taken away only after the
+//! pool has not needed it for some seconds.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
 use super::{Fleet, PoolReport, Purpose, Stage, VmState, VmWork};
 use crate::Ms;
 
-/// Over how long a pool's need is averaged, in milliseconds: long enough to span the users' turns
-/// of load (16 s a round), so that VMs do not follow each turn.
-const AVERAGE_MS: f64 = 8_000.0;
+/// How full VMs are to be, in percent: tasks differ in size, and the last of a VM's room is hard
+/// to use.
+const FILL_PERCENT: u64 = 80;
+/// By how much waiting tasks count: as many again come while VMs are on their way.
+const WAITING_WEIGHT: u64 = 2;
+/// What a pool keeps beyond its need when others are short, in percent.
+const MARGIN_PERCENT: usize = 15;
+/// How long a pool keeps what it needed last, in milliseconds. Two moves cost about as much as
+/// seven seconds of an idle VM (the sites' prices: 0.088 a move, 0.077 a VM-second).
+const KEEP_MS: Ms = 4_000;
+/// VMs that a pool keeps at least, so that the first jobs of a turn start at once.
+const FLOOR_VMS: usize = 4;
 /// Moves that are under way at once.
-const MOVES_AT_ONCE: usize = 8;
+const MOVES_AT_ONCE: usize = 24;
+/// Processor of a VM where a pool has none to go by, in thousandths of a core: the users' VMs of
+/// today.
+const USUAL_VM_CPU: u64 = 16_000;
 
-/// How much of its room each pool needs, averaged over some seconds.
+/// What each pool needed over the last seconds.
 #[derive(Debug, Default)]
-pub(super) struct Pressure {
+pub(super) struct Needs {
     pools: HashMap<Arc<str>, Need>,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Debug, Default)]
 struct Need {
-    /// Processor wanted, in use or waited for, as a share of what there is, in thousandths.
-    permille: f64,
-    at: Ms,
+    /// VMs needed by each report of the last seconds.
+    recent: VecDeque<(Ms, usize)>,
+    vm_cpu: u64,
 }
 
-impl Pressure {
-    #[expect(clippy::cast_precision_loss, reason = "thousandths of cores are far below 2^52")]
+impl Needs {
     pub fn note(&mut self, pool: &Arc<str>, report: &PoolReport, now: Ms) {
-        let wanted = (report.waiting_cpu + report.used_cpu) as f64;
-        let sample = 1_000.0 * wanted / (report.cpu as f64).max(1_000.0);
-        let need = self.pools.entry(pool.clone()).or_insert(Need { permille: sample, at: now });
-        let passed = now.saturating_sub(need.at) as f64;
-        let weight = (passed / AVERAGE_MS).min(1.0);
-        need.permille += weight * (sample - need.permille);
-        need.at = now;
+        let need = self.pools.entry(pool.clone()).or_default();
+        if report.vms > 0 {
+            need.vm_cpu = report.cpu / u64::from(report.vms);
+        }
+        let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
+        let wanted = (report.used_cpu + WAITING_WEIGHT * report.waiting_cpu) * 100;
+        let vms = wanted.div_ceil(vm_cpu * FILL_PERCENT);
+        need.recent.push_back((now, usize::try_from(vms).unwrap_or(usize::MAX)));
+        need.forget(now);
+    }
+
+    /// Returns how many VMs a pool needs by its newest report.
+    pub fn now(&self, pool: &str) -> usize {
+        let newest = self.pools.get(pool).and_then(|need| need.recent.back());
+        newest.map_or(0, |(_, vms)| *vms).max(FLOOR_VMS)
     }
 
-    /// Returns a pool's need in thousandths of its room.
-    #[expect(
-        clippy::cast_possible_truncation,
-        clippy::cast_sign_loss,
-        reason = "a share that is never negative; a cast saturates"
-    )]
-    pub fn of(&self, pool: &str, _now: Ms) -> u64 {
-        self.pools.get(pool).map_or(0, |n| n.permille as u64)
+    /// Returns how many VMs a pool needed at most over the last seconds; none before it has
+    /// reported for as long.
+    fn lately(&mut self, pool: &str, now: Ms) -> Option<usize> {
+        let need = self.pools.get_mut(pool)?;
+        need.forget(now);
+        need.recent.iter().map(|(_, vms)| *vms).max().map(|vms| vms.max(FLOOR_VMS))
+    }
+}
+
+impl Need {
+    /// Forgets old reports; the newest stands until there is another.
+    fn forget(&mut self, now: Ms) {
+        while self.recent.len() > 1 && self.recent[1].0 + KEEP_MS < now {
+            self.recent.pop_front();
+        }
     }
 }
 
 impl Fleet {
-    /// Brings switched-off VMs into the pools that need them most.
+    /// Begins the moves that the pools' needs ask for.
     pub(super) fn begin_moves(&mut self, now: Ms) {
+        let mut spare = self.spare_vms();
+        let mut free = MOVES_AT_ONCE.saturating_sub(self.moves().count());
+        let mut sizes: HashMap<Arc<str>, usize> =
+            self.working_pools.iter().map(|p| (p.clone(), self.size(p))).collect();
+        while free > 0 {
+            let Some(to) = self.neediest(&sizes) else { break };
+            let Some(vm) = take_for(&mut spare, &to) else { break };
+            self.begin_move(&vm, &to);
+            *sizes.entry(to).or_default() += 1;
+            free -= 1;
+        }
+        self.switch_off_idle(free, now);
+    }
+
+    /// Switches off VMs that their pools have not needed lately.
+    fn switch_off_idle(&mut self, most: usize, now: Ms) {
         let Some(off) = self.off_pool.clone() else { return };
-        let is_move = |w: &&VmWork| matches!(w.purpose, Purpose::Move { .. });
-        let under_way = self.record.work.iter().filter(is_move).count();
-        let free: Vec<Arc<str>> = self
-            .vms
-            .values()
-            .filter(|vm| vm.pool == off && vm.state == VmState::Up)
-            .filter(|vm| self.record.work_on(&vm.name).is_none())
-            .filter(|vm| !self.unsettled.contains_key(&*vm.name))
-            .map(|vm| vm.name.clone())
-            .collect();
-        for vm in free.into_iter().take(MOVES_AT_ONCE.saturating_sub(under_way)) {
-            let Some(to) = self.neediest(now) else { return };
-            let purpose = Purpose::Move { to: to.as_ref().to_owned() };
-            let vm = vm.as_ref().to_owned();
-            self.record.work.push(VmWork { vm, purpose, stage: Stage::Emptying });
+        let mut unneeded = Vec::new();
+        for pool in self.working_pools.iter().cloned().collect::<Vec<_>>() {
+            let Some(needed) = self.needs.lately(&pool, now) else { continue };
+            let surplus = self.size(&pool).saturating_sub(needed);
+            let Some(report) = self.reports.get(&pool) else { continue };
+            let idle = report.idle.iter().filter(|vm| self.has_been_idle(vm, now));
+            let idle = idle.filter(|vm| self.is_free(vm, &pool));
+            unneeded.extend(idle.take(surplus).cloned());
         }
+        for vm in unneeded.into_iter().take(most) {
+            self.begin_move(&vm, &off);
+        }
+    }
+
+    fn moves(&self) -> impl Iterator<Item = &VmWork> {
+        self.record.work.iter().filter(|w| matches!(w.purpose, Purpose::Move { .. }))
     }
 
-    /// Returns the pool with the highest need for each VM that it has or is getting.
-    fn neediest(&self, now: Ms) -> Option<Arc<str>> {
-        let size = |pool: &Arc<str>| {
-            let there = self.vms.values().filter(|vm| vm.pool == *pool).count();
-            let coming = |w: &&VmWork| w.purpose == Purpose::Move { to: pool.as_ref().to_owned() };
-            there + self.record.work.iter().filter(coming).count()
+    /// Counts a pool's VMs that work or are on their way to it.
+    fn size(&self, pool: &Arc<str>) -> usize {
+        let there = |vm: &&super::FleetVm| {
+            vm.pool == *pool
+                && vm.state != VmState::Down
+                && !matches!(
+                    self.record.work_on(&vm.name).map(|w| &w.purpose),
+                    Some(Purpose::Move { to }) if to.as_str() != &**pool
+                )
         };
-        let score = |pool: &&Arc<str>| {
-            let there = self.vms.values().filter(|vm| vm.pool == **pool).count() as u64;
-            let size = size(pool).max(1) as u64;
-            // What is wanted, shared among the VMs that there will be; equal pools by their size.
-            ((self.pressure.of(pool, now).max(1) * there.max(1)) / size, std::cmp::Reverse(size))
+        let coming = |w: &&VmWork| {
+            w.purpose == Purpose::Move { to: pool.as_ref().to_owned() }
+                && self.vms.get(w.vm.as_str()).is_some_and(|vm| vm.pool != *pool)
         };
-        self.working_pools.iter().max_by_key(score).cloned()
+        self.vms.values().filter(there).count() + self.moves().filter(coming).count()
     }
+
+    /// Returns the VMs that pools can do without, with their pools: those that are switched off,
+    /// idle ones, and those with the least work.
+    fn spare_vms(&self) -> Vec<(Arc<str>, Arc<str>)> {
+        let off = self.off_pool.iter();
+        let mut spare: Vec<(Arc<str>, Arc<str>)> = off
+            .flat_map(|off| self.vms.values().filter(move |vm| vm.pool == *off))
+            .filter(|vm| self.is_free(&vm.name, &vm.pool))
+            .map(|vm| (vm.name.clone(), vm.pool.clone()))
+            .collect();
+        let mut light = Vec::new();
+        for (pool, report) in &self.reports {
+            let needed = self.needs.now(pool);
+            let surplus = self.size(pool).saturating_sub(needed + needed * MARGIN_PERCENT / 100);
+            let named = |name: &String| (Arc::from(name.as_str()), pool.clone());
+            let free = |name: &&String| self.is_free(name, pool);
+            let idle: Vec<_> = report.idle.iter().filter(free).take(surplus).map(named).collect();
+            let rest = surplus - idle.len();
+            spare.extend(idle);
+            light.extend(report.light.iter().filter(free).take(rest).map(named));
+        }
+        spare.extend(light);
+        spare
+    }
+
+    /// Returns whether a VM is up in a pool and nothing else is done with it.
+    fn is_free(&self, name: &str, pool: &Arc<str>) -> bool {
+        let up = |vm: &super::FleetVm| vm.pool == *pool && vm.state == VmState::Up;
+        self.vms.get(name).is_some_and(up)
+            && self.record.work_on(name).is_none()
+            && !self.unsettled.contains_key(name)
+    }
+
+    /// Returns the pool that is shortest of VMs, as a share of what it needs.
+    fn neediest(&self, sizes: &HashMap<Arc<str>, usize>) -> Option<Arc<str>> {
+        let share = |(pool, size): &(&Arc<str>, &usize)| **size * 1_000 / self.needs.now(pool);
+        sizes
+            .iter()
+            .filter(|(pool, size)| **size < self.needs.now(pool))
+            .min_by_key(share)
+            .map(|(pool, _)| pool.clone())
+    }
+
+    fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
+        let purpose = Purpose::Move { to: to.as_ref().to_owned() };
+        self.record.work.push(VmWork { vm: vm.to_owned(), purpose, stage: Stage::Emptying });
+    }
+
+    fn has_been_idle(&self, vm: &str, now: Ms) -> bool {
+        self.idle_since.get(vm).is_some_and(|&since| now.saturating_sub(since) >= KEEP_MS)
+    }
+}
+
+/// Takes a spare VM that is not in the pool already.
+fn take_for(spare: &mut Vec<(Arc<str>, Arc<str>)>, pool: &Arc<str>) -> Option<Arc<str>> {
+    let i = spare.iter().position(|(_, from)| from != pool)?;
+    Some(spare.remove(i).0)
 }
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -12,6 +12,10 @@
 /// VMs that are emptied beyond those that may be down, so that the next is ready when one is back.
 const AHEAD: usize = 2;
 
+/// How long a VM must be missing from the list to count as gone for good, in milliseconds. A new
+/// VM may be asked for before it is first listed.
+const GONE_MS: Ms = 3_000;
+
 /// A wave that was asked for.
 #[derive(Clone, Debug)]
 pub(super) struct Wave {
@@ -32,22 +36,27 @@
         }
     }
 
-    /// Counts VMs that have left for good as done.
-    pub(super) fn finish_waves(&mut self) {
-        if self.vms.is_empty() {
-            return;
-        }
+    /// Notes which VMs of waves are missing from a list, and counts those as done that have been
+    /// missing for long: they have left for good.
+    pub(super) fn note_missing(&mut self, asked_at: Ms) {
+        let vms = &self.vms;
+        self.missing_since.retain(|name, _| !vms.contains_key(name.as_str()));
         for record in &mut self.record.waves {
-            let vms = &self.vms;
-            let (left, gone): (Vec<String>, Vec<String>) =
-                record.left.drain(..).partition(|name| vms.contains_key(name.as_str()));
+            for name in record.left.iter().filter(|name| !vms.contains_key(name.as_str())) {
+                self.missing_since.entry(name.clone()).or_insert(asked_at);
+            }
+            let missing = &self.missing_since;
+            let gone = |name: &String| {
+                missing.get(name).is_some_and(|since| asked_at.saturating_sub(*since) >= GONE_MS)
+            };
+            let (gone, left): (Vec<String>, Vec<String>) = record.left.drain(..).partition(gone);
             record.left = left;
             record.done.extend(gone);
         }
     }
 
     /// Begins to empty VMs of waves, as many as may be down and a few more.
-    pub(super) fn begin_maintenance(&mut self, now: Ms) {
+    pub(super) fn begin_maintenance(&mut self) {
         let mut by_pool: HashMap<Arc<str>, usize> = HashMap::new();
         for work in &self.record.work {
             if let Some(vm) = self.vms.get(work.vm.as_str()) {
@@ -60,7 +69,7 @@
             let Some(wave) = self.waves.get(&record.wave) else { continue };
             let cap = wave.request.cap.max(1);
             let mut at_work = self.work_of(record.wave).count();
-            for name in self.order_of(&record, now) {
+            for name in self.order_of(&record) {
                 if at_work >= cap + AHEAD {
                     break;
                 }
@@ -90,13 +99,13 @@
 
     /// Returns the VMs of a wave that are not worked on: those that are switched off or idle
     /// first, then those of the pools that use least of their room.
-    fn order_of(&self, record: &WaveRecord, now: Ms) -> Vec<String> {
+    fn order_of(&self, record: &WaveRecord) -> Vec<String> {
         let rank = |name: &String| {
             let vm = self.vms.get(name.as_str());
             let off = vm.is_some_and(|vm| self.off_pool.as_ref() == Some(&vm.pool));
             let report = vm.and_then(|vm| self.reports.get(&vm.pool));
             let idle = report.is_some_and(|r| r.idle.contains(name));
-            let load = vm.map_or(0, |vm: &FleetVm| self.pressure.of(&vm.pool, now));
+            let load = vm.map_or(0, |vm: &FleetVm| self.needs.now(&vm.pool));
             (!off, !idle, load)
         };
         let is_free = |name: &&String| {
--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -1,6 +1,6 @@
 //! Moving lasting tasks off VMs that are to be emptied or are leaving.
 
-use super::job::Spot;
+use super::job::{Spot, Task};
 use super::vms::Run;
 use super::{Now, Pool, VmKey};
 use crate::id::TaskId;
@@ -45,11 +45,19 @@
         if step.tasks.get(index).is_none_or(|t| t.spot != Spot::On(vm)) {
             return false;
         }
-        let others_away = step.away() - usize::from(!step.tasks[index].at_work);
+        let others = step.tasks.iter().enumerate().filter(|&(i, _)| i != index);
+        let others_away = others.filter(|(_, t)| !self.is_at_work(t)).count();
         let budget = usize::try_from(shape.may_miss.max(1)).unwrap_or(1);
         others_away < budget && self.fits_elsewhere(vm, task, shape, now)
     }
 
+    /// Returns whether a lasting task does its work, as far as is known: on a VM that does not
+    /// answer it may have died.
+    fn is_at_work(&self, task: &Task) -> bool {
+        let Spot::On(vm) = task.spot else { return false };
+        task.at_work && self.vms.get(vm).is_some_and(|vm| vm.reachable)
+    }
+
     fn fits_elsewhere(&self, vm: VmKey, task: TaskId, shape: &Step, now: Now) -> bool {
         let same_step =
             |t: &TaskId| t.job == task.job && t.time == task.time && t.step == task.step;
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -50,11 +50,6 @@
         self.done == self.tasks.len()
     }
 
-    /// Returns how many lasting tasks are not at work.
-    pub fn away(&self) -> usize {
-        self.tasks.iter().filter(|t| !t.at_work).count()
-    }
-
     /// Moves a task to another spot and keeps the counts.
     pub fn set(&mut self, index: usize, spot: Spot) {
         let task = &mut self.tasks[index];
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -24,6 +24,7 @@
 use crate::id::{JobId, VmId};
 use crate::progress::{Phase, Progress};
 use crate::spec::JobSpec;
+use crate::vm::Room;
 
 use estimate::Estimates;
 use job::Job;
@@ -151,6 +152,9 @@
         for job in self.jobs.values().filter(|j| j.phase == Phase::Open) {
             load.jobs += 1;
             for (_, step, waiting) in job.ready_steps() {
+                if !self.fits_somewhere(job.spec.steps[step].room()) {
+                    continue;
+                }
                 load.waiting += waiting;
                 let cpu = job.spec.steps[step].room().cpu;
                 load.waiting_cpu += u64::from(cpu) * u64::from(waiting);
@@ -159,6 +163,12 @@
         load
     }
 
+    /// Returns whether some VM is large enough for a task, as far as VMs are known.
+    fn fits_somewhere(&self, room: Room) -> bool {
+        let mut known = self.vms.values().filter_map(|vm| vm.facts.as_ref()).peekable();
+        known.peek().is_none() || known.any(|facts| facts.room.holds(room))
+    }
+
     /// Marks a job as changed, so that its progress is written.
     fn touch(&mut self, key: JobKey) {
         let Some(job) = self.jobs.get_mut(key) else { return };
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -139,7 +139,7 @@
         self.jobs[ready.job].task(ready.task(index)).map_or(1, |t| t.attempt + 1)
     }
 
-    /// Picks the emptiest VM that may run a task, near its data if there is room.
+    /// Picks the VM on which a task runs best: near its data if there is room, and packed.
     fn choose_vm(
         &self,
         ready: ReadyStep,
@@ -162,7 +162,11 @@
             // A task goes back to where it failed only if there is no other place.
             // A lasting task would have to move again where maintenance is due.
             let stays = !shape.lasting || !vm.name().is_some_and(|n| self.due.contains(n));
-            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, vm.free().cpu)
+            // Lasting tasks share few VMs, so that others can be taken away when load is low.
+            let packed = if shape.lasting { vm.lasting_runs() } else { 0 };
+            // The fullest VM that fits: the others become empty and can serve other pools.
+            let fullness = std::cmp::Reverse(vm.free().cpu);
+            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, packed, fullness)
         };
         self.vms.iter().filter(|(_, vm)| fits(vm)).max_by_key(score).map(|(key, _)| key)
     }
@@ -198,6 +202,7 @@
             stopping: false,
             tail_target_ms: shape.tail_target_ms,
             fills: shape.fills,
+            lasting: shape.lasting,
             percent: 100,
             checkpoint: String::new(),
         };
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -60,7 +60,8 @@
             started: now.steady,
             stopping: false,
             tail_target_ms: shape.as_ref().map_or(0, |s| s.tail_target_ms),
-            fills: shape.is_some_and(|s| s.fills),
+            fills: shape.as_ref().is_some_and(|s| s.fills),
+            lasting: shape.is_some_and(|s| s.lasting),
             percent: 0,
             checkpoint: String::new(),
         };
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -29,6 +29,7 @@
     /// It serves users of its own, with this tail to keep.
     pub tail_target_ms: u32,
     pub fills: bool,
+    pub lasting: bool,
     pub percent: u32,
     pub checkpoint: String,
 }
@@ -108,6 +109,11 @@
         self.room().minus(self.used)
     }
 
+    /// Counts the lasting tasks that it runs.
+    pub fn lasting_runs(&self) -> usize {
+        self.runs.values().filter(|run| run.lasting).count()
+    }
+
     pub fn add_run(&mut self, task: TaskId, run: Run) {
         self.used = self.used.plus(run.demand);
         if let Some(old) = self.runs.insert(task, run) {
@@ -187,6 +193,15 @@
         self.vms.values().filter(idle).filter_map(|vm| vm.name().cloned()).collect()
     }
 
+    /// Returns the lasting names of VMs that run only tasks that end by themselves, those with the
+    /// least work first.
+    pub fn light(&self) -> Vec<Arc<str>> {
+        let ends = |vm: &&Vm| vm.takes_work() && !vm.runs.is_empty() && vm.lasting_runs() == 0;
+        let mut vms: Vec<&Vm> = self.vms.values().filter(ends).collect();
+        vms.sort_by_key(|vm| vm.used.cpu);
+        vms.into_iter().filter_map(|vm| vm.name().cloned()).collect()
+    }
+
     /// Takes in whether a VM answers.
     pub fn set_reachable(&mut self, id: &VmId, reachable: bool) {
         if let Some(&key) = self.vm_keys.get(id) {
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -45,7 +45,7 @@
 
 async fn follow_claims(node: Arc<Node>, claims_end: Arc<AtomicU64>) {
     let cx = node.clone();
-    follow(&node, Tail::new(TOPIC, CLAIMS), move |news, next| {
+    follow(&node, Tail::new(TOPIC, CLAIMS), Duration::ZERO, move |news, next| {
         let records = match news {
             News::Reloaded(records) | News::Records(records) => records,
         };
--- a/crates/scheduler/src/fleet_owner.rs
+++ b/crates/scheduler/src/fleet_owner.rs
@@ -45,13 +45,13 @@
 enum Event {
     Report(Arc<str>, PoolReport),
     Result(FleetOrder, Result<(), MachineError>),
-    Vms(Result<Vec<Machine>, MachineError>),
+    Vms(Ms, Result<Vec<Machine>, MachineError>),
 }
 
 /// Follows the fleet's record, so that pools on this node know which VMs to empty.
 pub async fn follow_record(node: Arc<Node>) {
     let cx = node.clone();
-    follow(&node, Tail::new(TOPIC, RECORD), move |news, _| {
+    follow(&node, Tail::new(TOPIC, RECORD), Duration::ZERO, move |news, _| {
         let records = match news {
             News::Reloaded(records) | News::Records(records) => records,
         };
@@ -153,7 +153,7 @@
 }
 
 async fn follow_reports(node: Arc<Node>, tx: UnboundedSender<Event>) {
-    follow(&node, Tail::new(TOPIC, REPORTS), move |news, _| {
+    follow(&node, Tail::new(TOPIC, REPORTS), Duration::ZERO, move |news, _| {
         let records = match news {
             News::Reloaded(records) | News::Records(records) => records,
         };
@@ -175,7 +175,18 @@
     fn take(&mut self, event: Event) {
         let now = steady_ms();
         match event {
-            Event::Report(pool, report) => self.fleet.set_report(&pool, report, now),
+            Event::Report(pool, report) => {
+                log::info!(
+                    "report pool={pool} waiting_cpu={} used_cpu={} cpu={} vms={} idle={} emptied={}",
+                    report.waiting_cpu,
+                    report.used_cpu,
+                    report.cpu,
+                    report.vms,
+                    report.idle.len(),
+                    report.emptied.len(),
+                );
+                self.fleet.set_report(&pool, report, now);
+            }
             Event::Result(order, result) => {
                 let outcome = outcome(&result);
                 let error = result.err().map(|e| e.to_string()).unwrap_or_default();
@@ -188,11 +199,12 @@
                 // What has come of it shows in the list.
                 self.listed_at = 0;
             }
-            Event::Vms(result) => {
+            Event::Vms(asked_at, result) => {
                 self.listing = false;
                 match result {
                     Ok(machines) => {
-                        self.fleet.set_vms(machines.into_iter().map(fleet_vm).collect());
+                        let vms = machines.into_iter().map(fleet_vm).collect();
+                        self.fleet.set_vms(vms, asked_at);
                     }
                     Err(e) => log::debug!("fleet step=list-failed error=\"{e}\""),
                 }
@@ -208,9 +220,9 @@
         }
         self.listing = true;
         self.listed_at = steady_ms();
-        let (client, tx) = (self.client.clone(), self.tx.clone());
+        let (client, tx, asked_at) = (self.client.clone(), self.tx.clone(), steady_ms());
         tokio::spawn(async move {
-            let _ = tx.send(Event::Vms(client.list().await));
+            let _ = tx.send(Event::Vms(asked_at, client.list().await));
         });
     }
 
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -61,7 +61,13 @@
 }
 
 /// Follows a partition until the task is dropped, handing on what is read with the next offset.
-pub async fn follow(node: &Node, mut tail: Tail, mut apply: impl FnMut(News, Option<u64>)) {
+/// `pause` lies between two reads: where much is written, records are read together.
+pub async fn follow(
+    node: &Node,
+    mut tail: Tail,
+    pause: Duration,
+    mut apply: impl FnMut(News, Option<u64>),
+) {
     let mut wait = Duration::ZERO;
     loop {
         match tail.read(&node.store, wait).await {
@@ -70,6 +76,7 @@
                 let next = tail.next_offset();
                 apply(news, next);
                 wait = WAIT;
+                tokio::time::sleep(pause).await;
             }
             Err(e) => {
                 node.note_store(false);
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -13,7 +13,7 @@
 use crate::node::steady_ms;
 
 /// How often a report goes out at most, in milliseconds, unless a VM has become empty.
-const EVERY_MS: Ms = 700;
+const EVERY_MS: Ms = 250;
 
 /// What was reported last.
 #[derive(Debug, Default)]
@@ -38,8 +38,10 @@
             waiting_cpu: load.waiting_cpu,
             used_cpu: load.used_cpu,
             cpu: load.cpu,
+            vms: load.vms,
             emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
             idle: self.pool.idle().into_iter().map(text).collect(),
+            light: self.pool.light().into_iter().map(text).collect(),
         };
         if report == self.reporter.last {
             return;
