Tests of the schedule, case by case and by random runs; failed attempts of a gang survive a change of owner

They are now the sum over its members, one counted an attempt, and so stand in the records. Also: what a pool's owner said of a VM before it was to be emptied no longer counts; runs and jobs are kept in ordered maps, so that a seed gives one run.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -226,7 +226,7 @@
         self.unsettled.retain(|_, until| now < *until);
         self.begin_maintenance();
         self.begin_moves(now);
-        self.order_emptied(now);
+        self.order_emptied();
         self.give_orders(now)
     }
 
@@ -258,6 +258,14 @@
         }
     }
 
+    /// Begins to empty a VM. What was said of it before counts no more.
+    fn begin(&mut self, vm: &str, purpose: Purpose) {
+        for report in self.reports.values_mut() {
+            report.emptied.retain(|(name, _)| name != vm);
+        }
+        self.record.work.push(VmWork { vm: vm.to_owned(), purpose, stage: Stage::Emptying });
+    }
+
     /// Ends the work on VMs whose orders were carried out.
     fn finish_work(&mut self, now: Ms) {
         let done: Vec<VmWork> =
@@ -287,7 +295,7 @@
     }
 
     /// Orders what concerns VMs that are empty now.
-    fn order_emptied(&mut self, now: Ms) {
+    fn order_emptied(&mut self) {
         for i in 0..self.record.work.len() {
             let work = &self.record.work[i];
             if work.stage != Stage::Emptying || !self.is_empty(&work.vm) {
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -7,7 +7,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use super::{Fleet, PoolReport, Purpose, Stage, VmState, VmWork};
+use super::{Fleet, PoolReport, Purpose, VmState, VmWork};
 use crate::Ms;
 
 /// How full VMs are to be, in percent: tasks differ in size, and the last of a VM's room is hard
@@ -169,8 +169,7 @@
     }
 
     fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
-        let purpose = Purpose::Move { to: to.as_ref().to_owned() };
-        self.record.work.push(VmWork { vm: vm.to_owned(), purpose, stage: Stage::Emptying });
+        self.begin(vm, Purpose::Move { to: to.as_ref().to_owned() });
     }
 
     fn has_been_idle(&self, vm: &str, now: Ms) -> bool {
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -92,8 +92,7 @@
             return false;
         }
         *busy += 1;
-        let purpose = Purpose::Maintain { wave };
-        self.record.work.push(VmWork { vm: name.to_owned(), purpose, stage: Stage::Emptying });
+        self.begin(name, Purpose::Maintain { wave });
         true
     }
 
--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -4,7 +4,7 @@
 //! pool's owner appends to the second: progress. Both are folded by job, newest record first come
 //! or last, so that a record that is read twice changes nothing.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::id::JobId;
@@ -72,7 +72,7 @@
 /// The fold of one pool's records.
 #[derive(Debug, Default)]
 pub struct JobLog {
-    jobs: HashMap<JobId, JobEntry>,
+    jobs: BTreeMap<JobId, JobEntry>,
 }
 
 impl JobLog {
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -59,14 +59,12 @@
         step.set(index, Spot::Waiting);
         let mut failures = 0;
         if end.kind == EndKind::Failed && !shape.lasting {
+            let counted = shape.gang && step.failed_attempt == end.run.attempt;
+            step.failed_attempt = end.run.attempt;
             let task = &mut step.tasks[index];
-            task.failures += 1;
+            task.failures += u32::from(!counted);
             task.avoid = Some(vm);
-            failures = task.failures;
-            if shape.gang {
-                step.gang_failures += 1;
-                failures = step.gang_failures;
-            }
+            failures = if shape.gang { step.gang_failures() } else { step.tasks[index].failures };
         } else if end.kind == EndKind::Failed {
             step.tasks[index].avoid = Some(vm);
         }
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -36,20 +36,26 @@
     pub tasks: Vec<Task>,
     pub done: usize,
     pub waiting: u32,
-    /// Attempts of the whole gang that failed.
-    pub gang_failures: u32,
+    /// The last attempt of a gang that failed; its members fail together.
+    pub failed_attempt: u32,
 }
 
 impl StepRun {
     fn new(count: u32) -> Self {
         let tasks = vec![Task::default(); usize::try_from(count).unwrap_or(0)];
-        Self { tasks, done: 0, waiting: count, gang_failures: 0 }
+        Self { tasks, done: 0, waiting: count, failed_attempt: 0 }
     }
 
     pub const fn is_done(&self) -> bool {
         self.done == self.tasks.len()
     }
 
+    /// Counts the attempts of the whole gang that failed: the failures of its members, of which
+    /// one is counted an attempt.
+    pub fn gang_failures(&self) -> u32 {
+        self.tasks.iter().map(|t| t.failures).sum()
+    }
+
     /// Moves a task to another spot and keeps the counts.
     pub fn set(&mut self, index: usize, spot: Spot) {
         let task = &mut self.tasks[index];
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -1,6 +1,6 @@
 //! VMs within a pool's schedule.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use super::{Now, Pool, VmKey};
@@ -48,7 +48,7 @@
     pub reachable: bool,
     pub cordoned: bool,
     pub used: Room,
-    pub runs: HashMap<TaskId, Run>,
+    pub runs: BTreeMap<TaskId, Run>,
     /// Runs that are not ours; nothing is started beside them, since their room is unknown.
     pub strays: HashSet<RunId>,
     strikes: Vec<JobId>,
@@ -80,7 +80,7 @@
             reachable: true,
             cordoned: false,
             used: Room::default(),
-            runs: HashMap::new(),
+            runs: BTreeMap::new(),
             strays: HashSet::new(),
             strikes: Vec::new(),
             aside_until: 0,
--- /dev/null
+++ b/crates/schedule/tests/fleet.rs
@@ -0,0 +1,215 @@
+//! Waves of maintenance and moves between pools, case by case.
+
+use googletest::prelude::*;
+use thistle_schedule::fleet::{
+    Fleet, FleetOrder, FleetRecord, FleetVm, HoldOff, OrderOutcome, PoolReport, Purpose, VmState,
+    WaveRequest,
+};
+
+fn vm(name: &str, pool: &str, life: u32, state: VmState) -> FleetVm {
+    let incarnation = Some(format!("{name}-{life}").into());
+    FleetVm { name: name.into(), pool: pool.into(), state, rack: "r1".into(), incarnation }
+}
+
+fn up(names: &[&str]) -> Vec<FleetVm> {
+    names.iter().map(|n| vm(n, "desk", 1, VmState::Up)).collect()
+}
+
+fn emptied(names: &[&str]) -> PoolReport {
+    let empty = |n: &&str| ((*n).to_owned(), format!("{n}-1"));
+    PoolReport { emptied: names.iter().map(empty).collect(), vms: 6, ..PoolReport::default() }
+}
+
+fn wave(names: &[&str], cap: usize) -> WaveRequest {
+    let vms = names.iter().map(|n| (*n).to_owned()).collect();
+    WaveRequest { wave: 1, vms, duration_ms: 25_000, cap }
+}
+
+fn fleet(names: &[&str], cap: usize) -> Fleet {
+    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    fleet.set_pools(["desk".into()].into(), None);
+    fleet.set_vms(up(&["a", "b", "c", "d", "e", "f"]), 0);
+    fleet.set_wave(wave(names, cap));
+    fleet
+}
+
+fn vms_of(orders: &[FleetOrder]) -> Vec<&str> {
+    orders.iter().map(|o| o.vm.as_str()).collect()
+}
+
+#[gtest]
+fn a_vm_is_ordered_down_only_when_its_pool_reports_it_empty() {
+    let mut fleet = fleet(&["a", "b"], 2);
+    expect_that!(fleet.plan(10), is_empty());
+    expect_that!(
+        fleet.record().cordoned().collect::<Vec<_>>(),
+        unordered_elements_are![eq(&"a"), eq(&"b")]
+    );
+    fleet.set_report(&"desk".into(), emptied(&["a"]), 20);
+    expect_that!(vms_of(&fleet.plan(30)), eq(&vec!["a"]));
+    expect_that!(fleet.plan(40), is_empty());
+}
+
+#[gtest]
+fn a_report_about_an_earlier_incarnation_says_nothing() {
+    let mut fleet = fleet(&["a"], 2);
+    fleet.plan(10);
+    fleet.set_vms(vec![vm("a", "desk", 2, VmState::Up)], 20);
+    fleet.set_report(&"desk".into(), emptied(&["a"]), 30);
+    expect_that!(fleet.plan(40), is_empty());
+}
+
+#[gtest]
+fn a_report_from_before_a_vm_was_to_be_emptied_says_nothing() {
+    let mut fleet = fleet(&["a"], 2);
+    fleet.set_report(&"desk".into(), emptied(&["a"]), 5);
+    expect_that!(fleet.plan(10), is_empty());
+    fleet.set_report(&"desk".into(), emptied(&["a"]), 15);
+    expect_that!(vms_of(&fleet.plan(20)), eq(&vec!["a"]));
+}
+
+#[gtest]
+fn no_more_are_down_at_once_than_the_wave_allows() {
+    let names = ["a", "b", "c"];
+    let mut fleet = fleet(&names, 1);
+    fleet.plan(10);
+    fleet.set_report(&"desk".into(), emptied(&names), 15);
+    let first = fleet.plan(20);
+    expect_that!(first, len(eq(1)));
+    // Without an answer it may be down at any moment.
+    fleet.order_result(&first[0].vm, OrderOutcome::Unknown, 30);
+    fleet.set_report(&"desk".into(), emptied(&names), 35);
+    expect_that!(vms_of(&fleet.plan(2_000)), eq(&vec![first[0].vm.as_str()]));
+}
+
+#[gtest]
+fn a_vm_is_maintained_when_its_next_incarnation_is_up() {
+    let mut fleet = fleet(&["a"], 1);
+    fleet.plan(10);
+    fleet.set_report(&"desk".into(), emptied(&["a"]), 20);
+    fleet.plan(30);
+    fleet.order_result("a", OrderOutcome::Done, 40);
+    fleet.plan(50);
+    expect_that!(fleet.to_complete(), is_empty());
+    fleet.set_vms(vec![vm("a", "desk", 1, VmState::Away)], 60);
+    fleet.plan(70);
+    expect_that!(fleet.to_complete(), is_empty());
+    fleet.set_vms(vec![vm("a", "desk", 2, VmState::Up)], 2_100);
+    fleet.plan(2_110);
+    expect_that!(fleet.to_complete(), eq(&vec![1]));
+    expect_that!(fleet.record().cordoned().count(), eq(0));
+    fleet.completed(1);
+    expect_that!(fleet.to_complete(), is_empty());
+}
+
+/// Budnet, hunt seed 1068049826278 (MIXED): a VM that had just been added stood in a wave but not
+/// yet in the list of VMs, and counted as gone.
+#[gtest]
+fn a_vm_that_is_not_listed_yet_is_not_taken_for_gone() {
+    let mut fleet = fleet(&["new"], 1);
+    fleet.plan(10);
+    expect_that!(fleet.to_complete(), is_empty());
+    fleet.set_vms(up(&["a", "new"]), 500);
+    fleet.plan(510);
+    expect_that!(fleet.record().cordoned().collect::<Vec<_>>(), eq(&vec!["new"]));
+}
+
+#[gtest]
+fn a_vm_that_has_left_for_good_does_not_hold_up_its_wave() {
+    let mut fleet = fleet(&["gone"], 1);
+    for ms in [100, 2_000, 4_000] {
+        fleet.set_vms(up(&["a"]), ms);
+        fleet.plan(ms);
+    }
+    expect_that!(fleet.to_complete(), eq(&vec![1]));
+}
+
+#[gtest]
+fn a_successor_keeps_its_distance_from_its_predecessors_orders() {
+    let mut before = fleet(&["a"], 1);
+    before.plan(10);
+    before.set_report(&"desk".into(), emptied(&["a"]), 20);
+    expect_that!(before.plan(30), len(eq(1)));
+
+    let hold_off = HoldOff { worked_on: 3_300, others: 1_800 };
+    let mut after = Fleet::new(before.record().clone(), hold_off);
+    after.set_pools(["desk".into()].into(), None);
+    after.set_wave(wave(&["a"], 1));
+    after.set_vms(up(&["a", "b", "c"]), 100);
+    expect_that!(after.plan(1_700), is_empty());
+    expect_that!(after.plan(2_000), is_empty());
+    expect_that!(vms_of(&after.plan(3_300)), eq(&vec!["a"]));
+}
+
+fn two_pools() -> Fleet {
+    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    fleet.set_pools(["desk".into(), "hub".into()].into(), Some("off".into()));
+    let mut vms = Vec::new();
+    for i in 0..6 {
+        vms.push(vm(&format!("d{i}"), "desk", 1, VmState::Up));
+        vms.push(vm(&format!("h{i}"), "hub", 1, VmState::Up));
+    }
+    vms.push(vm("o", "off", 1, VmState::Up));
+    fleet.set_vms(vms, 0);
+    fleet
+}
+
+fn busy(waiting: u64, used: u64, idle: &[&str]) -> PoolReport {
+    PoolReport {
+        waiting_cpu: waiting,
+        used_cpu: used,
+        cpu: 96_000,
+        vms: 6,
+        idle: idle.iter().map(|n| (*n).to_owned()).collect(),
+        ..PoolReport::default()
+    }
+}
+
+#[gtest]
+fn a_pool_in_need_gets_switched_off_vms_first_and_then_idle_ones() {
+    let mut fleet = two_pools();
+    fleet.set_report(&"hub".into(), busy(0, 0, &["h0", "h1", "h2", "h3", "h4", "h5"]), 10);
+    fleet.set_report(&"desk".into(), busy(30_000, 90_000, &[]), 10);
+    let orders = fleet.plan(20);
+    expect_that!(vms_of(&orders), eq(&vec!["o"]));
+    let to = |o: &FleetOrder| o.purpose == Purpose::Move { to: "desk".to_owned() };
+    expect_that!(orders.iter().all(to), eq(true));
+    // The hub keeps its floor of four.
+    let from_hub = fleet.record().cordoned().filter(|n| n.starts_with('h')).count();
+    expect_that!(from_hub, eq(2));
+}
+
+#[gtest]
+fn a_vm_that_nobody_needs_is_switched_off_after_some_seconds_only() {
+    let mut fleet = two_pools();
+    let idle = ["h0", "h1", "h2", "h3", "h4", "h5"];
+    fleet.set_report(&"hub".into(), busy(0, 0, &idle), 10);
+    fleet.plan(20);
+    expect_that!(fleet.record().cordoned().count(), eq(0));
+    fleet.set_report(&"hub".into(), busy(0, 0, &idle), 5_000);
+    fleet.plan(5_010);
+    let off =
+        |w: &&thistle_schedule::fleet::VmWork| w.purpose == Purpose::Move { to: "off".to_owned() };
+    expect_that!(fleet.record().work.iter().filter(off).count(), eq(2));
+}
+
+#[gtest]
+fn a_vm_with_an_unanswered_order_is_left_alone_until_the_order_cannot_come_any_more() {
+    let mut fleet = two_pools();
+    fleet.set_report(&"desk".into(), busy(0, 90_000, &[]), 10);
+    let orders = fleet.plan(20);
+    fleet.order_result(&orders[0].vm, OrderOutcome::Unknown, 30);
+    fleet.plan(1_000);
+    fleet.order_result("o", OrderOutcome::Done, 1_010);
+    let mut vms = vec![vm("o", "desk", 2, VmState::Up)];
+    vms.extend((0..6).map(|i| vm(&format!("d{i}"), "desk", 1, VmState::Up)));
+    fleet.set_vms(vms, 3_000);
+    fleet.set_report(&"desk".into(), busy(0, 0, &["o"]), 3_000);
+    fleet.plan(3_010);
+    fleet.set_report(&"desk".into(), busy(0, 0, &["o"]), 8_000);
+    fleet.plan(8_010);
+    expect_that!(fleet.record().cordoned().count(), eq(0));
+    fleet.set_report(&"desk".into(), busy(0, 0, &["o"]), 14_000);
+    fleet.plan(14_010);
+    expect_that!(fleet.record().cordoned().collect::<Vec<_>>(), eq(&vec!["o"]));
+}
--- /dev/null
+++ b/crates/schedule/tests/ownership.rs
@@ -0,0 +1,134 @@
+//! Who claims a pool, and when.
+
+use std::sync::Arc;
+
+use googletest::prelude::*;
+use thistle_schedule::ownership::{
+    Claim, Heartbeat, NodeLife, OWNER_LEASE_MS, Ownership, SILENCE_MS,
+};
+use thistle_schedule::{Ms, TaskLease};
+
+fn node(name: &str, life: u64) -> NodeLife {
+    NodeLife { name: name.to_owned(), life }
+}
+
+fn beat(life: u64, sequence: u64) -> Heartbeat {
+    Heartbeat { life, sequence, leaving: false }
+}
+
+fn claim(name: &str, life: u64) -> Claim {
+    Claim { owner: node(name, life), released: false }
+}
+
+fn pools(names: &[&str]) -> Vec<Arc<str>> {
+    names.iter().map(|n| Arc::from(*n)).collect()
+}
+
+fn wanted(view: &mut Ownership, names: &[&str], now: Ms) -> Vec<Arc<str>> {
+    view.to_claim(pools(names).iter(), now)
+}
+
+#[gtest]
+fn new_nodes_share_pools_that_nobody_had() {
+    let mut claimed = [0; 3];
+    let mut views: Vec<Ownership> =
+        (0..3).map(|i| Ownership::new(node(&format!("n{i}"), 1), 0)).collect();
+    let names = ["a", "b", "c", "d", "e", "f"];
+    for round in 0..40 {
+        let now = 900 + round * 100;
+        for view in &mut views {
+            for i in 0..3 {
+                view.heard(&format!("n{i}"), &beat(1, round + 1), now);
+            }
+        }
+        for i in 0..3 {
+            let Some(pool) = wanted(&mut views[i], &names, now).first().cloned() else { continue };
+            claimed[i] += 1;
+            for view in &mut views {
+                view.claimed(&pool, claim(&format!("n{i}"), 1), round * 10 + i as u64, now);
+            }
+        }
+    }
+    expect_that!(claimed.iter().sum::<i32>(), eq(6));
+    expect_that!(claimed.iter().all(|&n| n == 2), eq(true), "{claimed:?}");
+}
+
+#[gtest]
+fn a_silent_owner_keeps_its_pool_for_longer_than_its_lease() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.heard("b", &beat(1, 1), 0);
+    view.heard("a", &beat(1, 1), 1_000);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    expect_that!(wanted(&mut view, &["desk"], 1_000 + OWNER_LEASE_MS), is_empty());
+    view.heard("b", &beat(1, 2), 1_000 + SILENCE_MS);
+    expect_that!(wanted(&mut view, &["desk"], 1_000 + SILENCE_MS), len(eq(1)));
+}
+
+#[gtest]
+fn silence_counts_anew_after_this_node_could_not_listen() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.heard("a", &beat(1, 1), 1_000);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    view.was_deaf(9_000);
+    expect_that!(wanted(&mut view, &["desk"], 9_100), is_empty());
+}
+
+#[gtest]
+fn a_restarted_owner_takes_its_pool_back_at_once() {
+    let mut view = Ownership::new(node("a", 2), 5_000);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 5_010);
+    expect_that!(wanted(&mut view, &["desk"], 5_020), len(eq(1)));
+}
+
+#[gtest]
+fn a_pool_that_was_given_up_is_taken_at_once_by_one_node() {
+    let mut views = [Ownership::new(node("a", 1), 0), Ownership::new(node("b", 1), 0)];
+    let released = Claim { owner: node("c", 1), released: true };
+    let mut first = 0;
+    for view in &mut views {
+        view.heard("a", &beat(1, 1), 2_000);
+        view.heard("b", &beat(1, 1), 2_000);
+        view.claimed(&"desk".into(), claim("c", 1), 0, 1_000);
+        view.claimed(&"desk".into(), released.clone(), 1, 2_000);
+        first += wanted(view, &["desk"], 2_010).len();
+    }
+    expect_that!(first, eq(1));
+}
+
+#[gtest]
+fn a_late_giving_up_by_a_former_owner_changes_nothing() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 100);
+    view.claimed(&"desk".into(), claim("b", 1), 1, 200);
+    let late = Claim { owner: node("a", 1), released: true };
+    view.claimed(&"desk".into(), late, 2, 300);
+    expect_that!(view.my_token("desk"), some(eq(2)));
+}
+
+#[gtest]
+fn tokens_rise_and_an_older_claim_is_no_news() {
+    let mut view = Ownership::new(node("a", 1), 0);
+    view.claimed(&"desk".into(), claim("a", 1), 7, 100);
+    view.claimed(&"desk".into(), claim("b", 1), 3, 200);
+    expect_that!(view.my_token("desk"), some(eq(8)));
+    view.claimed(&"desk".into(), claim("b", 1), 9, 300);
+    expect_that!(view.my_token("desk"), none());
+}
+
+#[gtest]
+fn a_lease_of_unknown_origin_is_over_after_its_full_length_on_a_slow_clock() {
+    let lease = TaskLease::new(6_000, 1_000);
+    expect_that!(lease.is_over(7_100), eq(false));
+    expect_that!(lease.is_over(7_300), eq(true));
+}
+
+#[gtest]
+fn a_lease_given_on_an_old_reading_of_the_clock_is_bounded_from_that_reading() {
+    let mut lease = TaskLease::new(6_000, 0);
+    expect_that!(lease.give(10), none());
+    lease.read_clock(500_000, 100);
+    expect_that!(lease.give(1_100), some(eq(507_000)));
+    // The VM's clock may have run 2% slow since the reading: 7,000 of its ms take 7,143 of ours.
+    expect_that!(lease.is_over(100 + 7_143), eq(false));
+    expect_that!(lease.is_over(100 + 7_143 + 200), eq(true));
+}
--- /dev/null
+++ b/crates/schedule/tests/pool.rs
@@ -0,0 +1,276 @@
+//! Steps, attempts, cancels, room: decisions of a pool's schedule, case by case.
+
+mod common;
+
+use common::{
+    JOB, all_at_work, at, end, end_run, job, lasting, plan_and_start, pool_with, report, row,
+    starts, step, stops, vm,
+};
+use googletest::prelude::*;
+use thistle_schedule::pool::StartResult;
+use thistle_schedule::{EndKind, JobId, Phase, Repeats, Step, VmReport};
+
+#[gtest]
+fn a_step_waits_until_all_it_depends_on_is_done() {
+    let mut pool = pool_with(&["a"]);
+    let second = Step { depends_on: vec![0], ..step(1, 500) };
+    pool.submit(JOB, job(vec![step(2, 500), second]), at(0));
+    let first = plan_and_start(&mut pool, 10);
+    expect_that!(first.iter().map(|s| s.run.task.step).collect::<Vec<_>>(), eq(&vec![0, 0]));
+    end_run(&mut pool, &first[0], EndKind::Done, 20);
+    expect_that!(starts(&pool.plan(at(30))), is_empty());
+    end_run(&mut pool, &first[1], EndKind::Done, 40);
+    let then = plan_and_start(&mut pool, 50);
+    expect_that!(then.iter().map(|s| s.run.task.step).collect::<Vec<_>>(), eq(&vec![1]));
+    end_run(&mut pool, &then[0], EndKind::Done, 60);
+    pool.plan(at(70));
+    let records = pool.take_records();
+    expect_that!(records.last().map(|(_, p)| p.phase), some(eq(Phase::Completed)));
+}
+
+#[gtest]
+fn a_task_that_fails_is_tried_elsewhere_and_then_given_up() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let first = plan_and_start(&mut pool, 10);
+    end_run(&mut pool, &first[0], EndKind::Failed, 20);
+    let second = plan_and_start(&mut pool, 30);
+    expect_that!(second[0].run.attempt, eq(2));
+    expect_that!(second[0].vm, not(eq(&first[0].vm)));
+    end_run(&mut pool, &second[0], EndKind::Failed, 40);
+    expect_that!(starts(&pool.plan(at(50))), is_empty());
+    expect_that!(pool.take_records()[0].1.phase, eq(Phase::Failed));
+}
+
+#[gtest]
+fn a_stopped_run_is_no_failed_attempt_and_resumes_from_its_checkpoint() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    for round in 1..=4 {
+        let started = plan_and_start(&mut pool, round * 100);
+        let mut stopped = end(round, started[0].run, EndKind::Stopped);
+        stopped.checkpoint = format!("c{round}");
+        pool.report(&started[0].vm, &report(0, vec![], vec![stopped]), at(round * 100 + 50));
+    }
+    let again = plan_and_start(&mut pool, 1_000);
+    expect_that!(again[0].run.attempt, eq(5));
+    expect_that!(again[0].checkpoint, eq("c4"));
+}
+
+#[gtest]
+fn a_cancelled_job_is_stopped_and_starts_nothing_more() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(8, 1_000)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    expect_that!(started, len(eq(4)));
+    pool.cancel(JOB, at(20));
+    let orders = pool.plan(at(20));
+    expect_that!(stops(&orders), len(eq(4)));
+    expect_that!(starts(&orders), is_empty());
+    expect_that!(pool.take_records()[0].1.phase, eq(Phase::Cancelled));
+}
+
+#[gtest]
+fn room_counts_for_starts_without_an_answer_and_stops_that_are_not_listed() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(4, 1_000)]), at(0));
+    let first = starts(&pool.plan(at(10)));
+    expect_that!(first, len(eq(4)));
+    pool.submit(JobId(2), job(vec![step(1, 1_000)]), at(20));
+    // No start was answered.
+    expect_that!(starts(&pool.plan(at(30))), is_empty());
+    pool.cancel(JOB, at(40));
+    expect_that!(starts(&pool.plan(at(40))), is_empty());
+    // Stops were answered, ends are not listed yet: a report asked for before says nothing.
+    for start in &first {
+        pool.stop_answered(&start.vm, start.run, at(50));
+    }
+    pool.report(&first[0].vm, &report(45, vec![], vec![]), at(55));
+    expect_that!(starts(&pool.plan(at(56))), is_empty());
+    // One asked for afterwards shows that they never came to run.
+    pool.report(&first[0].vm, &report(60, vec![], vec![]), at(65));
+    expect_that!(starts(&pool.plan(at(66))), len(eq(1)));
+}
+
+#[gtest]
+fn a_report_older_than_the_answer_to_a_start_takes_nothing_away() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let started = plan_and_start(&mut pool, 100);
+    pool.report(&started[0].vm, &report(90, vec![], vec![]), at(110));
+    expect_that!(starts(&pool.plan(at(120))), is_empty());
+    end_run(&mut pool, &started[0], EndKind::Done, 130);
+    pool.plan(at(140));
+    expect_that!(pool.take_records()[0].1.phase, eq(Phase::Completed));
+}
+
+#[gtest]
+fn nothing_starts_on_a_vm_before_it_answers_this_owner() {
+    let mut pool = thistle_schedule::Pool::new();
+    pool.list_vm(vm("a", 1));
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    pool.report(&vm("a", 1).id, &VmReport::default(), at(20));
+    expect_that!(starts(&pool.plan(at(30))), len(eq(1)));
+}
+
+#[gtest]
+fn nothing_starts_on_a_vm_that_drains_or_is_to_be_emptied() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.set_cordoned(["a".into()].into());
+    let mut leaving = vm("b", 1).as_ref().clone();
+    leaving.draining = true;
+    pool.list_vm(leaving.into());
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    pool.set_cordoned(std::collections::HashSet::new());
+    expect_that!(starts(&pool.plan(at(20))), len(eq(1)));
+}
+
+#[gtest]
+fn a_run_that_is_not_ours_is_stopped_and_nothing_starts_beside_it() {
+    let mut pool = pool_with(&["a"]);
+    let stray = thistle_schedule::RunId {
+        task: thistle_schedule::TaskId { job: JobId(9), time: 0, step: 0, index: 0 },
+        attempt: 3,
+    };
+    let id = vm("a", 1).id.clone();
+    pool.report(&id, &report(5, vec![row(stray, 100)], vec![]), at(10));
+    pool.submit(JOB, job(vec![step(1, 500)]), at(20));
+    let orders = pool.plan(at(30));
+    expect_that!(stops(&orders), eq(&vec![stray]));
+    expect_that!(starts(&orders), is_empty());
+    pool.report(&id, &report(40, vec![], vec![end(1, stray, EndKind::Stopped)]), at(50));
+    expect_that!(starts(&pool.plan(at(60))), len(eq(1)));
+}
+
+#[gtest]
+fn a_vm_that_fails_the_tasks_of_three_jobs_is_set_aside_for_a_while() {
+    let mut pool = pool_with(&["a"]);
+    for i in 0..3 {
+        pool.submit(JobId(i), job(vec![step(1, 500)]), at(0));
+    }
+    let started = plan_and_start(&mut pool, 10);
+    let ended = (1..).zip(&started).map(|(n, s)| end(n, s.run, EndKind::Failed)).collect();
+    pool.report(&started[0].vm, &report(0, vec![], ended), at(20));
+    expect_that!(starts(&pool.plan(at(30))), is_empty());
+    expect_that!(starts(&pool.plan(at(6_000))), len(eq(3)));
+}
+
+#[gtest]
+fn repetitions_start_when_they_fall_due_and_may_overlap() {
+    let mut pool = pool_with(&["a"]);
+    let mut spec = job(vec![step(1, 500)]).as_ref().clone();
+    spec.repeats =
+        Some(Repeats { count: 3, start_at_ms: spec.accepted_ms + 1_000, interval_ms: 500 });
+    pool.submit(JOB, spec.into(), at(0));
+    expect_that!(starts(&pool.plan(at(999))), is_empty());
+    expect_that!(pool.next_due(at(999)), some(eq(1_000)));
+    let first = plan_and_start(&mut pool, 1_000);
+    expect_that!(first[0].run.task.time, eq(0));
+    let second = plan_and_start(&mut pool, 1_500);
+    expect_that!(second[0].run.task.time, eq(1));
+    let third = plan_and_start(&mut pool, 2_000);
+    for started in [first, second, third] {
+        end_run(&mut pool, &started[0], EndKind::Done, 2_100);
+    }
+    pool.plan(at(2_200));
+    expect_that!(pool.take_records()[0].1.phase, eq(Phase::Completed));
+}
+
+#[gtest]
+fn a_gang_starts_whole_or_not_at_all() {
+    let mut pool = pool_with(&["a"]);
+    let gang = Step { gang: true, ..step(5, 1_000) };
+    pool.submit(JOB, job(vec![gang]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    let facts = vm("b", 1);
+    pool.list_vm(facts.clone());
+    pool.report(&facts.id, &VmReport::default(), at(20));
+    let started = plan_and_start(&mut pool, 30);
+    expect_that!(started, len(eq(5)));
+    expect_that!(started.iter().all(|s| s.run.attempt == 1), eq(true));
+}
+
+#[gtest]
+fn a_job_that_fits_nowhere_is_not_begun_and_asks_for_no_vms() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 64_000)]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    expect_that!(pool.load().waiting_cpu, eq(0));
+}
+
+/// Budnet quiet-1, 6.105 s: a task that was told to stop was still listed at full speed, counted
+/// as at work again, and a second task of its step was stopped.
+#[gtest]
+fn a_task_that_was_told_to_stop_counts_as_away_while_it_is_still_listed() {
+    let mut pool = pool_with(&["a", "b", "c", "d"]);
+    pool.submit(JOB, job(vec![lasting(2, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    all_at_work(&mut pool, &started, 20);
+    let names = started.iter().map(|s| s.vm.as_ref()[2..3].into()).collect();
+    pool.set_cordoned(names);
+    expect_that!(stops(&pool.plan(at(30))), len(eq(1)));
+    all_at_work(&mut pool, &started, 40);
+    expect_that!(stops(&pool.plan(at(50))), is_empty());
+}
+
+/// Budnet trouble-3, 13.765 s: two tasks of the step were on a dark rack and counted as at work.
+#[gtest]
+fn a_task_on_a_vm_that_does_not_answer_counts_as_away() {
+    let mut pool = pool_with(&["a", "b", "c", "d"]);
+    pool.submit(JOB, job(vec![lasting(2, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    all_at_work(&mut pool, &started, 20);
+    pool.set_reachable(&started[0].vm, false);
+    pool.set_cordoned([started[1].vm.as_ref()[2..3].into()].into());
+    expect_that!(stops(&pool.plan(at(30))), is_empty());
+    pool.set_reachable(&started[0].vm, true);
+    expect_that!(stops(&pool.plan(at(40))), len(eq(1)));
+}
+
+#[gtest]
+fn a_lasting_task_is_started_again_however_it_ends() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![lasting(1, 1)]), at(0));
+    for (i, kind) in (1..).zip([EndKind::Done, EndKind::Failed, EndKind::Failed, EndKind::Lapsed]) {
+        let started = plan_and_start(&mut pool, i * 100);
+        expect_that!(started, len(eq(1)));
+        end_run(&mut pool, &started[0], kind, i * 100 + 50);
+    }
+    expect_that!(starts(&pool.plan(at(1_000))), len(eq(1)));
+}
+
+#[gtest]
+fn tasks_are_packed_so_that_vms_become_idle() {
+    let mut pool = pool_with(&["a", "b", "c"]);
+    for i in 0..4 {
+        pool.submit(JobId(i), job(vec![step(1, 1_000)]), at(0));
+    }
+    let started = plan_and_start(&mut pool, 10);
+    expect_that!(started.iter().all(|s| s.vm == started[0].vm), eq(true));
+    expect_that!(pool.idle(), len(eq(2)));
+}
+
+#[gtest]
+fn ends_are_acknowledged_only_after_they_were_handed_out_for_writing() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    expect_that!(pool.take_acks(), is_empty());
+    end_run(&mut pool, &started[0], EndKind::Done, 20);
+    pool.plan(at(30));
+    expect_that!(pool.take_records(), len(eq(1)));
+    expect_that!(pool.take_acks(), len(eq(1)));
+}
+
+#[gtest]
+fn a_start_that_an_unhealthy_vm_turned_away_goes_elsewhere() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let first = starts(&pool.plan(at(10)));
+    pool.start_result(&first[0].vm, first[0].run, StartResult::Unhealthy, at(20));
+    let second = starts(&pool.plan(at(30)));
+    expect_that!(second[0].vm, not(eq(&first[0].vm)));
+    expect_that!(second[0].run.attempt, eq(2));
+}
--- /dev/null
+++ b/crates/schedule/tests/takeover.rs
@@ -0,0 +1,158 @@
+//! A pool that changes hands: what the records tell is all that the next owner knows.
+
+mod common;
+
+use common::{JOB, at, end, job, plan_and_start, pool_with, report, row, starts, step, vm};
+use googletest::prelude::*;
+use thistle_schedule::job_log::{JobEntry, cancel_key, encode, progress_key, submit_key};
+use thistle_schedule::progress::JobState;
+use thistle_schedule::{EndKind, JobId, JobLog, LogChange, Phase, Pool, VmReport};
+
+fn entry_of(pool: &mut Pool, spec: &std::sync::Arc<thistle_schedule::JobSpec>) -> JobEntry {
+    let records = pool.take_records();
+    let progress = records.into_iter().find(|(id, _)| *id == JOB).map(|(_, p)| p);
+    JobEntry { spec: Some(spec.clone()), cancelled: false, progress: progress.unwrap_or_default() }
+}
+
+#[gtest]
+fn running_work_is_taken_over_and_not_started_again() {
+    let spec = job(vec![step(1, 500)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let started = starts(&before.plan(at(10)));
+    let entry = entry_of(&mut before, &spec);
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("a", 1));
+    after.list_vm(vm("b", 1));
+    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    expect_that!(starts(&after.plan(at(120))), is_empty());
+    let run = started[0].run;
+    after.report(&started[0].vm, &report(130, vec![row(run, 100)], vec![]), at(131));
+    expect_that!(starts(&after.plan(at(140))), is_empty());
+    let done = vec![end(1, run, EndKind::Done)];
+    after.report(&started[0].vm, &report(150, vec![], done), at(151));
+    after.plan(at(160));
+    expect_that!(after.take_records()[0].1.phase, eq(Phase::Completed));
+}
+
+#[gtest]
+fn an_order_that_was_written_but_never_sent_is_given_anew() {
+    let spec = job(vec![step(1, 500)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let lost = starts(&before.plan(at(10)));
+    let entry = entry_of(&mut before, &spec);
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("a", 1));
+    after.report(&vm("a", 1).id, &report(105, vec![], vec![]), at(110));
+    let again = starts(&after.plan(at(120)));
+    expect_that!(again, len(eq(1)));
+    expect_that!(again[0].run.attempt, gt(lost[0].run.attempt));
+}
+
+#[gtest]
+fn a_task_on_a_vm_that_is_gone_waits_until_that_vm_surely_runs_nothing() {
+    let spec = job(vec![step(1, 500)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    before.plan(at(10));
+    let entry = entry_of(&mut before, &spec);
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("b", 1));
+    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    expect_that!(starts(&after.plan(at(120))), is_empty());
+    expect_that!(after.unlisted_with_runs(), eq(&vec![vm("a", 1).id.clone()]));
+    after.vm_lost(&vm("a", 1).id, at(7_000));
+    expect_that!(starts(&after.plan(at(7_010))), len(eq(1)));
+}
+
+#[gtest]
+fn failures_counted_by_the_predecessor_count_on() {
+    let spec = job(vec![step(1, 500)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let started = plan_and_start(&mut before, 10);
+    common::end_run(&mut before, &started[0], EndKind::Failed, 20);
+    before.plan(at(25));
+    let entry = entry_of(&mut before, &spec);
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("a", 1));
+    // The second attempt was ordered by the predecessor and is not there.
+    after.report(&vm("a", 1).id, &report(101, vec![], vec![]), at(102));
+    let again = plan_and_start(&mut after, 110);
+    common::end_run(&mut after, &again[0], EndKind::Failed, 120);
+    after.plan(at(130));
+    expect_that!(after.take_records()[0].1.phase, eq(Phase::Failed));
+}
+
+#[gtest]
+fn copies_of_a_submission_are_one_job_in_any_order_of_records() {
+    let mut log = JobLog::default();
+    let value = encode(job(vec![step(1, 500)]).as_ref());
+    let submitted = log.apply(&submit_key(JOB), Some(&value));
+    expect_that!(submitted, eq(&Ok(Some(LogChange::Submitted(JOB)))));
+    expect_that!(log.apply(&submit_key(JOB), Some(&value)), eq(&Ok(None)));
+    let progress = thistle_schedule::Progress { begun: true, ..Default::default() };
+    expect_that!(log.apply(&progress_key(JOB), Some(&encode(&progress))), eq(&Ok(None)));
+    expect_that!(log.apply(&submit_key(JOB), Some(&value)), eq(&Ok(None)));
+    expect_that!(log.get(JOB).and_then(JobEntry::state), some(eq(JobState::Running)));
+}
+
+#[gtest]
+fn a_cancel_that_arrives_before_its_job_holds() {
+    let mut log = JobLog::default();
+    let cancelled = log.apply(&cancel_key(JOB), Some(&[1]));
+    expect_that!(cancelled, eq(&Ok(Some(LogChange::Cancelled(JOB)))));
+    expect_that!(log.get(JOB).and_then(JobEntry::state), none());
+    let value = encode(job(vec![step(1, 500)]).as_ref());
+    expect_that!(log.apply(&submit_key(JOB), Some(&value)).is_ok(), eq(true));
+    expect_that!(log.get(JOB).and_then(JobEntry::state), some(eq(JobState::Cancelled)));
+
+    let mut pool = pool_with(&["a"]);
+    let entry = log.get(JOB).cloned().unwrap_or_default();
+    pool.adopt(JOB, &entry, at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+}
+
+#[gtest]
+fn a_record_that_cannot_be_read_is_named_and_changes_nothing() {
+    let mut log = JobLog::default();
+    expect_that!(log.apply("", Some(&[1])).is_err(), eq(true));
+    expect_that!(log.apply("jxyz", Some(&[1])).is_err(), eq(true));
+    expect_that!(log.apply(&submit_key(JobId(1)), Some(&[0xff, 0xff])).is_err(), eq(true));
+    expect_that!(log.is_empty(), eq(true));
+}
+
+/// Random runs, seed 192: the failed attempts of a gang were not in the records, so that a
+/// successor let it fail once more.
+#[gtest]
+fn failed_attempts_of_a_gang_count_on_and_once_for_all_members() {
+    let spec = job(vec![thistle_schedule::Step { gang: true, ..step(2, 500) }]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let started = plan_and_start(&mut before, 10);
+    let both =
+        vec![end(1, started[0].run, EndKind::Failed), end(2, started[1].run, EndKind::Failed)];
+    before.report(&started[0].vm, &report(0, vec![], both), at(20));
+    before.plan(at(25));
+    let entry = entry_of(&mut before, &spec);
+    expect_that!(entry.progress.phase, eq(Phase::Open));
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("a", 1));
+    after.report(&vm("a", 1).id, &report(101, vec![], vec![]), at(102));
+    let again = plan_and_start(&mut after, 110);
+    expect_that!(again, len(eq(2)));
+    common::end_run(&mut after, &again[1], EndKind::Failed, 120);
+    after.plan(at(130));
+    expect_that!(after.take_records()[0].1.phase, eq(Phase::Failed));
+}
