--- a/crates/scheduler/src/pool_log.rs
+++ b/crates/scheduler/src/pool_log.rs
@@ -191,11 +191,24 @@
         }
     }
 
-    /// Takes in submissions and cancels that this node has just appended.
-    pub fn apply_own(&self, records: &[KeyedRecord], offset: u64) {
-        let mut jobs = self.jobs();
-        for record in records {
-            self.apply_one(&mut jobs, offset, record);
+    /// Takes in submissions and cancels that this node has just appended. Records of other nodes
+    /// that lie before them go first: a cancel may have come before its job.
+    pub async fn apply_own(&self, node: &Node, records: &[KeyedRecord], offset: u64, end: u64) {
+        let mut cursor = self.cursor(SUBMISSIONS).lock().await;
+        if cursor.next == Some(offset) {
+            cursor.next = Some(end);
+            let mut jobs = self.jobs();
+            for (offset, record) in (offset..).zip(records) {
+                self.apply_one(&mut jobs, offset, record);
+            }
+            return;
+        }
+        drop(cursor);
+        if !self.is_owned() {
+            return;
+        }
+        if let Err(e) = self.catch_up(node, SUBMISSIONS, steady_ms()).await {
+            log::debug!("jobs step=read-failed pool={} error=\"{e}\"", self.pool);
         }
     }
 
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -88,9 +88,9 @@
         let result = node.store.append(&log.topic, SUBMISSIONS, Guard::Always, records).await;
         let waited = steady_ms().saturating_sub(since);
         match result {
-            Ok(Appended::Done { offset, .. }) => {
+            Ok(Appended::Done { offset, end }) => {
                 node.note_store(true);
-                log.apply_own(records, offset);
+                log.apply_own(node, records, offset, end).await;
                 return Written::Kept;
             }
             Ok(other) => {
--- /dev/null
+++ b/crates/scheduler/tests/faults.rs
@@ -0,0 +1,132 @@
+//! Failures with real nodes: owners killed, everything killed, the store down or losing answers,
+//! its history dropped, VMs that crash.
+
+mod system;
+
+use googletest::prelude::*;
+use hyper::Method;
+use system::{System, job, send, submit, until, until_state};
+use thistle_platform::standin::Fault;
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+async fn until_owned(system: &System) -> usize {
+    until("the pool has an owner", async || system.owner().is_some()).await;
+    system.owner().expect("it has one")
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_that_is_killed_is_replaced_and_its_work_goes_on() {
+    let mut system = System::start(11, 2, 2).await;
+    let owner = until_owned(&system).await;
+    let other = 1 - owner;
+    submit(&system.nodes[other], ID, &job(4, 5_000)).await;
+    until("all tasks were started", async || system.starts_of(ID).len() == 4).await;
+    system.nodes[owner].kill();
+    until_state(&system.nodes[other], ID, "completed").await;
+    expect_that!(system.owner(), some(eq(other)));
+    expect_that!(system.starts_of(ID).values().all(|&n| n == 1), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_outlives_the_death_of_every_node_right_after_its_acceptance() {
+    let mut system = System::start(12, 2, 2).await;
+    until_owned(&system).await;
+    let answer = submit(&system.nodes[0], ID, &job(3, 300)).await;
+    for node in &mut system.nodes {
+        node.kill();
+    }
+    expect_that!(answer.status, eq(200));
+    for node in &mut system.nodes {
+        node.start();
+    }
+    until("a node is ready", || system.nodes[0].is_ready()).await;
+    until_state(&system.nodes[0], ID, "completed").await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_store_is_down_jobs_are_refused_at_once_and_never_run() {
+    let system = System::start(13, 2, 1).await;
+    until_owned(&system).await;
+    system.platform.store.set_fault(Fault::Busy);
+    let refused = submit(&system.nodes[0], ID, &job(1, 10)).await;
+    expect_that!(refused.status, eq(503));
+    until("it is not ready", async || !system.nodes[0].is_ready().await).await;
+    system.platform.store.set_fault(Fault::None);
+    until("it is ready again", || system.nodes[0].is_ready()).await;
+    expect_that!(
+        send(&system.nodes[0], Method::GET, &format!("/quotes/{ID}")).await.status,
+        eq(410)
+    );
+    let later = "00000000000000ab";
+    submit(&system.nodes[0], later, &job(1, 10)).await;
+    until_state(&system.nodes[0], later, "completed").await;
+    expect_that!(system.starts_of(ID).len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_that_the_store_loses_double_no_job_and_no_task() {
+    let system = System::start(14, 2, 2).await;
+    until_owned(&system).await;
+    system.platform.store.set_fault(Fault::LosesAnswers);
+    let ids: Vec<String> = (0..8).map(|i| format!("{i:016x}")).collect();
+    for (i, id) in ids.iter().enumerate() {
+        let answer = submit(&system.nodes[i % 2], id, &job(2, 100)).await;
+        expect_that!(answer.status, any![eq(200), eq(504)]);
+    }
+    system.platform.store.set_fault(Fault::None);
+    for id in &ids {
+        until_state(&system.nodes[0], id, "completed").await;
+        let starts = system.starts_of(id);
+        expect_that!(starts.len(), eq(2));
+        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_store_that_goes_silent_ends_the_owners_right_and_gives_it_back() {
+    let system = System::start(15, 2, 2).await;
+    until_owned(&system).await;
+    submit(&system.nodes[0], ID, &job(2, 6_000)).await;
+    until("both tasks were started", async || system.starts_of(ID).len() == 2).await;
+    system.platform.store.set_fault(Fault::Silent);
+    tokio::time::sleep(std::time::Duration::from_secs(4)).await;
+    system.platform.store.set_fault(Fault::None);
+    until_state(&system.nodes[0], ID, "completed").await;
+    expect_that!(system.starts_of(ID).values().all(|&n| n == 1), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_is_in_force_also_when_the_history_before_it_was_dropped() {
+    let system = System::start(16, 1, 1).await;
+    let node = &system.nodes[0];
+    expect_that!(send(node, Method::GET, "/plans/").await.status, eq(404));
+    system.put_config(5, &["/quotes/", "/plans/"]);
+    system.platform.store.drop_history("op");
+    let status = async |path: &str| send(node, Method::GET, path).await.status;
+    until("the new queue is there", async || status("/plans/").await == 200).await;
+    // An older version that comes late changes nothing.
+    system.put_config(4, &["/quotes/"]);
+    system.put_config(6, &["/plans/"]);
+    until("the old queue is gone", async || status("/quotes/").await == 404).await;
+    expect_that!(status("/plans/").await, eq(200));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_a_vm_that_crashes_run_on_another() {
+    let system = System::start(17, 2, 1).await;
+    until_owned(&system).await;
+    submit(&system.nodes[0], ID, &job(4, 1_500)).await;
+    until("all tasks were started", async || system.starts_of(ID).len() == 4).await;
+    let busy = system.platform.machines.vms().into_iter().find(|vm| !vm.running().is_empty());
+    let name = busy.expect("one runs them").place.name.clone();
+    system.platform.machines.crash(&name).await.expect("it comes back");
+    until_state(&system.nodes[0], ID, "completed").await;
+}
--- /dev/null
+++ b/crates/scheduler/tests/jobs.rs
@@ -0,0 +1,109 @@
+//! Jobs on real nodes: accepted, run, shown, cancelled; bad input; planned stops; maintenance.
+
+mod system;
+
+use googletest::prelude::*;
+use hyper::Method;
+use system::{System, job, send, state, submit, until, until_state};
+
+const ID: &str = "5c0e7a21d94b36f8";
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_is_kept_run_once_and_shown_by_every_node() {
+    let system = System::start(1, 2, 2).await;
+    let answer = submit(&system.nodes[0], ID, &job(3, 200)).await;
+    expect_that!(answer.status, eq(200));
+    // A copy to another node is the same job.
+    expect_that!(submit(&system.nodes[1], ID, &job(3, 200)).await.status, eq(200));
+    for node in &system.nodes {
+        until_state(node, ID, "completed").await;
+    }
+    let starts = system.starts_of(ID);
+    expect_that!(starts.len(), eq(3));
+    expect_that!(starts.values().all(|&n| n == 1), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn bad_input_is_named_and_nothing_is_taken() {
+    let system = System::start(2, 1, 1).await;
+    let node = &system.nodes[0];
+    let not_a_job = submit(node, ID, &serde_json::json!({ "phases": "x" })).await;
+    expect_that!(not_a_job.status, eq(400));
+    let no_steps = submit(node, ID, &serde_json::json!({ "spec": "" })).await;
+    expect_that!(no_steps.status, eq(400));
+    expect_that!(String::from_utf8_lossy(&no_steps.body), contains_substring("at least one"));
+    let itself = serde_json::json!({ "phases": [{ "count": 1, "dependsOn": [0] }] });
+    expect_that!(submit(node, ID, &itself).await.status, eq(400));
+    let long = serde_json::json!({ "spec": "x".repeat(5_000), "phases": [{ "count": 1 }] });
+    expect_that!(submit(node, ID, &long).await.status, eq(400));
+    let huge = serde_json::json!({ "spec": "x".repeat(300_000), "phases": [{ "count": 1 }] });
+    expect_that!(submit(node, ID, &huge).await.status, eq(413));
+    expect_that!(submit(node, "nothex", &job(1, 10)).await.status, eq(400));
+    expect_that!(send(node, Method::PUT, &format!("/quotes/{ID}")).await.status, eq(405));
+    expect_that!(send(node, Method::GET, "/nowhere/").await.status, eq(404));
+    expect_that!(send(node, Method::GET, &format!("/quotes/{ID}")).await.status, eq(410));
+    expect_that!(send(node, Method::GET, "/quotes/").await.body.as_ref(), eq(b"{\"pending\":0}"));
+    expect_that!(system.starts_of(ID).len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_is_stopped_and_one_cancelled_before_it_arrives_never_starts() {
+    let system = System::start(3, 2, 2).await;
+    submit(&system.nodes[0], ID, &job(2, 0)).await;
+    until("both tasks run", async || running(&system, ID) == 2).await;
+    let cancelled = send(&system.nodes[1], Method::DELETE, &format!("/quotes/{ID}")).await;
+    expect_that!(cancelled.status, eq(200));
+    until("nothing runs", async || running(&system, ID) == 0).await;
+    for node in &system.nodes {
+        until_state(node, ID, "cancelled").await;
+    }
+    let unknown = "00000000000000aa";
+    let early = send(&system.nodes[0], Method::DELETE, &format!("/quotes/{unknown}")).await;
+    expect_that!(early.status, eq(410));
+    submit(&system.nodes[1], unknown, &job(1, 10)).await;
+    until_state(&system.nodes[1], unknown, "cancelled").await;
+    expect_that!(system.starts_of(unknown).len(), eq(0));
+}
+
+fn running(system: &System, id: &str) -> usize {
+    let vms = system.platform.machines.vms();
+    vms.iter().flat_map(|vm| vm.running()).filter(|task| task.starts_with(id)).count()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_is_told_to_stop_hands_its_pool_over_and_ends_well() {
+    let mut system = System::start(4, 2, 2).await;
+    until("the pool has an owner", async || system.owner().is_some()).await;
+    submit(&system.nodes[0], ID, &job(4, 1_500)).await;
+    until("all tasks run", async || running(&system, ID) == 4).await;
+    let owner = system.owner().expect("it has one");
+    system.nodes[owner].signal("TERM");
+    until("the other owns it", async || system.owner().is_some_and(|o| o != owner)).await;
+    // It still answers until it is gone.
+    expect_that!(state(&system.nodes[owner], ID).await, any![eq("running"), eq("completed")]);
+    expect_that!(system.nodes[owner].is_ready().await, eq(false));
+    until_state(&system.nodes[1 - owner], ID, "completed").await;
+    expect_that!(system.nodes[owner].wait(), eq(true));
+    expect_that!(system.starts_of(ID).values().all(|&n| n == 1), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_wave_maintains_each_vm_and_lasting_tasks_move_out_of_its_way() {
+    let system = System::start(5, 4, 2).await;
+    submit(&system.nodes[0], ID, &job(2, 0)).await;
+    until("both tasks run", async || running(&system, ID) == 2).await;
+    let vms: Vec<String> = (0..4).map(|i| format!("m-{i}")).collect();
+    let wave = serde_json::json!({ "wave": 1, "machines": vms, "durationS": 20, "cap": 1 });
+    system.platform.store.put("op", "wave/1", wave.to_string());
+    let told = || system.platform.store.newest("status", 0, "wave/1");
+    until("the operator is told", async || told().is_some()).await;
+    let told = told().expect("it was told");
+    expect_that!(String::from_utf8_lossy(&told), contains_substring("completed"));
+    expect_that!(system.platform.machines.maintained(1), eq(4));
+    until("both tasks run again", async || running(&system, ID) == 2).await;
+}
--- /dev/null
+++ b/crates/scheduler/tests/system/mod.rs
@@ -0,0 +1,218 @@
+//! Real nodes as processes on loopback addresses, against a fake of the platform.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use hyper::Method;
+use thistle_platform::http::{Answer, Call, HttpClient};
+use thistle_platform::standin::Standin;
+
+/// How long a condition may take to come true: far beyond what it needs on an idle machine.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+const CALL_TIMEOUT: Duration = Duration::from_secs(10);
+const HOST: &str = "jobs.example";
+pub const POOL: &str = "desk";
+
+/// A node's process; it is killed when dropped.
+pub struct Node {
+    pub name: String,
+    ip: Ipv4Addr,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+impl Node {
+    pub fn start(&mut self) {
+        let child = Command::new(env!("CARGO_BIN_EXE_thistle-scheduler"))
+            .arg("run")
+            .arg(&self.settings)
+            .stdout(Stdio::null())
+            .spawn()
+            .expect("the program starts");
+        self.child = Some(child);
+    }
+
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Sends a signal by the child's own ID.
+    pub fn signal(&self, name: &str) {
+        let id = self.child.as_ref().expect("it runs").id().to_string();
+        let sent = Command::new("kill").arg(format!("-{name}")).arg(id).status();
+        assert!(sent.is_ok_and(|s| s.success()));
+    }
+
+    /// Waits until the process has ended by itself and returns whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        let mut child = self.child.take().expect("it runs");
+        child.wait().is_ok_and(|status| status.success())
+    }
+
+    pub fn callers(&self) -> HttpClient {
+        HttpClient::new(SocketAddr::from((self.ip, 8_080)), 4)
+    }
+
+    pub async fn is_ready(&self) -> bool {
+        let client = HttpClient::new(SocketAddr::from((self.ip, 8_081)), 1);
+        let call = Call::new(Method::GET, thistle_platform::READINESS_PATH, CALL_TIMEOUT);
+        client.call(call).await.is_ok_and(|a| a.status == 200)
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// A platform with VMs, and nodes.
+pub struct System {
+    pub platform: Standin,
+    pub nodes: Vec<Node>,
+    dir: PathBuf,
+}
+
+impl Drop for System {
+    fn drop(&mut self) {
+        // What is left in the folder for temporary files does no harm.
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl System {
+    /// Starts a platform with VMs and nodes; `net` is the test's own part of the loopback net.
+    pub async fn start(net: u8, vms: u8, nodes: u8) -> Self {
+        let ip = |host: u8| Ipv4Addr::new(127, 20, net, host);
+        let platform = Standin::start(ip(1)).await.expect("the fake starts");
+        for i in 0..vms {
+            let added = platform.machines.add(&format!("m-{i}"), POOL, ip(100 + i)).await;
+            added.expect("the VM starts");
+        }
+        let dir = std::env::temp_dir().join(format!("thistle-{}-{net}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("the folder is made");
+        let mut system = Self { platform, nodes: Vec::new(), dir };
+        system.put_config(1, &["/quotes/"]);
+        for i in 0..nodes {
+            system.add_node(ip(10 + i));
+        }
+        for node in &system.nodes {
+            until("a node is ready", || node.is_ready()).await;
+        }
+        system
+    }
+
+    pub fn add_node(&mut self, ip: Ipv4Addr) {
+        let name = format!("node-{}", ip.octets()[3]);
+        let settings = self.dir.join(format!("{name}.yaml"));
+        let text = format!(
+            "name: {name}\nhall: hall-a\nlisten: {ip}:8080\nreadiness_listen: {ip}:8081\n\
+             metrics_listen: {ip}:9464\nstore: {}\nmachine_service: {}\nlog:\n  output: stdout\n",
+            self.platform.store_addr(),
+            self.platform.machines_addr(),
+        );
+        std::fs::write(&settings, text).expect("the settings are written");
+        let mut node = Node { name, ip, settings, child: None };
+        node.start();
+        self.nodes.push(node);
+    }
+
+    /// Puts a configuration in force whose queues have these paths.
+    pub fn put_config(&self, version: u64, paths: &[&str]) {
+        let route = |path: &&str| {
+            serde_json::json!({
+                "name": format!("r{path}"), "host": HOST, "pathPrefix": path, "kind": "unsafe",
+                "timeoutMs": 3_000, "targetLatencyMs": 600, "priority": 0, "service": POOL,
+                "maxAttempts": 2, "extension": 1.6,
+            })
+        };
+        let config = serde_json::json!({
+            "version": version,
+            "routes": paths.iter().map(route).collect::<Vec<_>>(),
+            "services": [
+                { "name": POOL, "healthPath": "/healthz", "preconditions": false, "headroom": false },
+                { "name": "off", "healthPath": "/healthz", "preconditions": false, "headroom": true },
+            ],
+            "limits": {
+                "maxHeaderBytes": 16_384, "maxBodyBytes": 262_144,
+                "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
+            },
+        });
+        self.platform.store.put("op", "config", config.to_string());
+    }
+
+    /// Returns the node that owns the pool of jobs, by the store's word.
+    pub fn owner(&self) -> Option<usize> {
+        let claim = self.platform.store.newest("control", 0, &format!("owner/{POOL}"))?;
+        let claim: serde_json::Value = serde_json::from_slice(&claim).ok()?;
+        if claim["released"] == true {
+            return None;
+        }
+        self.nodes.iter().position(|n| claim["owner"]["name"] == n.name.as_str())
+    }
+
+    /// Returns how often each task was started, over all VMs.
+    pub fn starts_of(&self, id: &str) -> std::collections::BTreeMap<String, usize> {
+        let mut starts = std::collections::BTreeMap::new();
+        for (task, _) in self.platform.machines.started() {
+            if task.starts_with(id) {
+                *starts.entry(task).or_default() += 1;
+            }
+        }
+        starts
+    }
+}
+
+/// A job of one step whose tasks work for some milliseconds (0: they last).
+pub fn job(tasks: u32, ms: u32) -> serde_json::Value {
+    serde_json::json!({
+        "spec": format!("ms={ms}"),
+        "phases": [{
+            "count": tasks, "cpu": 500, "memMb": 256, "estimatedMs": ms.max(1),
+            "longRunning": ms == 0, "antiAffinity": u32::from(ms == 0),
+        }],
+    })
+}
+
+pub async fn submit(node: &Node, id: &str, job: &serde_json::Value) -> Answer {
+    let call = Call::new(Method::POST, format!("/quotes/{id}"), CALL_TIMEOUT).with_json(job);
+    call_host(node, call).await
+}
+
+pub async fn send(node: &Node, method: Method, path: &str) -> Answer {
+    call_host(node, Call::new(method, path, CALL_TIMEOUT)).await
+}
+
+async fn call_host(node: &Node, call: Call) -> Answer {
+    let call = call.with_header("host", HOST);
+    node.callers().call(call).await.expect("the node answers")
+}
+
+pub async fn state(node: &Node, id: &str) -> String {
+    let answer = send(node, Method::GET, &format!("/quotes/{id}")).await;
+    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+    body["state"].as_str().map_or_else(|| answer.status.to_string(), str::to_owned)
+}
+
+/// Waits until a condition holds.
+pub async fn until<F, R>(what: &str, mut holds: F)
+where
+    F: FnMut() -> R,
+    R: Future<Output = bool>,
+{
+    let began = Instant::now();
+    while !holds().await {
+        assert!(began.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
+pub async fn until_state(node: &Node, id: &str, wanted: &str) {
+    until(&format!("{id} is {wanted}"), async || state(node, id).await == wanted).await;
+}
