--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -66,6 +66,8 @@
     pub vms: u32,
     /// VMs that are to be emptied and have nothing running: lasting name and incarnation.
     pub emptied: Vec<(String, String)>,
+    /// VMs that lasting tasks need, which may not share one.
+    pub spread: u32,
     /// VMs on which nothing runs.
     pub idle: Vec<String>,
     /// VMs that run only tasks that end by themselves, those with the least work first.
@@ -113,6 +115,8 @@
     under_way: bool,
     again_at: Ms,
     done_at: Option<Ms>,
+    /// The VM was seen away after the order was answered: up again, it is done.
+    seen_away: bool,
 }
 
 /// The fleet's schedule.
@@ -182,6 +186,10 @@
     /// Takes in the VMs, as they were when they were asked for.
     pub fn set_vms(&mut self, vms: Vec<FleetVm>, asked_at: Ms) {
         self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
+        for (name, given) in self.given.iter_mut().filter(|(_, g)| g.done_at.is_some()) {
+            let vm = self.vms.get(name.as_str());
+            given.seen_away |= vm.is_some_and(|vm| vm.state == VmState::Away);
+        }
         self.note_missing(asked_at);
     }
 
@@ -287,7 +295,8 @@
 
     fn is_carried_out(&self, work: &VmWork, now: Ms) -> bool {
         let Stage::Ordered { incarnation } = &work.stage else { return false };
-        let Some(done_at) = self.given.get(&work.vm).and_then(|g| g.done_at) else { return false };
+        let Some(given) = self.given.get(&work.vm) else { return false };
+        let Some(done_at) = given.done_at else { return false };
         let Some(vm) = self.vms.get(work.vm.as_str()) else { return true };
         if vm.state != VmState::Up {
             return false;
@@ -296,7 +305,8 @@
             Purpose::Move { to } => &*vm.pool == to.as_str(),
             Purpose::Maintain { .. } => true,
         };
-        let reborn = vm.incarnation.as_deref() != incarnation.as_deref();
+        // One that is switched off has no incarnation to tell by.
+        let reborn = given.seen_away || vm.incarnation.as_deref() != incarnation.as_deref();
         settled && (reborn || now.saturating_sub(done_at) >= DONE_BEFORE_MS)
     }
 
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -52,7 +52,9 @@
         let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
         let wanted = (report.used_cpu + WAITING_WEIGHT * report.waiting_cpu) * 100;
         let vms = wanted.div_ceil(vm_cpu * FILL_PERCENT);
-        need.recent.push_back((now, usize::try_from(vms).unwrap_or(usize::MAX)));
+        let vms = usize::try_from(vms).unwrap_or(usize::MAX);
+        let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
+        need.recent.push_back((now, vms.max(spread)));
         need.forget(now);
     }
 
--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -66,6 +66,8 @@
     claim: Claim,
     token: u64,
     seen_at: Ms,
+    /// The claim before it was given up, not taken from a silent owner.
+    was_given_up: bool,
 }
 
 /// What one node knows of owners and members.
@@ -120,8 +122,10 @@
         if claim.released && known.is_some_and(|o| o.claim.owner != claim.owner) {
             return;
         }
+        let was_given_up = known.is_some_and(|o| o.claim.released);
         self.vacant_since.remove(pool);
-        self.claims.insert(pool.clone(), Owned { claim, token, seen_at: now });
+        let owned = Owned { claim, token, seen_at: now, was_given_up };
+        self.claims.insert(pool.clone(), owned);
     }
 
     /// Returns the owner's name, its token, and whether it has given the pool up.
@@ -129,6 +133,11 @@
         self.claims.get(pool).map(|o| (&o.claim.owner, o.token, o.claim.released))
     }
 
+    /// Returns whether the present owner's predecessor gave the pool up by itself.
+    pub fn was_given_up(&self, pool: &str) -> bool {
+        self.claims.get(pool).is_some_and(|o| o.was_given_up)
+    }
+
     /// Returns this node's token for a pool, if the newest claim read is its own.
     pub fn my_token(&self, pool: &str) -> Option<u64> {
         let owned = self.claims.get(pool)?;
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -159,6 +159,12 @@
         Some((step, index))
     }
 
+    /// Returns how many VMs its lasting tasks need, which may not share one.
+    pub fn spread(&self) -> u32 {
+        let lasting = self.spec.steps.iter().filter(|s| s.lasting && s.anti_affinity > 0);
+        lasting.map(|s| s.count.div_ceil(s.anti_affinity)).max().unwrap_or(0)
+    }
+
     /// Returns the steps whose turn has come and that have waiting tasks: repetition, step, count.
     pub fn ready_steps(&self) -> impl Iterator<Item = (u32, usize, u32)> {
         self.times.iter().flat_map(move |(&time, run)| {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -60,6 +60,8 @@
     pub cpu: u64,
     /// VMs that take work.
     pub vms: u32,
+    /// VMs that lasting tasks need, which may not share one.
+    pub spread: u32,
     /// Open jobs.
     pub jobs: u32,
     /// Tasks that wait and whose turn has come.
@@ -152,6 +154,7 @@
         }
         for job in self.jobs.values().filter(|j| j.phase == Phase::Open) {
             load.jobs += 1;
+            load.spread = load.spread.max(job.spread());
             for (_, step, waiting) in job.ready_steps() {
                 if !self.fits_somewhere(job.spec.steps[step].room()) {
                     continue;
--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -228,3 +228,35 @@
     fleet.plan(14_010);
     expect_that!(fleet.record().cordoned().collect::<Vec<_>>(), eq(&vec!["o"]));
 }
+
+/// Budnet trouble-2: VMs that are switched off have no incarnation; each held its place in the wave
+/// for six seconds.
+#[gtest]
+fn a_vm_that_is_switched_off_is_maintained_when_it_was_away_and_is_up_again() {
+    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    fleet.set_pools(["desk".into()].into(), Some("off".into()));
+    let off = |state| FleetVm { incarnation: None, ..vm("o", "off", 1, state) };
+    fleet.set_vms(vec![off(VmState::Up)], 0);
+    fleet.set_wave(wave(&["o"], 1));
+    expect_that!(vms_of(&fleet.plan(10)), eq(&vec!["o"]));
+    fleet.order_result("o", OrderOutcome::Done, 20);
+    fleet.set_vms(vec![off(VmState::Up)], 30);
+    fleet.plan(40);
+    expect_that!(fleet.to_complete(), is_empty());
+    fleet.set_vms(vec![off(VmState::Away)], 400);
+    fleet.plan(410);
+    expect_that!(fleet.to_complete(), is_empty());
+    fleet.set_vms(vec![off(VmState::Up)], 2_100);
+    fleet.plan(2_110);
+    expect_that!(fleet.to_complete(), eq(&vec![1]));
+}
+
+/// Budnet trouble-2: five lasting tasks that may not share a VM stood on a pool of four VMs and one
+/// that was to be emptied; nothing could move and the wave was late.
+#[gtest]
+fn a_pool_has_as_many_vms_as_its_lasting_tasks_need() {
+    let mut fleet = two_pools();
+    let report = PoolReport { spread: 8, ..busy(0, 8_000, &[]) };
+    fleet.set_report(&"hub".into(), report, 10);
+    expect_that!(vms_of(&fleet.plan(20)), eq(&vec!["o"]));
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -251,6 +251,8 @@
     if records.is_empty() {
         return;
     }
+    // Orders to the machine service that are under way are answered by then.
+    tokio::time::sleep(LAST_ORDERS).await;
     for _ in 0..RELEASE_TRIES {
         match node.store.append(TOPIC, CLAIMS, Guard::Always, &records).await {
             Ok(_) => return,
@@ -260,5 +262,8 @@
     }
 }
 
+/// How long orders that are under way when an owner ends are waited for: the machine service
+/// answers within some 20 ms.
+const LAST_ORDERS: Duration = Duration::from_millis(150);
 /// How often giving pools up is tried; others take them after the lease anyway.
 const RELEASE_TRIES: u32 = 10;
--- a/crates/scheduler/src/fleet_owner.rs
+++ b/crates/scheduler/src/fleet_owner.rs
@@ -17,7 +17,7 @@
 use crate::control::{TOPIC, to_json};
 use crate::follow::{News, Tail, follow};
 use crate::journal::{Fenced, Journal};
-use crate::node::{Node, steady_ms};
+use crate::node::{Node, lock, steady_ms};
 
 /// The name under which the fleet is owned, beside the pools' names.
 pub const FLEET: &str = "#fleet";
@@ -136,10 +136,14 @@
 
 /// Returns until when the predecessor's orders are to be kept a distance from.
 fn hold_off(node: &Node, record: Option<&FleetRecord>) -> HoldOff {
-    // Without a record nobody has given an order yet; this node's own orders need no distance.
+    // Without a record nobody has given an order yet; this node's own orders need no distance, and
+    // a predecessor that gave the fleet up had its last order answered before.
     let Some(record) = record.filter(|r| r.owner != node.me.name) else {
         return HoldOff::default();
     };
+    if lock(&node.ownership).was_given_up(FLEET) {
+        return HoldOff::default();
+    }
     log::debug!("fleet step=hold-off predecessor={}", record.owner);
     let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
     let now = steady_ms();
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -39,6 +39,7 @@
             used_cpu: load.used_cpu,
             cpu: load.cpu,
             vms: load.vms,
+            spread: load.spread,
             emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
             idle: self.pool.idle().into_iter().map(text).collect(),
             light: self.pool.light().into_iter().map(text).collect(),
