--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -18,6 +18,9 @@
 /// How long a node must be silent before its pools are taken: its lease, the longest pause between
 /// two looks at the heartbeats, and a margin for clocks that differ by 2%.
 pub const SILENCE_MS: Ms = 2_700;
+/// A pause between two readings of the heartbeats after which silence counts anew, in
+/// milliseconds: a little more than two readings lie apart.
+const DEAF_MS: Ms = 1_200;
 /// How long the second-best node waits before it takes a pool that the best has not, and each
 /// further one as much longer.
 const RANK_STEP_MS: Ms = 400;
@@ -75,6 +78,8 @@
 pub struct Ownership {
     me: NodeLife,
     started_at: Ms,
+    /// When heartbeats were last read.
+    listened_at: Option<Ms>,
     members: HashMap<String, Member>,
     claims: HashMap<Arc<str>, Owned>,
     /// Since when pools are known to have no owner.
@@ -85,7 +90,7 @@
     /// Makes the view of a node that has just started.
     pub fn new(me: NodeLife, now: Ms) -> Self {
         let (members, claims, vacant_since) = (HashMap::new(), HashMap::new(), HashMap::new());
-        Self { me, started_at: now, members, claims, vacant_since }
+        Self { me, started_at: now, listened_at: None, members, claims, vacant_since }
     }
 
     /// Takes in a heartbeat that was read.
@@ -101,8 +106,23 @@
         }
     }
 
-    /// Takes in that heartbeats could not be read for a while: silence counts from now.
-    pub fn was_deaf(&mut self, now: Ms) {
+    /// Takes in that heartbeats are being read now; to be called before those that were read are
+    /// taken in. After a pause silence counts anew: returns whether there was one.
+    pub fn listen(&mut self, now: Ms) -> bool {
+        let was_deaf = self.is_deaf(now);
+        self.listened_at = Some(now);
+        if was_deaf {
+            self.forgive_silence(now);
+        }
+        was_deaf
+    }
+
+    /// Returns whether heartbeats were not read for a while, so that nothing is known of silence.
+    fn is_deaf(&self, now: Ms) -> bool {
+        self.listened_at.is_none_or(|at| now.saturating_sub(at) > DEAF_MS)
+    }
+
+    fn forgive_silence(&mut self, now: Ms) {
         for member in self.members.values_mut() {
             member.heard_at = now;
         }
@@ -157,6 +177,9 @@
         now: Ms,
     ) -> Vec<Arc<str>> {
         let mut wanted: Vec<Arc<str>> = Vec::new();
+        if self.is_deaf(now) {
+            return wanted;
+        }
         for pool in pools {
             let Some(vacancy) = self.vacancy(pool, now) else {
                 self.vacant_since.remove(pool);
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -24,6 +24,12 @@
     names.iter().map(|n| Arc::from(*n)).collect()
 }
 
+/// Returns what a node that has listened all the time claims.
+fn claims_of(view: &mut Ownership, names: &[&str], now: Ms) -> Vec<Arc<str>> {
+    view.listen(now);
+    wanted(view, names, now)
+}
+
 fn wanted(view: &mut Ownership, names: &[&str], now: Ms) -> Vec<Arc<str>> {
     view.to_claim(pools(names).iter(), now)
 }
@@ -42,7 +48,9 @@
             }
         }
         for i in 0..3 {
-            let Some(pool) = wanted(&mut views[i], &names, now).first().cloned() else { continue };
+            let Some(pool) = claims_of(&mut views[i], &names, now).first().cloned() else {
+                continue;
+            };
             claimed[i] += 1;
             for view in &mut views {
                 view.claimed(&pool, claim(&format!("n{i}"), 1), round * 10 + i as u64, now);
@@ -59,8 +67,12 @@
     view.heard("b", &beat(1, 1), 0);
     view.heard("a", &beat(1, 1), 1_000);
     view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    for now in [1_000, 2_000, 3_000] {
+        view.listen(now);
+    }
     expect_that!(wanted(&mut view, &["desk"], 1_000 + OWNER_LEASE_MS), is_empty());
     view.heard("b", &beat(1, 2), 1_000 + SILENCE_MS);
+    view.listen(1_000 + SILENCE_MS);
     expect_that!(wanted(&mut view, &["desk"], 1_000 + SILENCE_MS), len(eq(1)));
 }
 
@@ -69,15 +81,30 @@
     let mut view = Ownership::new(node("b", 1), 0);
     view.heard("a", &beat(1, 1), 1_000);
     view.claimed(&"desk".into(), claim("a", 1), 0, 900);
-    view.was_deaf(9_000);
+    view.listen(9_000);
     expect_that!(wanted(&mut view, &["desk"], 9_100), is_empty());
+    for now in [10_000, 11_000, 12_000] {
+        view.listen(now);
+    }
+    expect_that!(wanted(&mut view, &["desk"], 12_000), len(eq(1)));
+}
+
+/// Trasteo Listo trouble-1, 11.6 s: a node that the store had turned away for nine seconds looked
+/// for silent owners before it had read their heartbeats, and took all pools.
+#[gtest]
+fn a_node_that_has_not_listened_lately_claims_nothing() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.listen(1_000);
+    view.heard("a", &beat(1, 1), 1_000);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    expect_that!(wanted(&mut view, &["desk"], 9_000), is_empty());
 }
 
 #[gtest]
 fn a_restarted_owner_takes_its_pool_back_at_once() {
     let mut view = Ownership::new(node("a", 2), 5_000);
     view.claimed(&"desk".into(), claim("a", 1), 0, 5_010);
-    expect_that!(wanted(&mut view, &["desk"], 5_020), len(eq(1)));
+    expect_that!(claims_of(&mut view, &["desk"], 5_020), len(eq(1)));
 }
 
 #[gtest]
@@ -90,7 +117,7 @@
         view.heard("b", &beat(1, 1), 2_000);
         view.claimed(&"desk".into(), claim("c", 1), 0, 1_000);
         view.claimed(&"desk".into(), released.clone(), 1, 2_000);
-        first += wanted(view, &["desk"], 2_010).len();
+        first += claims_of(view, &["desk"], 2_010).len();
     }
     expect_that!(first, eq(1));
 }
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -28,8 +28,6 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(500);
 /// How often a node looks for pools without an owner.
 const CLAIM_EVERY: Duration = Duration::from_millis(100);
-/// A pause between two looks at heartbeats after which silence counts anew, in milliseconds.
-const DEAF_MS: Ms = 1_200;
 
 /// The end of the partition of claims, as far as this node knows; it only rises.
 #[derive(Default)]
@@ -96,7 +94,6 @@
 async fn beat(node: Arc<Node>) {
     let mut tail = Tail::new(TOPIC, HEARTBEATS);
     let mut sequence = 0;
-    let mut heard_at = steady_ms();
     loop {
         let sent_at = steady_ms();
         sequence += 1;
@@ -119,7 +116,7 @@
             }
         }
         if let Ok(news) = tail.read(&node.store, Duration::ZERO).await {
-            take_beats(&node, news, &mut heard_at);
+            take_beats(&node, news);
         }
         let next = sent_at + u64::try_from(HEARTBEAT_EVERY.as_millis()).unwrap_or(0);
         let pause = next.saturating_sub(steady_ms()).max(50);
@@ -127,9 +124,12 @@
     }
 }
 
-fn take_beats(node: &Node, news: News, heard_at: &mut Ms) {
+fn take_beats(node: &Node, news: News) {
     let now = steady_ms();
     let mut ownership = lock(&node.ownership);
+    if ownership.listen(now) {
+        log::info!("heartbeat step=listening-again");
+    }
     let records = match news {
         News::Reloaded(records) | News::Records(records) => records,
     };
@@ -141,11 +141,6 @@
             Err(e) => log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\""),
         }
     }
-    if now.saturating_sub(*heard_at) > DEAF_MS {
-        log::info!("heartbeat step=was-deaf ms={}", now.saturating_sub(*heard_at));
-        ownership.was_deaf(now);
-    }
-    *heard_at = now;
 }
 
 /// Encodes a record that operators may read.
