--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -123,6 +123,8 @@
 #[derive(Debug)]
 pub struct Fleet {
     vms: BTreeMap<Arc<str>, FleetVm>,
+    /// When the list of VMs was asked for; none before the first.
+    listed_at: Option<Ms>,
     waves: BTreeMap<u64, Wave>,
     record: FleetRecord,
     reports: HashMap<Arc<str>, PoolReport>,
@@ -163,6 +165,7 @@
         let given = record.work.iter().map(given).collect();
         Self {
             vms: BTreeMap::new(),
+            listed_at: None,
             waves: BTreeMap::new(),
             record,
             reports: HashMap::new(),
@@ -190,6 +193,7 @@
             let vm = self.vms.get(name.as_str());
             given.seen_away |= vm.is_some_and(|vm| vm.state == VmState::Away);
         }
+        self.listed_at = Some(asked_at);
         self.note_missing(asked_at);
     }
 
@@ -297,7 +301,10 @@
         let Stage::Ordered { incarnation } = &work.stage else { return false };
         let Some(given) = self.given.get(&work.vm) else { return false };
         let Some(done_at) = given.done_at else { return false };
-        let Some(vm) = self.vms.get(work.vm.as_str()) else { return true };
+        let Some(vm) = self.vms.get(work.vm.as_str()) else {
+            // It has left for good, if a list from well after the order does not hold it.
+            return self.listed_at.is_some_and(|at| at >= done_at + DONE_BEFORE_MS);
+        };
         if vm.state != VmState::Up {
             return false;
         }
--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -260,3 +260,27 @@
     fleet.set_report(&"hub".into(), report, 10);
     expect_that!(vms_of(&fleet.plan(20)), eq(&vec!["o"]));
 }
+
+/// Trasteo Listo trouble-2, 9.274 s (LIMIT): a successor's order was answered before its first list
+/// of VMs came; the VM counted as gone, its maintenance as over, and one more was taken down.
+#[gtest]
+fn a_successor_without_a_list_takes_no_maintenance_for_over() {
+    let mut before = fleet(&["a", "b"], 1);
+    before.plan(10);
+    before.set_report(&"desk".into(), emptied(&["a", "b"]), 20);
+    let first = before.plan(30);
+    expect_that!(first, len(eq(1)));
+
+    let mut after = Fleet::new(before.record().clone(), HoldOff::default());
+    after.set_pools(["desk".into()].into(), None);
+    after.set_wave(wave(&["a", "b"], 1));
+    after.set_report(&"desk".into(), emptied(&["a", "b"]), 100);
+    expect_that!(vms_of(&after.plan(110)), eq(&vms_of(&first)));
+    after.order_result(&first[0].vm, OrderOutcome::Done, 120);
+    after.plan(130);
+    let mut vms = up(&["a", "b", "c"]);
+    vms.iter_mut().filter(|vm| *vm.name == *first[0].vm).for_each(|vm| vm.state = VmState::Away);
+    after.set_vms(vms, 200);
+    after.set_report(&"desk".into(), emptied(&["a", "b"]), 210);
+    expect_that!(after.plan(220), is_empty());
+}
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use thistle_platform::{Appended, Guard, KeyedRecord, Stored};
-use thistle_schedule::Ms;
 use thistle_schedule::ownership::{Claim, Heartbeat};
 use tokio::task::AbortHandle;
 
