--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -45,6 +45,10 @@
         if step.tasks.get(index).is_none_or(|t| t.spot != Spot::On(vm)) {
             return false;
         }
+        // One that is about to leave takes all down with it.
+        if self.vms[vm].draining() {
+            return self.fits_elsewhere(vm, task, shape, now);
+        }
         let others = step.tasks.iter().enumerate().filter(|&(i, _)| i != index);
         let others_away = others.filter(|(_, t)| !self.is_at_work(t)).count();
         let budget = usize::try_from(shape.may_miss.max(1)).unwrap_or(1);
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -164,9 +164,15 @@
             let stays = !shape.lasting || !vm.name().is_some_and(|n| self.due.contains(n));
             // Lasting tasks share few VMs, so that others can be taken away when load is low.
             let packed = if shape.lasting { vm.lasting_runs() } else { 0 };
+            // Those of one step are spread all the same: a VM that goes takes few of them.
+            let spread = if shape.lasting {
+                std::cmp::Reverse(of_step(vm, ready))
+            } else {
+                std::cmp::Reverse(0)
+            };
             // The fullest VM that fits: the others become empty and can serve other pools.
             let fullness = std::cmp::Reverse(vm.free().cpu);
-            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, packed, fullness)
+            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, spread, packed, fullness)
         };
         self.vms.iter().filter(|(_, vm)| fits(vm)).max_by_key(score).map(|(key, _)| key)
     }
@@ -246,16 +252,20 @@
     shape.constraints.iter().all(|label| has_label(vm, label))
 }
 
+/// Counts the tasks of a step that a VM runs.
+fn of_step(vm: &Vm, ready: ReadyStep) -> usize {
+    let of_step = |t: &&TaskId| {
+        t.job == ready.id && t.time == ready.time && usize::from(t.step) == ready.step
+    };
+    vm.runs.keys().filter(of_step).count()
+}
+
 /// Returns whether one more task of the step may run on the VM.
 fn below_spread(vm: &Vm, ready: ReadyStep, shape: &Step) -> bool {
     if shape.anti_affinity == 0 {
         return true;
     }
-    let of_step = |t: &&TaskId| {
-        t.job == ready.id && t.time == ready.time && usize::from(t.step) == ready.step
-    };
-    let there = vm.runs.keys().filter(of_step).count();
-    there < usize::try_from(shape.anti_affinity).unwrap_or(usize::MAX)
+    of_step(vm, ready) < usize::try_from(shape.anti_affinity).unwrap_or(usize::MAX)
 }
 
 /// Returns whether the task would fill beside a serving task, or serve beside a filling one.
--- a/crates/schedule/tests/pool.rs
+++ b/crates/schedule/tests/pool.rs
@@ -274,3 +274,36 @@
     expect_that!(second[0].vm, not(eq(&first[0].vm)));
     expect_that!(second[0].run.attempt, eq(2));
 }
+
+/// Trasteo Listo, hunt seed 34770722813: a VM left for good before its lasting tasks had been moved
+/// one by one, two seconds each.
+#[gtest]
+fn all_lasting_tasks_leave_a_vm_that_is_about_to_leave() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![Step { anti_affinity: 0, ..lasting(3, 1) }]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    all_at_work(&mut pool, &started, 20);
+    let facts = vm("b", 1);
+    pool.list_vm(facts.clone());
+    pool.report(&facts.id, &VmReport::default(), at(30));
+    let mut leaving = vm("a", 1).as_ref().clone();
+    leaving.draining = true;
+    pool.list_vm(leaving.into());
+    expect_that!(stops(&pool.plan(at(40))), len(eq(3)));
+}
+
+#[gtest]
+fn tasks_of_one_lasting_step_are_spread_and_those_of_different_jobs_packed() {
+    let mut pool = pool_with(&["a", "b", "c", "d"]);
+    for i in 0..2 {
+        pool.submit(JobId(i), job(vec![Step { anti_affinity: 0, ..lasting(2, 1) }]), at(0));
+    }
+    let started = plan_and_start(&mut pool, 10);
+    let vms: std::collections::BTreeSet<_> = started.iter().map(|s| s.vm.clone()).collect();
+    expect_that!(vms, len(eq(2)));
+    for i in 0..2 {
+        let of_job = started.iter().filter(|s| s.run.task.job == JobId(i));
+        let vms: std::collections::BTreeSet<_> = of_job.map(|s| s.vm.clone()).collect();
+        expect_that!(vms, len(eq(2)));
+    }
+}
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -164,7 +164,9 @@
             continue;
         }
         let asked_at = steady_ms();
-        let deadline_ms = lock(&link.lease).give(asked_at);
+        // A VM that does not answer gets no new lease: a call may arrive whose answer is lost, and
+        // its tasks could never be given up.
+        let deadline_ms = if reachable { lock(&link.lease).give(asked_at) } else { None };
         let last_seen = *acked.borrow_and_update();
         let ask = Hold { token: link.token, last_seen, deadline_ms, wait };
         let result = link.client.hold(ask, asked_at).await;
@@ -175,9 +177,9 @@
                 if !reachable {
                     link.tell(Event::Reachable(link.vm.clone(), true));
                 }
-                (reachable, lost) = (true, false);
                 // The first answer brings the clock; leases can be given from the next call on.
                 wait = if deadline_ms.is_some() { WAIT } else { Duration::ZERO };
+                (reachable, lost) = (true, false);
                 let last = held.report.ended.iter().map(|e| e.sequence).max();
                 link.tell(Event::Report(link.vm.clone(), held.report));
                 if let Some(last) = last {
@@ -219,15 +221,18 @@
     let _permit = link.starts.acquire().await.ok()?;
     let lapses = link.lapses.load(Ordering::Relaxed);
     let mut may_be_there = false;
+    let mut deadline_ms = None;
     loop {
         if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
             return None;
         }
-        let deadline_ms = lock(&link.lease).give(steady_ms())?;
+        // Sent again it gives no longer lease: the VM may not be answering.
+        let until = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms()))?;
+        deadline_ms = Some(until);
         let start = Start {
             run: order.run,
             text: &order.spec.text,
-            deadline_ms,
+            deadline_ms: until,
             token: link.token,
             checkpoint: &order.checkpoint,
             ticket: None,
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -118,6 +118,20 @@
     expect_that!(status("/plans/").await, eq(200));
 }
 
+/// Trasteo Listo, hunt seed 34770722813 (LOST): the lease of a VM that did not answer was counted as
+/// given anew at each try to reach it, and its tasks never counted as over.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_of_a_vm_that_falls_silent_run_on_another_once_their_lease_is_over() {
+    let system = System::start(18, 2, 1).await;
+    until_owned(&system).await;
+    submit(&system.nodes[0], ID, &job(4, 1_500)).await;
+    until("all tasks were started", async || system.starts_of(ID).len() == 4).await;
+    let busy = system.platform.machines.vms().into_iter().find(|vm| !vm.running().is_empty());
+    busy.expect("one runs them").fall_silent();
+    until_state(&system.nodes[0], ID, "completed").await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_of_a_vm_that_crashes_run_on_another() {
