Waiting tasks count three times when VMs are shared out; more moves at once on large sites

Cause: load rises from 100 to 3000 cores in three seconds on the grown site and VMs take two to come; 24 moves at once was a bound of the small sites.

--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -14,7 +14,7 @@
 /// to use.
 const FILL_PERCENT: u64 = 80;
 /// By how much waiting tasks count: as many again come while VMs are on their way.
-const WAITING_WEIGHT: u64 = 2;
+const WAITING_WEIGHT: u64 = 3;
 /// What a pool keeps beyond its need when others are short, in percent.
 const MARGIN_PERCENT: usize = 15;
 /// How long a pool keeps what it needed last, in milliseconds. Two moves cost about as much as
@@ -24,8 +24,8 @@
 const STAY_MS: Ms = 1_500;
 /// VMs that a pool keeps at least, so that the first jobs of a turn start at once.
 const FLOOR_VMS: usize = 4;
-/// Moves that are under way at once.
-const MOVES_AT_ONCE: usize = 24;
+/// Share of all VMs that may be on their way to another pool at once, in percent.
+const MOVING_PERCENT: usize = 50;
 /// Processor of a VM where a pool has none to go by, in thousandths of a core: the users' VMs of
 /// today.
 const USUAL_VM_CPU: u64 = 16_000;
@@ -95,7 +95,7 @@
         let mut spare = self.off_vms();
         let mut shares = self.shares(spare.len());
         spare.extend(self.spare_vms(&shares, now));
-        let mut free = MOVES_AT_ONCE.saturating_sub(self.moves().count());
+        let mut free = (self.vms.len() * MOVING_PERCENT / 100).saturating_sub(self.moves().count());
         while free > 0 {
             let Some(to) = neediest(&shares) else { break };
             let Some((vm, from)) = take_for(&mut spare, &to) else { break };
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -158,11 +158,18 @@
     let record = KeyedRecord::new(submit_key(id), encode(&spec));
     let written = write(&node.pool_log(&queue.pool), record).await;
     log::info!(
-        "accept id={id} queue={} pool={} version={} steps={} written={written:?} took_ms={}",
+        "accept id={id} queue={} pool={} version={} steps={} tasks={} lasting={} fills={} serving={} \
+         gang={} times={} written={written:?} took_ms={}",
         queue.name,
         queue.pool,
         catalog.version,
         spec.steps.len(),
+        spec.steps.iter().map(|s| s.count).sum::<u32>(),
+        spec.is_lasting(),
+        spec.steps.iter().any(|s| s.fills),
+        spec.steps.iter().any(|s| s.tail_target_ms > 0),
+        spec.steps.iter().any(|s| s.gang),
+        spec.times(),
         steady_ms().saturating_sub(began),
     );
     answer_written(written)
