Advice on queues that need it, pacing of filling tasks, checkpoints of lost VMs

A task whose VM was lost started from nothing though its newest checkpoint was known; members of a gang brought different ones. Tests: policies.rs, and two in pool.rs, each red before.

--- a/crates/schedule/src/catalog.rs
+++ b/crates/schedule/src/catalog.rs
@@ -2,18 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::spec::Objective;
-
-/// How a queue's policy is asked which VMs may run a step.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct AdvicePolicy {
-    /// How long an answer takes at least, in milliseconds.
-    pub decide_ms: u32,
-    /// How much longer for each VM named, in milliseconds.
-    pub each_ms: u32,
-    /// How long an answer is good, in milliseconds.
-    pub valid_ms: u32,
-}
+use crate::spec::{AdvicePolicy, Objective};
 
 /// A queue that callers submit jobs to.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -11,10 +11,7 @@
     pub(super) fn take_end(&mut self, vm_key: VmKey, end: &RunEnd, now: Now) {
         let vm = &mut self.vms[vm_key];
         vm.strays.remove(&end.run);
-        let started = vm.runs.get(&end.run.task).map(|r| r.started);
-        if !vm.remove_run(end.run) {
-            return;
-        }
+        let Some(run) = vm.remove_run(end.run) else { return };
         match end.kind {
             EndKind::Done => vm.note_success(),
             EndKind::Failed => {
@@ -23,8 +20,8 @@
             EndKind::Stopped | EndKind::Lapsed | EndKind::Broken | EndKind::Alone => (),
         }
         let Some(key) = self.job_key(end.run.task) else { return };
-        if let (EndKind::Done, Some(started)) = (end.kind, started) {
-            self.learn(key, end.run, now.steady.saturating_sub(started));
+        if end.kind == EndKind::Done {
+            self.learn(key, end.run, now.steady.saturating_sub(run.started));
         }
         self.settle_run(key, vm_key, end, now);
     }
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -4,18 +4,20 @@
 //! after the records of [`Pool::take_records`] were written, and ends may be acknowledged to VMs
 //! ([`Pool::take_acks`]) only then: a successor finds every order and every end in the records.
 
+mod advice;
 mod ends;
 mod estimate;
 mod evacuate;
 mod job;
 mod order;
+mod pace;
 mod place;
 mod rank;
 mod report;
 mod takeover;
 mod vms;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use slotmap::{SlotMap, new_key_type};
@@ -26,6 +28,8 @@
 use crate::spec::JobSpec;
 use crate::vm::Room;
 
+use advice::Advised;
+pub use advice::{Question, StepId};
 use estimate::Estimates;
 use job::Job;
 pub use order::{Order, StartOrder, StartResult};
@@ -85,6 +89,8 @@
     dirty: Vec<JobKey>,
     acks: Vec<(VmId, u64)>,
     estimates: Estimates,
+    /// What is known of the policies of steps that need advice.
+    advice: BTreeMap<StepId, Advised>,
 }
 
 impl Pool {
@@ -218,6 +224,7 @@
             if let Some(key) = self.job_keys.remove(&id) {
                 self.jobs.remove(key);
             }
+            self.advice.retain(|step, _| step.job != id);
         }
     }
 }
--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -18,6 +18,8 @@
     pub spec: Arc<JobSpec>,
     /// Where to resume, empty for the start.
     pub checkpoint: String,
+    /// The ticket of the queue's policy, if it has one.
+    pub ticket: Option<String>,
     /// Processor left on the VM with this run, in thousandths of a core; for the log line.
     pub free_cpu: u32,
 }
@@ -34,6 +36,8 @@
         /// Which run.
         run: RunId,
     },
+    /// Ask which VMs may run a step.
+    Ask(super::Question),
     /// Let a run work at a share of its full speed.
     Pace {
         /// Where.
@@ -94,15 +98,16 @@
     /// Frees the room of a run that is surely not there, and lets its task wait again.
     pub(super) fn release(&mut self, vm: VmKey, run: RunId, _now: Now) {
         let Some(v) = self.vms.get_mut(vm) else { return };
-        if !v.remove_run(run) {
-            return;
-        }
+        let Some(gone) = v.remove_run(run) else { return };
         let Some(&key) = self.job_keys.get(&run.task.job) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
         let Some((step, index)) = job.step_mut(run.task) else { return };
         if step.tasks[index].attempt == run.attempt && step.tasks[index].spot == Spot::On(vm) {
             step.set(index, Spot::Waiting);
             step.tasks[index].avoid = Some(vm);
+            if !gone.checkpoint.is_empty() {
+                step.tasks[index].checkpoint = gone.checkpoint;
+            }
             self.touch(key);
         }
     }
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -2,7 +2,7 @@
 
 use super::job::Spot;
 use super::vms::{Run, Vm};
-use super::{JobKey, Now, Order, Pool, StartOrder, VmKey};
+use super::{JobKey, Now, Order, Pool, StartOrder, StepId, VmKey};
 use crate::Ms;
 use crate::id::{JobId, RunId, TaskId};
 use crate::progress::Phase;
@@ -10,7 +10,7 @@
 
 /// A step of one repetition of a job that has waiting tasks.
 #[derive(Clone, Copy, Debug)]
-struct ReadyStep {
+pub(super) struct ReadyStep {
     job: JobKey,
     id: JobId,
     time: u32,
@@ -18,6 +18,12 @@
 }
 
 impl ReadyStep {
+    /// Returns the step's name.
+    pub fn id(&self) -> StepId {
+        let step = u16::try_from(self.step).unwrap_or(u16::MAX);
+        StepId { job: self.id, time: self.time, step }
+    }
+
     fn task(&self, index: usize) -> TaskId {
         TaskId {
             job: self.id,
@@ -61,10 +67,15 @@
             .collect();
         for step in ready {
             let spec = self.jobs[key].spec.clone();
-            if spec.steps[step.step].gang {
-                self.place_gang(step, &spec.steps[step.step], now);
+            let shape = &spec.steps[step.step];
+            if shape.gang {
+                self.place_gang(step, shape, now);
             } else {
-                self.place_step(step, &spec.steps[step.step], now);
+                self.place_step(step, shape, now);
+            }
+            let waits = !self.waiting_tasks(step).is_empty();
+            if let Some(policy) = spec.advice.filter(|_| waits) {
+                self.ask(step, shape, policy, now);
             }
         }
     }
@@ -113,8 +124,9 @@
                 placed.push((index, vm, before));
             }
             if placed.len() == waiting.len() {
+                self.share_checkpoint(ready);
                 for (index, vm, _) in placed {
-                    self.order_start(ready, index, attempt, vm);
+                    self.order_start(ready, index, attempt, vm, now.steady);
                 }
                 return;
             }
@@ -125,6 +137,17 @@
         }
     }
 
+    /// Gives all members of a gang one checkpoint: any member's is good, but all bring the same.
+    fn share_checkpoint(&mut self, ready: ReadyStep) {
+        let job = &mut self.jobs[ready.job];
+        let Some((step, _)) = job.step_mut(ready.task(0)) else { return };
+        let saved = step.tasks.iter().map(|t| &t.checkpoint).find(|c| !c.is_empty());
+        let Some(saved) = saved.cloned() else { return };
+        for task in &mut step.tasks {
+            task.checkpoint.clone_from(&saved);
+        }
+    }
+
     fn waiting_tasks(&self, ready: ReadyStep) -> Vec<usize> {
         let step = &self.jobs[ready.job].times[&ready.time].steps[ready.step];
         let waits = |&i: &usize| step.tasks[i].spot == Spot::Waiting;
@@ -149,6 +172,7 @@
         now: Ms,
     ) -> Option<VmKey> {
         let avoid = self.avoids(ready, index);
+        let needs_ticket = self.jobs[ready.job].spec.advice.is_some();
         let fits = |vm: &Vm| {
             vm.takes_work()
                 && vm.aside_until <= now
@@ -156,6 +180,7 @@
                 && rack.is_none_or(|r| vm.facts.as_ref().is_some_and(|f| &*f.rack == r))
                 && has_labels(vm, shape)
                 && below_spread(vm, ready, shape)
+                && (!needs_ticket || self.ticket(ready.id(), &vm.id, now).is_some())
         };
         let score = |(key, vm): &(VmKey, &Vm)| {
             let near = shape.affinity.as_deref().is_some_and(|a| has_label(vm, a));
@@ -187,7 +212,7 @@
         now: Now,
     ) {
         self.reserve(ready, shape, index, attempt, vm, now);
-        self.order_start(ready, index, attempt, vm);
+        self.order_start(ready, index, attempt, vm, now.steady);
     }
 
     /// Takes the room of a run and moves its task there.
@@ -209,7 +234,9 @@
             tail_target_ms: shape.tail_target_ms,
             fills: shape.fills,
             lasting: shape.lasting,
-            percent: 100,
+            pace: 100,
+            paced_at: 0,
+            figure: None,
             checkpoint: String::new(),
         };
         self.vms[vm].add_run(ready.task(index), run);
@@ -221,15 +248,17 @@
 
     /// Undoes [`Pool::reserve`]; `before` is the attempt that the task was at.
     fn unreserve(&mut self, ready: ReadyStep, vm: VmKey, run: RunId, before: u32) {
-        self.vms[vm].remove_run(run);
+        // Nobody was told of it.
+        let _ = self.vms[vm].remove_run(run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(run.task) {
             step.set(index, Spot::Waiting);
             step.tasks[index].attempt = before;
         }
     }
 
-    fn order_start(&mut self, ready: ReadyStep, index: usize, attempt: u32, vm: VmKey) {
+    fn order_start(&mut self, ready: ReadyStep, index: usize, attempt: u32, vm: VmKey, now: Ms) {
         let task = ready.task(index);
+        let ticket = self.ticket(ready.id(), &self.vms[vm].id, now);
         let job = &mut self.jobs[ready.job];
         job.begun = true;
         let order = StartOrder {
@@ -237,6 +266,7 @@
             run: RunId { task, attempt },
             spec: job.spec.clone(),
             checkpoint: job.task(task).map(|t| t.checkpoint.clone()).unwrap_or_default(),
+            ticket,
             free_cpu: self.vms[vm].free().cpu,
         };
         self.orders.push(Order::Start(order));
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -31,6 +31,7 @@
         if complete {
             self.drop_missing(key, report, &listed, now);
         }
+        self.pace(key, now);
         let vm = &mut self.vms[key];
         vm.reachable = true;
         vm.held |= complete;
@@ -42,8 +43,13 @@
         let vm = &mut self.vms[key];
         let task = row.run.task;
         if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
-            run.percent = row.percent;
-            run.checkpoint.clone_from(&row.checkpoint);
+            run.figure = row.figure;
+            if !row.checkpoint.is_empty() {
+                run.checkpoint.clone_from(&row.checkpoint);
+            }
+            if run.fills {
+                run.pace = row.percent;
+            }
             // One that was told to stop is as good as gone, though it still works.
             if !run.stopping {
                 self.note_at_work(row);
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -62,7 +62,9 @@
             tail_target_ms: shape.as_ref().map_or(0, |s| s.tail_target_ms),
             fills: shape.as_ref().is_some_and(|s| s.fills),
             lasting: shape.is_some_and(|s| s.lasting),
-            percent: 0,
+            pace: 100,
+            paced_at: 0,
+            figure: None,
             checkpoint: String::new(),
         };
         self.vms[vm].add_run(id, run);
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -30,7 +30,12 @@
     pub tail_target_ms: u32,
     pub fills: bool,
     pub lasting: bool,
-    pub percent: u32,
+    /// The share of its full speed that it was last told to work at.
+    pub pace: u32,
+    pub paced_at: Ms,
+    /// The newest figure that it reported; see [`crate::vm::RunRow`].
+    pub figure: Option<u64>,
+    /// Its newest checkpoint, from which it resumes elsewhere if its VM is lost.
     pub checkpoint: String,
 }
 
@@ -121,15 +126,12 @@
         }
     }
 
-    /// Removes a run; returns whether it was there.
-    pub fn remove_run(&mut self, run: RunId) -> bool {
-        if self.runs.get(&run.task).is_none_or(|r| r.attempt != run.attempt) {
-            return false;
-        }
-        if let Some(old) = self.runs.remove(&run.task) {
-            self.used = self.used.minus(old.demand);
-        }
-        true
+    /// Removes a run and returns it, if it was there.
+    pub fn remove_run(&mut self, run: RunId) -> Option<Run> {
+        self.runs.get(&run.task).filter(|r| r.attempt == run.attempt)?;
+        let old = self.runs.remove(&run.task)?;
+        self.used = self.used.minus(old.demand);
+        Some(old)
     }
 
     pub fn note_success(&mut self) {
--- a/crates/schedule/src/spec.rs
+++ b/crates/schedule/src/spec.rs
@@ -26,10 +26,31 @@
     pub queue: String,
     /// What its queue asked for when it was accepted.
     pub objective: Objective,
+    /// Whose advice its queue asked for when it was accepted, if anyone's.
+    pub advice: Option<AdvicePolicy>,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
 }
 
+/// How a queue's policy is asked which VMs may run a step.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AdvicePolicy {
+    /// How long an answer takes at least, in milliseconds.
+    pub decide_ms: u32,
+    /// How much longer for each VM named, in milliseconds.
+    pub each_ms: u32,
+    /// How long an answer is good, in milliseconds.
+    pub valid_ms: u32,
+}
+
+impl AdvicePolicy {
+    /// Returns how long an answer about some VMs takes, in milliseconds.
+    pub fn decides_in_ms(&self, vms: usize) -> u64 {
+        let vms = u64::try_from(vms).unwrap_or(u64::MAX);
+        u64::from(self.decide_ms).saturating_add(u64::from(self.each_ms).saturating_mul(vms))
+    }
+}
+
 /// Repetitions of all steps.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Repeats {
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -66,7 +66,7 @@
 pub fn starts(orders: &[Order]) -> Vec<StartOrder> {
     let start = |order: &Order| match order {
         Order::Start(start) => Some(start.clone()),
-        Order::Stop { .. } | Order::Pace { .. } => None,
+        Order::Stop { .. } | Order::Pace { .. } | Order::Ask(_) => None,
     };
     orders.iter().filter_map(start).collect()
 }
@@ -74,7 +74,7 @@
 pub fn stops(orders: &[Order]) -> Vec<RunId> {
     let stop = |order: &Order| match order {
         Order::Stop { run, .. } => Some(*run),
-        Order::Start(_) | Order::Pace { .. } => None,
+        Order::Start(_) | Order::Pace { .. } | Order::Ask(_) => None,
     };
     orders.iter().filter_map(stop).collect()
 }
--- /dev/null
+++ b/crates/schedule/tests/policies.rs
@@ -0,0 +1,116 @@
+//! Queues that need advice, and filling tasks beside serving ones.
+
+mod common;
+
+use common::{JOB, at, job, pool_with, report, row, starts, step};
+use googletest::prelude::*;
+use thistle_schedule::pool::{Order, Question};
+use thistle_schedule::spec::AdvicePolicy;
+use thistle_schedule::{JobId, JobSpec, Pool, RunRow, Step};
+
+fn questions(orders: &[Order]) -> Vec<Question> {
+    let question = |o: &Order| match o {
+        Order::Ask(question) => Some(question.clone()),
+        Order::Start(_) | Order::Stop { .. } | Order::Pace { .. } => None,
+    };
+    orders.iter().filter_map(question).collect()
+}
+
+fn paces(orders: &[Order]) -> Vec<u32> {
+    let pace = |o: &Order| match o {
+        Order::Pace { percent, .. } => Some(*percent),
+        Order::Start(_) | Order::Stop { .. } | Order::Ask(_) => None,
+    };
+    orders.iter().filter_map(pace).collect()
+}
+
+fn advised_job() -> std::sync::Arc<JobSpec> {
+    let policy = AdvicePolicy { decide_ms: 40, each_ms: 2, valid_ms: 3_000 };
+    JobSpec { advice: Some(policy), ..job(vec![step(2, 500)]).as_ref().clone() }.into()
+}
+
+#[gtest]
+fn a_step_starts_only_where_its_policy_allows_and_with_the_ticket() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, advised_job(), at(0));
+    let orders = pool.plan(at(10));
+    expect_that!(starts(&orders), is_empty());
+    let asked = questions(&orders);
+    expect_that!(asked, len(eq(1)));
+    expect_that!(asked[0].vms, len(eq(2)));
+    // One question at a time.
+    expect_that!(questions(&pool.plan(at(20))), is_empty());
+    let good = vec![(asked[0].vms[1].clone(), "t-1".to_owned())];
+    pool.advised(asked[0].step, Some((good, 3_000)), at(60));
+    let started = starts(&pool.plan(at(70)));
+    expect_that!(started, len(eq(2)));
+    expect_that!(started.iter().all(|s| s.vm == asked[0].vms[1]), eq(true));
+    expect_that!(started[0].ticket, some(eq("t-1")));
+}
+
+#[gtest]
+fn a_ticket_that_has_run_out_is_not_used_and_is_asked_for_again() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, advised_job(), at(0));
+    let asked = questions(&pool.plan(at(10)));
+    let good = vec![(asked[0].vms[0].clone(), "t-1".to_owned())];
+    pool.advised(asked[0].step, Some((good, 1_000)), at(60));
+    let orders = pool.plan(at(1_100));
+    expect_that!(starts(&orders), is_empty());
+    expect_that!(questions(&orders), len(eq(1)));
+}
+
+#[gtest]
+fn a_question_without_an_answer_is_asked_again_after_a_pause() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, advised_job(), at(0));
+    let asked = questions(&pool.plan(at(10)));
+    pool.advised(asked[0].step, None, at(900));
+    expect_that!(questions(&pool.plan(at(910))), is_empty());
+    expect_that!(questions(&pool.plan(at(1_300))), len(eq(1)));
+}
+
+/// A pool whose only VM runs a serving task, with a target of 100 ms, and a filling one.
+fn mixed() -> (Pool, Vec<RunRow>) {
+    let mut pool = pool_with(&["a"]);
+    let serving = Step { lasting: true, tail_target_ms: 100, ..step(1, 500) };
+    let filling = Step { fills: true, ..step(1, 3_000) };
+    pool.submit(JOB, job(vec![serving]), at(0));
+    pool.submit(JobId(2), job(vec![filling]), at(0));
+    let started = common::plan_and_start(&mut pool, 10);
+    let rows = started.iter().map(|s| row(s.run, 100)).collect();
+    (pool, rows)
+}
+
+fn with_tail(rows: &[RunRow], ms: u64, percent: u32) -> Vec<RunRow> {
+    let mut rows = rows.to_vec();
+    rows[0].figure = Some(ms);
+    rows[1].percent = percent;
+    rows
+}
+
+#[gtest]
+fn filling_tasks_are_slowed_fast_and_let_go_slowly() {
+    let (mut pool, rows) = mixed();
+    let vm = common::vm("a", 1).id.clone();
+    expect_that!(pool.is_mixed(&vm), eq(true));
+    pool.report(&vm, &report(1_000, with_tail(&rows, 95, 100), vec![]), at(1_000));
+    expect_that!(paces(&pool.plan(at(1_000))), eq(&vec![25]));
+    pool.report(&vm, &report(1_600, with_tail(&rows, 120, 25), vec![]), at(1_600));
+    expect_that!(paces(&pool.plan(at(1_600))), eq(&vec![0]));
+    pool.report(&vm, &report(2_200, with_tail(&rows, 70, 0), vec![]), at(2_200));
+    expect_that!(paces(&pool.plan(at(2_200))), is_empty());
+    pool.report(&vm, &report(2_800, with_tail(&rows, 40, 0), vec![]), at(2_800));
+    expect_that!(paces(&pool.plan(at(2_800))), eq(&vec![20]));
+}
+
+#[gtest]
+fn a_filling_task_goes_elsewhere_than_beside_a_serving_one_if_it_can() {
+    let mut pool = pool_with(&["a", "b"]);
+    let serving = Step { lasting: true, tail_target_ms: 100, ..step(1, 500) };
+    let filling = Step { fills: true, ..step(1, 3_000) };
+    pool.submit(JOB, job(vec![serving]), at(0));
+    pool.submit(JobId(2), job(vec![filling]), at(0));
+    let started = common::plan_and_start(&mut pool, 10);
+    expect_that!(started[0].vm, not(eq(&started[1].vm)));
+}
--- a/crates/schedule/tests/pool.rs
+++ b/crates/schedule/tests/pool.rs
@@ -307,3 +307,29 @@
         expect_that!(vms, len(eq(2)));
     }
 }
+
+#[gtest]
+fn a_task_whose_vm_is_lost_resumes_from_the_checkpoint_that_was_last_seen() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    let mut running = row(started[0].run, 100);
+    running.checkpoint = "half".to_owned();
+    pool.report(&started[0].vm, &report(20, vec![running], vec![]), at(30));
+    pool.vm_lost(&started[0].vm, at(7_000));
+    let again = plan_and_start(&mut pool, 7_010);
+    expect_that!(again[0].checkpoint, eq("half"));
+}
+
+#[gtest]
+fn all_members_of_a_gang_bring_the_same_checkpoint() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![Step { gang: true, ..step(2, 500) }]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    let mut broken = end(1, started[0].run, EndKind::Broken);
+    broken.checkpoint = "half".to_owned();
+    let alone = end(2, started[1].run, EndKind::Alone);
+    pool.report(&started[0].vm, &report(0, vec![], vec![broken, alone]), at(20));
+    let again = plan_and_start(&mut pool, 30);
+    expect_that!(again.iter().all(|s| s.checkpoint == "half"), eq(true));
+}
--- a/crates/schedule/tests/random.rs
+++ b/crates/schedule/tests/random.rs
@@ -216,6 +216,7 @@
         let target = match &flight.order {
             Order::Start(start) => start.vm.clone(),
             Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm.clone(),
+            Order::Ask(_) => return,
         };
         let now = self.now;
         let Some((name, sim)) =
@@ -252,7 +253,7 @@
                     self.pool.stop_answered(&target, run, at(now));
                 }
             }
-            Order::Pace { .. } => (),
+            Order::Pace { .. } | Order::Ask(_) => (),
         }
     }
 
@@ -380,7 +381,7 @@
                     self.acknowledged.insert(end.run.task);
                 }
                 EndKind::Failed if end.sequence > sim.void_up_to => {
-                    *self.failures.entry(end.run.task).or_default() += 1
+                    *self.failures.entry(end.run.task).or_default() += 1;
                 }
                 _ => (),
             }
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -148,6 +148,7 @@
     }
     queue.name.as_ref().clone_into(&mut spec.queue);
     spec.objective = queue.objective;
+    spec.advice = queue.advice;
     spec.accepted_ms = wall_ms();
     // A copy of a job that is kept is not kept twice.
     if find(node, id).is_some() {
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -18,6 +18,9 @@
 
 /// How long a call waits for an end. Longer costs fewer calls; the lease is renewed at each.
 const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a call waits where serving and filling tasks run side by side, whose figures are of the
+/// last half second.
+const WAIT_CLOSELY: Duration = Duration::from_millis(400);
 /// Pause before a VM that does not answer is asked again.
 const RETRY: Duration = Duration::from_millis(200);
 /// Pause while this node may not act as owner.
@@ -37,6 +40,8 @@
     lease: Mutex<TaskLease>,
     acked: watch::Sender<u64>,
     closed: AtomicBool,
+    /// Serving and filling tasks run side by side: it is looked at often.
+    closely: AtomicBool,
     /// Counts how often the lease ran out: a start from before must not be repeated after it.
     lapses: AtomicU32,
     starts: Semaphore,
@@ -68,6 +73,7 @@
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
+            closely: AtomicBool::new(false),
             lapses: AtomicU32::new(0),
             starts: Semaphore::new(ORDERS_AT_ONCE),
             stops: Semaphore::new(ORDERS_AT_ONCE),
@@ -86,6 +92,11 @@
         });
     }
 
+    /// Sets whether the VM is looked at often, or mostly when something ends.
+    pub fn watch_closely(&self, closely: bool) {
+        self.shared.closely.store(closely, Ordering::Relaxed);
+    }
+
     /// Gives a start order.
     pub fn start(&self, order: StartOrder) {
         let shared = self.shared.clone();
@@ -178,7 +189,11 @@
                     link.tell(Event::Reachable(link.vm.clone(), true));
                 }
                 // The first answer brings the clock; leases can be given from the next call on.
-                wait = if deadline_ms.is_some() { WAIT } else { Duration::ZERO };
+                wait = match deadline_ms {
+                    None => Duration::ZERO,
+                    Some(_) if link.closely.load(Ordering::Relaxed) => WAIT_CLOSELY,
+                    Some(_) => WAIT,
+                };
                 (reachable, lost) = (true, false);
                 let last = held.report.ended.iter().map(|e| e.sequence).max();
                 link.tell(Event::Report(link.vm.clone(), held.report));
@@ -235,7 +250,7 @@
             deadline_ms: until,
             token: link.token,
             checkpoint: &order.checkpoint,
-            ticket: None,
+            ticket: order.ticket.as_deref(),
         };
         let refused = if may_be_there { StartResult::Unclear } else { StartResult::NotTaken };
         match link.client.start(start).await {
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -1,5 +1,6 @@
 //! Owning a pool: its schedule, its records and the links to its VMs.
 
+mod advisor;
 mod link;
 mod progress;
 mod report;
@@ -12,13 +13,14 @@
 use metrics::{counter, gauge};
 use thistle_platform::KeyedRecord;
 use thistle_schedule::job_log::{cancel_key, progress_key, submit_key};
-use thistle_schedule::pool::{Load, Order, StartResult};
+use thistle_schedule::pool::{Load, Order, StartResult, StepId};
 use thistle_schedule::{JobId, LogChange, Ms, Phase, Pool, RunId, VmId, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::journal::{Fenced, Journal};
 use crate::node::{Node, now, steady_ms};
 use crate::pool_log::{PROGRESS, PoolLog, SUBMISSIONS};
+use advisor::Advisor;
 use link::Link;
 use report::Reporter;
 
@@ -49,8 +51,13 @@
     Lost(VmId),
     /// A VM has seen a higher token.
     Fenced(VmId),
+    /// A question about a step was answered, or not.
+    Advised(StepId, Option<Tickets>),
 }
 
+/// VMs that may run a step with their tickets, and for how long, in milliseconds.
+pub type Tickets = (Vec<(VmId, String)>, Ms);
+
 /// The owner of a pool.
 struct Owner {
     node: Arc<Node>,
@@ -64,6 +71,7 @@
     tx: UnboundedSender<Event>,
     purged_at: Ms,
     reporter: Reporter,
+    advisor: Advisor,
 }
 
 /// Owns a pool until another node does, or the task is aborted.
@@ -84,6 +92,7 @@
         log::debug!("owner pool={pool_name} step=read-failed error=\"{e}\"");
         tokio::time::sleep(TICK).await;
     }
+    let advisor = Advisor::start(&node, tx.clone());
     let mut owner = Owner {
         node,
         log,
@@ -95,6 +104,7 @@
         tx: tx.clone(),
         purged_at: steady_ms(),
         reporter: Reporter::default(),
+        advisor,
     };
     owner.adopt();
     let load = owner.pool.load(now());
@@ -196,6 +206,16 @@
                 log::info!("vm step=lost vm={vm}");
                 self.pool.vm_lost(&vm, now);
             }
+            Event::Advised(step, answer) => {
+                let good = answer.as_ref().map(|(tickets, _)| tickets.len());
+                log::info!(
+                    "advice job={} time={} step={} good={good:?}",
+                    step.job,
+                    step.time,
+                    step.step
+                );
+                self.pool.advised(step, answer, now);
+            }
             Event::Fenced(vm) => {
                 log::warn!("vm step=fenced vm={vm} token={}", self.token);
                 return Err(Fenced);
@@ -221,6 +241,9 @@
             self.dispatch(order);
         }
         self.drop_links();
+        for (vm, link) in &self.links {
+            link.watch_closely(self.pool.is_mixed(vm));
+        }
         self.tell_load();
         self.report();
         self.purge().await
@@ -230,6 +253,10 @@
         let vm = match &order {
             Order::Start(start) => &start.vm,
             Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm,
+            Order::Ask(question) => {
+                self.advisor.ask(question.clone());
+                return;
+            }
         };
         let Some(link) = self.links.get(vm) else {
             log::warn!("order step=no-link vm={vm}");
@@ -253,7 +280,11 @@
                 counter!("thistle_stops").increment(1);
                 link.stop(run);
             }
-            Order::Pace { run, percent, .. } => link.pace(run, percent),
+            Order::Pace { vm, run, percent } => {
+                log::info!("pace step=ordered run={run} vm={vm} percent={percent}");
+                link.pace(run, percent);
+            }
+            Order::Ask(_) => (),
         }
     }
 
