What the store surely does not have is refused with 503 in place of 504

It is asked first now, a node out of touch sends nothing, and one append that waits does not hold up others.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -157,7 +157,11 @@
     }
     let began = steady_ms();
     let record = KeyedRecord::new(submit_key(id), encode(&spec));
-    let written = write(&node.pool_log(&queue.pool), record).await;
+    let written = if node.in_touch() {
+        write(&node.pool_log(&queue.pool), record).await
+    } else {
+        Written::NotKept
+    };
     log::info!(
         "accept id={id} queue={} pool={} version={} steps={} tasks={} lasting={} fills={} serving={} \
          gang={} times={} written={written:?} took_ms={}",
@@ -179,7 +183,7 @@
 fn answer_written(written: Written) -> Reply {
     match written {
         Written::Kept => reply::accepted(),
-        Written::Lost => {
+        Written::NotKept => {
             reply::not_taken("the store cannot be reached from here; nothing was taken: come back")
         }
         Written::Unknown => reply::unknown(),
--- a/crates/scheduler/src/pool_log.rs
+++ b/crates/scheduler/src/pool_log.rs
@@ -46,6 +46,8 @@
     owner: Mutex<Option<UnboundedSender<Event>>>,
     owned: AtomicBool,
     loaded: AtomicBool,
+    /// An append of a submission was not answered, and none since.
+    suspect: AtomicBool,
     submitter: UnboundedSender<Submission>,
     /// Jobs read so far; for metrics.
     pub submitted: AtomicU64,
@@ -63,6 +65,7 @@
             owner: Mutex::default(),
             owned: AtomicBool::new(false),
             loaded: AtomicBool::new(false),
+            suspect: AtomicBool::new(false),
             submitter,
             submitted: AtomicU64::new(0),
         });
@@ -86,6 +89,16 @@
         self.owned.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the last append of a submission was not answered.
+    pub fn is_suspect(&self) -> bool {
+        self.suspect.load(Ordering::Relaxed)
+    }
+
+    /// Sets whether the last append of a submission was not answered.
+    pub fn set_suspect(&self, suspect: bool) {
+        self.suspect.store(suspect, Ordering::Relaxed);
+    }
+
     /// Hands a submission or a cancel to the task that appends.
     pub fn submit(&self, submission: Submission) {
         // The task ends with the process only; if it has, the caller finds its answer dropped.
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -6,7 +6,7 @@
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
+use tokio::sync::{Semaphore, oneshot};
 
 use crate::node::{Node, steady_ms};
 use crate::pool_log::{PoolLog, SUBMISSIONS};
@@ -18,7 +18,9 @@
 const TRY_FOR_MS: Ms = 400;
 /// How long a submission that the store may have taken is tried again, in milliseconds: sending it
 /// once more is harmless and may tell what became of it.
-const ASK_FOR_MS: Ms = 1_600;
+const ASK_FOR_MS: Ms = 1_000;
+/// Appends under way at once: one that waits for the store does not hold up the next.
+const APPENDS_AT_ONCE: usize = 4;
 
 /// What became of a submission or a cancel.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +28,7 @@
     /// The store has it.
     Kept,
     /// The store surely does not have it and will not get it.
-    Lost,
+    NotKept,
     /// The store may have it.
     Unknown,
 }
@@ -49,7 +51,9 @@
     mut rx: UnboundedReceiver<Submission>,
 ) {
     let mut held_back: Option<Submission> = None;
+    let appends = Arc::new(Semaphore::new(APPENDS_AT_ONCE));
     loop {
+        let Ok(permit) = appends.clone().acquire_owned().await else { return };
         let first = match held_back.take() {
             Some(submission) => submission,
             None => match rx.recv().await {
@@ -67,7 +71,11 @@
             }
             batch.push(more);
         }
-        write(&node, &log, batch).await;
+        let (node, log) = (node.clone(), log.clone());
+        tokio::spawn(async move {
+            write(&node, &log, batch).await;
+            drop(permit);
+        });
     }
 }
 
@@ -84,6 +92,15 @@
 
 async fn append(node: &Node, log: &PoolLog, records: &[KeyedRecord], since: Ms) -> Written {
     let mut may_be_written = false;
+    // A partition that has left an append unanswered is asked first: what is never sent can be
+    // refused truthfully, and the caller may try again.
+    if log.is_suspect() {
+        if let Err(e) = node.store.probe(&log.topic, SUBMISSIONS).await {
+            log::info!("submit step=not-sent pool={} error=\"{e}\"", log.pool);
+            return Written::NotKept;
+        }
+        log.set_suspect(false);
+    }
     loop {
         let result = node.store.append(&log.topic, SUBMISSIONS, Guard::Always, records).await;
         let waited = steady_ms().saturating_sub(since);
@@ -95,11 +112,12 @@
             }
             Ok(other) => {
                 log::error!("submit step=refused pool={} answer={other:?}", log.pool);
-                return if may_be_written { Written::Unknown } else { Written::Lost };
+                return if may_be_written { Written::Unknown } else { Written::NotKept };
             }
             Err(e) => {
                 node.note_store(false);
                 may_be_written |= !e.nothing_done();
+                log.set_suspect(!e.nothing_done());
                 log::debug!(
                     "submit step=failed pool={} waited_ms={waited} error=\"{e}\"",
                     log.pool
@@ -108,7 +126,7 @@
         }
         match may_be_written {
             true if waited >= ASK_FOR_MS => return Written::Unknown,
-            false if waited >= TRY_FOR_MS => return Written::Lost,
+            false if waited >= TRY_FOR_MS => return Written::NotKept,
             _ => tokio::time::sleep(PAUSE).await,
         }
     }
