--- a/crates/scheduler/src/cmd/mod.rs
+++ b/crates/scheduler/src/cmd/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod check_settings;
 pub mod run;
+pub mod show;
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -19,10 +19,11 @@
 /// The topic of claims and heartbeats.
 pub const TOPIC: &str = "control";
 /// Its partition of claims.
-const CLAIMS: u32 = 0;
+pub const CLAIMS: u32 = 0;
 /// Its partition of heartbeats.
 const HEARTBEATS: u32 = 1;
-const OWNER_PREFIX: &str = "owner/";
+/// What the keys of claims start with.
+pub const OWNER_PREFIX: &str = "owner/";
 const MEMBER_PREFIX: &str = "member/";
 /// How often a node sends a heartbeat: four of them fit in an owner's lease.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(450);
--- a/crates/scheduler/src/flags.rs
+++ b/crates/scheduler/src/flags.rs
@@ -12,6 +12,15 @@
             /// The settings file.
             required settings: PathBuf
         }
+        /// Shows what the store holds: configuration, pools with owners and VMs, waves, a job.
+        cmd show {
+            /// The settings file of any node.
+            required settings: PathBuf
+            /// The ID of a job to show.
+            optional --job job: String
+            /// Prints JSON.
+            optional --json
+        }
         /// Checks a settings file and does nothing else.
         cmd check-settings {
             /// The settings file.
@@ -30,6 +39,7 @@
 #[derive(Debug)]
 pub enum SchedulerCmd {
     Run(Run),
+    Show(Show),
     CheckSettings(CheckSettings),
 }
 
@@ -38,6 +48,14 @@
     pub settings: PathBuf,
 }
 
+#[derive(Debug)]
+pub struct Show {
+    pub settings: PathBuf,
+
+    pub job: Option<String>,
+    pub json: bool,
+}
+
 #[derive(Debug)]
 pub struct CheckSettings {
     pub settings: PathBuf,
--- a/crates/scheduler/src/fleet_owner.rs
+++ b/crates/scheduler/src/fleet_owner.rs
@@ -27,7 +27,8 @@
 pub const REPORTS: u32 = 3;
 /// The key of the fleet's record.
 const RECORD_KEY: &str = "fleet";
-const POOL_PREFIX: &str = "pool/";
+/// What the keys of reports start with.
+pub const POOL_PREFIX: &str = "pool/";
 /// How often the schedule is looked at.
 const TICK: Duration = Duration::from_millis(100);
 /// How often the VMs are read while some are worked on, in milliseconds.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -12,6 +12,7 @@
 mod journal;
 mod listing;
 mod node;
+mod overview;
 mod owner;
 mod pool_log;
 mod readiness;
@@ -20,4 +21,5 @@
 mod stats;
 mod submit;
 
+pub use overview::{Overview, overview};
 pub use run::run;
--- a/crates/scheduler/src/main.rs
+++ b/crates/scheduler/src/main.rs
@@ -10,6 +10,7 @@
     let result = match flags.subcommand {
         flags::SchedulerCmd::Run(f) => cmd::run::run(&f.settings),
         flags::SchedulerCmd::CheckSettings(f) => cmd::check_settings::run(&f.settings),
+        flags::SchedulerCmd::Show(f) => cmd::show::run(&f.settings, f.job.as_deref(), f.json),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/scheduler/src/overview.rs
@@ -0,0 +1,216 @@
+//! What the store holds of the system, for operators: read with no node's help.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::net::SocketAddr;
+
+use serde::Serialize;
+use thistle_platform::{Store, StoreError, config, listing};
+use thistle_schedule::fleet::{FleetRecord, PoolReport};
+use thistle_schedule::ownership::{Claim, token_of};
+use thistle_schedule::progress::Place;
+use thistle_schedule::{JobId, JobLog, VmFacts};
+
+use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
+use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
+use crate::pool_log::{PROGRESS, SUBMISSIONS, topic_of};
+
+/// What the store holds.
+#[derive(Debug, Serialize)]
+pub struct Overview {
+    /// The version of the configuration in force.
+    version: u64,
+    pools: BTreeMap<String, PoolView>,
+    /// Who owns the fleet: waves and moves.
+    fleet_owner: Option<OwnerView>,
+    /// VMs that are worked on and why, and how far waves are.
+    fleet: FleetRecord,
+    /// The job that was asked for, if it is known.
+    job: Option<JobView>,
+}
+
+/// A pool.
+#[derive(Debug, Default, Serialize)]
+struct PoolView {
+    owner: Option<OwnerView>,
+    vms: Vec<String>,
+    queues: Vec<String>,
+    /// What its owner reported last.
+    load: Option<PoolReport>,
+}
+
+/// The owner of a pool.
+#[derive(Debug, Serialize)]
+struct OwnerView {
+    node: String,
+    token: u64,
+    released: bool,
+}
+
+/// A job.
+#[derive(Debug, Serialize)]
+struct JobView {
+    id: String,
+    pool: String,
+    queue: String,
+    state: String,
+    /// Tasks that are not as they were at first, and where each stands.
+    tasks: Vec<String>,
+}
+
+/// Reads what the store holds; `job` is the ID of a job to look for.
+pub async fn overview(store: SocketAddr, job: Option<&str>) -> Result<Overview, StoreError> {
+    let store = Store::new(store);
+    let mut overview =
+        Overview { version: 0, pools: BTreeMap::new(), fleet: FleetRecord::default(), job: None };
+    overview.read_config(&store).await?;
+    overview.read_vms(&store).await?;
+    overview.read_owners(&store).await?;
+    overview.read_fleet(&store).await?;
+    if let Some(id) = job.and_then(|id| id.parse().ok()) {
+        overview.read_job(&store, id).await?;
+    }
+    Ok(overview)
+}
+
+impl Overview {
+    fn pool(&mut self, name: &str) -> &mut PoolView {
+        self.pools.entry(name.to_owned()).or_default()
+    }
+
+    async fn read_config(&mut self, store: &Store) -> Result<(), StoreError> {
+        let newest = store.newest(config::TOPIC, 0).await?;
+        let found = newest.records.iter().find(|s| s.record.key == config::CATALOG_KEY);
+        let Some(value) = found.and_then(|s| s.record.value()) else { return Ok(()) };
+        let catalog = config::decode_catalog(value).map_err(|e| StoreError::Malformed(e.0))?;
+        self.version = catalog.version;
+        for pool in &catalog.pools {
+            self.pool(&pool.name);
+        }
+        for queue in catalog.queues() {
+            let line = format!("{} {}{}", queue.name, queue.host, queue.path_prefix);
+            self.pool(&queue.pool).queues.push(line);
+        }
+        Ok(())
+    }
+
+    async fn read_vms(&mut self, store: &Store) -> Result<(), StoreError> {
+        for stored in store.newest(listing::TOPIC, 0).await?.records {
+            let Some(value) = stored.record.value() else { continue };
+            let facts: VmFacts = listing::decode(&stored.record.key, value)
+                .map_err(|e| StoreError::Malformed(e.0))?;
+            let leaving = if facts.draining { " leaving" } else { "" };
+            let line =
+                format!("{} {} {} {}{leaving}", facts.name, facts.id, facts.hall, facts.rack);
+            self.pool(&facts.pool).vms.push(line);
+        }
+        Ok(())
+    }
+
+    async fn read_owners(&mut self, store: &Store) -> Result<(), StoreError> {
+        for stored in store.newest(TOPIC, CLAIMS).await?.records {
+            let Some(pool) = stored.record.key.strip_prefix(OWNER_PREFIX) else { continue };
+            let claim: Claim = decode(&stored.record.value)?;
+            let (node, released) = (claim.owner.name, claim.released);
+            let owner = OwnerView { node, token: token_of(stored.offset), released };
+            if pool == FLEET {
+                self.fleet_owner = Some(owner);
+            } else {
+                self.pool(pool).owner = Some(owner);
+            }
+        }
+        Ok(())
+    }
+
+    async fn read_fleet(&mut self, store: &Store) -> Result<(), StoreError> {
+        for stored in store.newest(TOPIC, RECORD).await?.records {
+            self.fleet = decode(&stored.record.value)?;
+        }
+        for stored in store.newest(TOPIC, REPORTS).await?.records {
+            let Some(pool) = stored.record.key.strip_prefix(POOL_PREFIX) else { continue };
+            let report = decode(&stored.record.value)?;
+            self.pool(pool).load = Some(report);
+        }
+        Ok(())
+    }
+
+    async fn read_job(&mut self, store: &Store, id: JobId) -> Result<(), StoreError> {
+        for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
+            let mut log = JobLog::default();
+            for part in [SUBMISSIONS, PROGRESS] {
+                for stored in store.newest(&topic_of(&pool), part).await?.records {
+                    log.apply(&stored.record.key, stored.record.value())
+                        .map_err(|e| StoreError::Malformed(e.0))?;
+                }
+            }
+            let Some(entry) = log.get(id) else { continue };
+            let Some((spec, state)) = entry.spec.as_ref().zip(entry.state()) else { continue };
+            let task = |t: &thistle_schedule::progress::TaskRecord| {
+                let place = match &t.place {
+                    Place::Waiting => "waits".to_owned(),
+                    Place::Done => "done".to_owned(),
+                    Place::On(vm) => format!("on {vm}"),
+                };
+                let name = format!("{id}.{}.{}.{}", t.time, t.step, t.index);
+                format!("{name} attempt {} failures {} {place}", t.attempt, t.failures)
+            };
+            self.job = Some(JobView {
+                id: id.to_string(),
+                pool,
+                queue: spec.queue.clone(),
+                state: format!("{state:?}").to_lowercase(),
+                tasks: entry.progress.tasks.iter().map(task).collect(),
+            });
+            return Ok(());
+        }
+        Ok(())
+    }
+}
+
+fn decode<T: for<'a> serde::Deserialize<'a>>(value: &[u8]) -> Result<T, StoreError> {
+    serde_json::from_slice(value).map_err(|e| StoreError::Malformed(e.to_string()))
+}
+
+fn write_owner(f: &mut fmt::Formatter<'_>, owner: Option<&OwnerView>) -> fmt::Result {
+    match owner {
+        Some(owner) if owner.released => writeln!(f, "  given up by {}", owner.node),
+        Some(owner) => writeln!(f, "  owned by {} token {}", owner.node, owner.token),
+        None => writeln!(f, "  without an owner"),
+    }
+}
+
+impl fmt::Display for Overview {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(f, "configuration {}", self.version)?;
+        for (name, pool) in &self.pools {
+            writeln!(f, "pool {name}")?;
+            write_owner(f, pool.owner.as_ref())?;
+            if let Some(load) = &pool.load {
+                let (used, cpu, waiting) = (load.used_cpu, load.cpu, load.waiting_cpu);
+                writeln!(f, "  uses {used} of {cpu} thousandths of a core, {waiting} wait")?;
+            }
+            for line in pool.queues.iter().map(|q| format!("queue {q}")) {
+                writeln!(f, "  {line}")?;
+            }
+            for line in pool.vms.iter().map(|vm| format!("vm {vm}")) {
+                writeln!(f, "  {line}")?;
+            }
+        }
+        writeln!(f, "fleet")?;
+        write_owner(f, self.fleet_owner.as_ref())?;
+        for wave in &self.fleet.waves {
+            let (number, done, left) = (wave.wave, wave.done.len(), wave.left.join(" "));
+            writeln!(f, "wave {number}: {done} maintained, left: {left}")?;
+        }
+        for work in &self.fleet.work {
+            writeln!(f, "vm {} {:?} {:?}", work.vm, work.purpose, work.stage)?;
+        }
+        if let Some(job) = &self.job {
+            writeln!(f, "job {} {} queue {} pool {}", job.id, job.state, job.queue, job.pool)?;
+            for task in &job.tasks {
+                writeln!(f, "  {task}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/scheduler/src/pool_log.rs
+++ b/crates/scheduler/src/pool_log.rs
@@ -25,6 +25,11 @@
 /// Pause after a failure.
 const PAUSE: Duration = Duration::from_millis(100);
 
+/// Returns the topic of a pool's partitions.
+pub fn topic_of(pool: &str) -> String {
+    format!("jobs.{pool}")
+}
+
 /// How far a partition was read.
 #[derive(Debug, Default)]
 struct Cursor {
@@ -59,7 +64,7 @@
         let (submitter, rx) = tokio::sync::mpsc::unbounded_channel();
         let log = Arc::new(Self {
             pool: pool.clone(),
-            topic: format!("jobs.{pool}"),
+            topic: topic_of(pool),
             jobs: Mutex::default(),
             cursors: Default::default(),
             owner: Mutex::default(),
--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -5,6 +5,7 @@
 use googletest::prelude::*;
 use hyper::Method;
 use system::{System, job, send, state, submit, until, until_state};
+use thistle_platform::standin::bodies;
 
 const ID: &str = "5c0e7a21d94b36f8";
 
@@ -29,16 +30,16 @@
 async fn bad_input_is_named_and_nothing_is_taken() {
     let system = System::start(2, 1, 1).await;
     let node = &system.nodes[0];
-    let not_a_job = submit(node, ID, &serde_json::json!({ "phases": "x" })).await;
+    let not_a_job = submit(node, ID, &serde_json::json!([1, 2])).await;
     expect_that!(not_a_job.status, eq(400));
-    let no_steps = submit(node, ID, &serde_json::json!({ "spec": "" })).await;
+    let no_steps = submit(node, ID, &bodies::job_of("", &[])).await;
     expect_that!(no_steps.status, eq(400));
     expect_that!(String::from_utf8_lossy(&no_steps.body), contains_substring("at least one"));
-    let itself = serde_json::json!({ "phases": [{ "count": 1, "dependsOn": [0] }] });
+    let itself = bodies::job_of("", &[bodies::step_after(0)]);
     expect_that!(submit(node, ID, &itself).await.status, eq(400));
-    let long = serde_json::json!({ "spec": "x".repeat(5_000), "phases": [{ "count": 1 }] });
+    let long = bodies::job_of(&"x".repeat(5_000), &[serde_json::json!({ "count": 1 })]);
     expect_that!(submit(node, ID, &long).await.status, eq(400));
-    let huge = serde_json::json!({ "spec": "x".repeat(300_000), "phases": [{ "count": 1 }] });
+    let huge = bodies::job_of(&"x".repeat(300_000), &[serde_json::json!({ "count": 1 })]);
     expect_that!(submit(node, ID, &huge).await.status, eq(413));
     expect_that!(submit(node, "nothex", &job(1, 10)).await.status, eq(400));
     expect_that!(send(node, Method::PUT, &format!("/quotes/{ID}")).await.status, eq(405));
@@ -98,8 +99,7 @@
     submit(&system.nodes[0], ID, &job(2, 0)).await;
     until("both tasks run", async || running(&system, ID) == 2).await;
     let vms: Vec<String> = (0..4).map(|i| format!("m-{i}")).collect();
-    let wave = serde_json::json!({ "wave": 1, "machines": vms, "durationS": 20, "cap": 1 });
-    system.platform.store.put("op", "wave/1", wave.to_string());
+    system.platform.store.put("op", "wave/1", bodies::wave(1, &vms, 1));
     let told = || system.platform.store.newest("status", 0, "wave/1");
     until("the operator is told", async || told().is_some()).await;
     let told = told().expect("it was told");
@@ -107,3 +107,17 @@
     expect_that!(system.platform.machines.maintained(1), eq(4));
     until("both tasks run again", async || running(&system, ID) == 2).await;
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn the_command_line_shows_pools_owners_and_a_job_from_the_store() {
+    let system = System::start(6, 2, 1).await;
+    submit(&system.nodes[0], ID, &job(1, 0)).await;
+    until("the task runs", async || running(&system, ID) == 1).await;
+    let text = system.nodes[0].show(&["--job", ID]);
+    expect_that!(text, contains_substring("configuration 1"));
+    expect_that!(text, contains_substring("owned by node-10 token"));
+    expect_that!(text, contains_substring(format!("job {ID} running")));
+    let json = system.nodes[0].show(&["--json"]);
+    expect_that!(json, contains_substring("\"version\": 1"));
+}
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -8,12 +8,13 @@
 
 use hyper::Method;
 use thistle_platform::http::{Answer, Call, HttpClient};
-use thistle_platform::standin::Standin;
+use thistle_platform::standin::{Standin, bodies};
+
+pub use thistle_platform::standin::bodies::job;
 
 /// How long a condition may take to come true: far beyond what it needs on an idle machine.
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
-const HOST: &str = "jobs.example";
 pub const POOL: &str = "desk";
 
 /// A node's process; it is killed when dropped.
@@ -35,6 +36,15 @@
         self.child = Some(child);
     }
 
+    /// Runs the subcommand that shows what the store holds.
+    pub fn show(&self, args: &[&str]) -> String {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_thistle-scheduler"));
+        let output = command.arg("show").arg(&self.settings).args(args).output();
+        let output = output.expect("the program runs");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+        String::from_utf8_lossy(&output.stdout).into_owned()
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             let _ = child.kill();
@@ -125,26 +135,8 @@
 
     /// Puts a configuration in force whose queues have these paths.
     pub fn put_config(&self, version: u64, paths: &[&str]) {
-        let route = |path: &&str| {
-            serde_json::json!({
-                "name": format!("r{path}"), "host": HOST, "pathPrefix": path, "kind": "unsafe",
-                "timeoutMs": 3_000, "targetLatencyMs": 600, "priority": 0, "service": POOL,
-                "maxAttempts": 2, "extension": 1.6,
-            })
-        };
-        let config = serde_json::json!({
-            "version": version,
-            "routes": paths.iter().map(route).collect::<Vec<_>>(),
-            "services": [
-                { "name": POOL, "healthPath": "/healthz", "preconditions": false, "headroom": false },
-                { "name": "off", "healthPath": "/healthz", "preconditions": false, "headroom": true },
-            ],
-            "limits": {
-                "maxHeaderBytes": 16_384, "maxBodyBytes": 262_144,
-                "headerTimeoutMs": 3_000, "idleTimeoutMs": 15_000,
-            },
-        });
-        self.platform.store.put("op", "config", config.to_string());
+        let config = bodies::config(version, POOL, "off", paths);
+        self.platform.store.put("op", "config", config);
     }
 
     /// Returns the node that owns the pool of jobs, by the store's word.
@@ -169,17 +161,6 @@
     }
 }
 
-/// A job of one step whose tasks work for some milliseconds (0: they last).
-pub fn job(tasks: u32, ms: u32) -> serde_json::Value {
-    serde_json::json!({
-        "spec": format!("ms={ms}"),
-        "phases": [{
-            "count": tasks, "cpu": 500, "memMb": 256, "estimatedMs": ms.max(1),
-            "longRunning": ms == 0, "antiAffinity": u32::from(ms == 0),
-        }],
-    })
-}
-
 pub async fn submit(node: &Node, id: &str, job: &serde_json::Value) -> Answer {
     let call = Call::new(Method::POST, format!("/quotes/{id}"), CALL_TIMEOUT).with_json(job);
     call_host(node, call).await
@@ -190,14 +171,13 @@
 }
 
 async fn call_host(node: &Node, call: Call) -> Answer {
-    let call = call.with_header("host", HOST);
+    let call = call.with_header("host", bodies::HOST);
     node.callers().call(call).await.expect("the node answers")
 }
 
 pub async fn state(node: &Node, id: &str) -> String {
     let answer = send(node, Method::GET, &format!("/quotes/{id}")).await;
-    let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-    body["state"].as_str().map_or_else(|| answer.status.to_string(), str::to_owned)
+    bodies::state(&answer.body).unwrap_or_else(|| answer.status.to_string())
 }
 
 /// Waits until a condition holds.
--- a/crates/settings/src/run_error.rs
+++ b/crates/settings/src/run_error.rs
@@ -6,10 +6,10 @@
 
 /// Exit code for wrong settings.
 const EXIT_SETTINGS: u8 = 2;
-/// Exit code for an address or signal that cannot be had.
+/// Exit code for an address, a signal or a service that cannot be had.
 const EXIT_IO: u8 = 3;
 
-/// Why an entry or a steward stops.
+/// Why a program stops.
 #[derive(Debug)]
 pub enum RunError {
     /// Its settings are wrong.
@@ -18,6 +18,8 @@
     Io(std::io::Error),
     /// Metrics cannot be had.
     Metrics(String),
+    /// The platform's store cannot be read.
+    Store(String),
 }
 
 impl RunError {
@@ -25,7 +27,7 @@
     pub const fn exit_code(&self) -> u8 {
         match self {
             Self::Settings(_) => EXIT_SETTINGS,
-            Self::Io(_) | Self::Metrics(_) => EXIT_IO,
+            Self::Io(_) | Self::Metrics(_) | Self::Store(_) => EXIT_IO,
         }
     }
 }
@@ -50,6 +52,7 @@
                 write!(f, "{e}: check that the addresses in the settings are this VM's and free")
             }
             Self::Metrics(e) => write!(f, "cannot start the metrics: {e}"),
+            Self::Store(e) => write!(f, "{e}; check the key 'store' in the settings"),
         }
     }
 }
