--- /dev/null
+++ b/crates/schedule/tests/world/mod.rs
@@ -0,0 +1,408 @@
+//! VMs that lose answers, carry orders out late, are cut off and crash, and owners that are replaced
+//! at any moment.
+
+mod vm;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thistle_schedule::job_log::{cancel_key, encode, progress_key, submit_key};
+use thistle_schedule::pool::{Order, StartOrder, StartResult};
+use thistle_schedule::{
+    EndKind, JobId, JobLog, Ms, Phase, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId,
+    VmReport,
+};
+
+use self::vm::{Run, SimVm};
+use crate::common::{at, job, lasting, step, vm as vm_facts};
+
+/// Simulated milliseconds of one turn.
+const TURN: Ms = 50;
+const LEASE: Ms = 6_000;
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+struct Flight {
+    arrives: Ms,
+    token: u64,
+    deadline: Ms,
+    order: Order,
+    answered: bool,
+}
+
+pub struct World {
+    pub rng: StdRng,
+    now: Ms,
+    vms: BTreeMap<String, SimVm>,
+    flights: Vec<Flight>,
+    log: JobLog,
+    token: u64,
+    pool: Pool,
+    steps: BTreeMap<JobId, Vec<Step>>,
+    /// Ends that were listed, by task.
+    done: BTreeSet<TaskId>,
+    /// Ends `done` that an owner acknowledged.
+    acknowledged: BTreeSet<TaskId>,
+    failures: BTreeMap<TaskId, u32>,
+    last_answer: BTreeMap<VmId, Ms>,
+    lost: BTreeSet<VmId>,
+}
+
+fn id_of(name: &str, life: u32) -> VmId {
+    vm_facts(name, life).id.clone()
+}
+
+impl World {
+    pub fn new(seed: u64) -> Self {
+        let names = ["a", "b", "c", "d"];
+        let life = SimVm { life: 1, next_end: 1, ..SimVm::default() };
+        let vms = names.iter().map(|n| {
+            let mut vm = SimVm { life: life.life, next_end: 1, ..SimVm::default() };
+            vm.lease_until = LEASE;
+            ((*n).to_owned(), vm)
+        });
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            vms: vms.collect(),
+            flights: Vec::new(),
+            log: JobLog::default(),
+            token: 1,
+            pool: Pool::new(),
+            steps: BTreeMap::new(),
+            done: BTreeSet::new(),
+            acknowledged: BTreeSet::new(),
+            failures: BTreeMap::new(),
+            last_answer: BTreeMap::new(),
+            lost: BTreeSet::new(),
+        };
+        world.list_all();
+        world
+    }
+
+    fn list_all(&mut self) {
+        for (name, sim) in &self.vms {
+            self.pool.list_vm(vm_facts(name, sim.life));
+        }
+    }
+
+    pub fn submit(&mut self, n: u64) {
+        let width = self.rng.random_range(1..4);
+        // A few lasting jobs only: they never end, and the others need room.
+        let lasts = |steps: &&Vec<Step>| steps[0].lasting;
+        let many = self.steps.values().filter(lasts).count() >= 3;
+        let steps = match self.rng.random_range(0..5) {
+            0 if !many => vec![lasting(2, 1)],
+            1 => vec![Step { gang: true, ..step(2, 1_000) }],
+            _ => {
+                let second = Step { depends_on: vec![0], ..step(width, 900) };
+                vec![step(width, 700), second]
+            }
+        };
+        let id = JobId(n);
+        self.steps.insert(id, steps.clone());
+        let spec = encode(job(steps).as_ref());
+        let change = self.log.apply(&submit_key(id), Some(&spec));
+        assert!(matches!(change, Ok(Some(_))));
+        if let Some(entry) = self.log.get(id) {
+            self.pool.adopt(id, entry, at(self.now));
+        }
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        assert!(self.log.apply(&cancel_key(id), Some(&[1])).is_ok());
+        self.pool.cancel(id, at(self.now));
+    }
+
+    /// Another node takes over, knowing the records only.
+    fn replace_owner(&mut self) {
+        self.token += 1;
+        self.pool = Pool::new();
+        self.lost.clear();
+        for (id, entry) in self.log.iter() {
+            self.pool.adopt(id, entry, at(self.now));
+        }
+        let now = self.now;
+        for (name, sim) in &self.vms {
+            self.last_answer.insert(id_of(name, sim.life), now);
+        }
+        self.list_all();
+        for id in self.pool.unlisted_with_runs() {
+            self.last_answer.insert(id, now);
+        }
+    }
+
+    pub fn turn(&mut self, calm: bool) {
+        self.now += TURN;
+        self.end_runs();
+        self.deliver();
+        self.hold_all();
+        self.give_up_lost();
+        let orders = self.pool.plan(at(self.now));
+        let records = self.pool.take_records();
+        // A crash before the records are written: nothing was ordered or acknowledged.
+        if !calm && self.rng.random_bool(0.01) {
+            self.replace_owner();
+            return;
+        }
+        for (id, progress) in records {
+            assert!(self.log.apply(&progress_key(id), Some(&encode(&progress))).is_ok());
+        }
+        for (id, sequence) in self.pool.take_acks() {
+            self.acknowledge(&id, sequence);
+        }
+        // A crash after it: the orders are never sent.
+        if !calm && self.rng.random_bool(0.01) {
+            self.replace_owner();
+            return;
+        }
+        for order in orders {
+            self.send(order, calm);
+        }
+    }
+
+    fn send(&mut self, order: Order, calm: bool) {
+        let late = !calm && self.rng.random_bool(0.05);
+        let delay = if late { self.rng.random_range(2_000..12_000) } else { 0 };
+        let (token, deadline) = (self.token, self.now + LEASE);
+        let flight = Flight { arrives: self.now + delay, token, deadline, order, answered: !late };
+        if late {
+            // The order is given again until it is answered; the late copy comes all the same.
+            let again = Flight { arrives: self.now + 600, answered: true, ..flight.clone() };
+            self.flights.push(again);
+        }
+        self.flights.push(flight);
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.flights.drain(..).partition(|f: &Flight| f.arrives <= now);
+        self.flights = later;
+        for flight in due {
+            self.arrive(flight);
+        }
+    }
+
+    fn arrive(&mut self, flight: Flight) {
+        let target = match &flight.order {
+            Order::Start(start) => start.vm.clone(),
+            Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm.clone(),
+            Order::Ask(_) => return,
+        };
+        let now = self.now;
+        let Some((name, sim)) =
+            self.vms.iter_mut().find(|(name, sim)| id_of(name, sim.life) == target)
+        else {
+            return;
+        };
+        if sim.cut_until > now || sim.dark_until > now {
+            // Given again once it can be reached, unless the owner has changed or given up on it.
+            if flight.answered && flight.token == self.token && !self.lost.contains(&target) {
+                self.flights.push(Flight { arrives: now + 200, deadline: now + LEASE, ..flight });
+            }
+            return;
+        }
+        if flight.token < sim.fence {
+            return;
+        }
+        sim.fence = flight.token;
+        let name = name.clone();
+        match flight.order.clone() {
+            Order::Start(start) => self.arrive_start(&name, &flight, &start),
+            Order::Stop { run, .. } => {
+                let sim = self.vms.get_mut(&name).expect("it was found");
+                let barred = sim.barred.entry(run.task).or_default();
+                *barred = run.attempt.max(*barred);
+                if sim.runs.get(&run.task).is_some_and(|r| r.attempt <= run.attempt) {
+                    let run = sim
+                        .runs
+                        .remove(&run.task)
+                        .map(|r| RunId { task: run.task, attempt: r.attempt });
+                    sim.list_end(run.expect("it was there"), EndKind::Stopped);
+                }
+                if flight.answered && flight.token == self.token {
+                    self.pool.stop_answered(&target, run, at(now));
+                }
+            }
+            Order::Pace { .. } | Order::Ask(_) => (),
+        }
+    }
+
+    fn arrive_start(&mut self, name: &str, flight: &Flight, start: &StartOrder) {
+        let (now, run) = (self.now, start.run);
+        let lasts = self.rng.random_range(200..2_000);
+        let fails = self.rng.random_bool(0.08);
+        let sim = self.vms.get_mut(name).expect("it was found");
+        let there = sim.runs.get(&run.task).map(|r| r.attempt);
+        let old = sim.barred.get(&run.task).is_some_and(|&b| run.attempt <= b);
+        let result = if flight.deadline < now {
+            StartResult::Unclear
+        } else if there == Some(run.attempt) {
+            StartResult::Started
+        } else if old || there.is_some() {
+            StartResult::Unclear
+        } else {
+            sim.lease_until = sim.lease_until.max(flight.deadline);
+            self.check_start(name, start);
+            let shape = &self.steps[&run.task.job][usize::from(run.task.step)];
+            let ends_at = if shape.lasting && !fails { Ms::MAX } else { now + lasts };
+            let demand = shape.room();
+            let sim = self.vms.get_mut(name).expect("it was found");
+            sim.runs.insert(run.task, Run { attempt: run.attempt, ends_at, fails, demand });
+            let used = sim.runs.values().fold(Room::default(), |sum, r| sum.plus(r.demand));
+            assert!(vm_facts(name, 1).room.holds(used), "over room on {name} at {now}: {used:?}");
+            StartResult::Started
+        };
+        if flight.answered && flight.token == self.token {
+            self.pool.start_result(&start.vm, run, result, at(now));
+        }
+    }
+
+    fn check_start(&self, name: &str, start: &StartOrder) {
+        let (now, task) = (self.now, start.run.task);
+        let elsewhere = self.vms.iter().find(|(_, sim)| sim.runs.contains_key(&task));
+        assert!(elsewhere.is_none(), "{task} starts on {name} at {now}, runs on {elsewhere:?}");
+        assert!(!self.acknowledged.contains(&task), "{task} starts at {now} after its end");
+        let shape = &self.steps[&task.job][usize::from(task.step)];
+        for &on in &shape.depends_on {
+            let count = self.steps[&task.job][usize::from(on)].count;
+            let all =
+                (0..count).all(|index| self.done.contains(&TaskId { step: on, index, ..task }));
+            assert!(all, "{task} starts at {now} before step {on} is done");
+        }
+        let failed = self.failures.get(&task).copied().unwrap_or(0);
+        assert!(shape.lasting || failed < 2, "{task} starts at {now} after {failed} failures");
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.now;
+        for sim in self.vms.values_mut().filter(|sim| sim.dark_until <= now) {
+            let over: Vec<TaskId> =
+                sim.runs.iter().filter(|(_, r)| r.ends_at <= now).map(|(&t, _)| t).collect();
+            for task in over {
+                let run = sim.runs.remove(&task).expect("it was there");
+                let kind = if run.fails { EndKind::Failed } else { EndKind::Done };
+                sim.list_end(RunId { task, attempt: run.attempt }, kind);
+                if kind == EndKind::Done {
+                    self.done.insert(task);
+                }
+            }
+            if sim.lease_until <= now {
+                sim.void_up_to = sim.next_end - 1;
+                let lapsed: Vec<(TaskId, u32)> = std::mem::take(&mut sim.runs)
+                    .into_iter()
+                    .map(|(t, r)| (t, r.attempt))
+                    .collect();
+                for (task, attempt) in lapsed {
+                    sim.list_end(RunId { task, attempt }, EndKind::Lapsed);
+                }
+            }
+        }
+    }
+
+    /// Every VM that can be reached is asked and gets its lease renewed.
+    fn hold_all(&mut self) {
+        let now = self.now;
+        for (name, sim) in &mut self.vms {
+            let id = id_of(name, sim.life);
+            if sim.cut_until > now || sim.dark_until > now {
+                self.pool.set_reachable(&id, false);
+                continue;
+            }
+            sim.fence = self.token;
+            sim.lease_until = now + LEASE;
+            let row = |(&task, r): (&TaskId, &Run)| RunRow {
+                run: RunId { task, attempt: r.attempt },
+                checkpoint: String::new(),
+                percent: 100,
+                figure: None,
+            };
+            let running = sim.runs.iter().map(row).collect();
+            let report = VmReport { asked_at: now, running, ended: sim.ended.clone() };
+            self.pool.set_reachable(&id, true);
+            self.pool.report(&id, &report, at(now));
+            self.last_answer.insert(id.clone(), now);
+            self.lost.remove(&id);
+        }
+    }
+
+    fn give_up_lost(&mut self) {
+        let over = |heard: Ms| self.now >= heard + LEASE * 103 / 100 + 200;
+        let gone: Vec<VmId> = self
+            .last_answer
+            .iter()
+            .filter(|(id, heard)| over(**heard) && !self.lost.contains(*id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in gone {
+            self.pool.vm_lost(&id, at(self.now));
+            self.lost.insert(id);
+        }
+    }
+
+    fn acknowledge(&mut self, id: &VmId, sequence: u64) {
+        let Some((_, sim)) = self.vms.iter_mut().find(|(n, sim)| id_of(n, sim.life) == *id) else {
+            return;
+        };
+        let (seen, left) = sim.ended.drain(..).partition(|e: &RunEnd| e.sequence <= sequence);
+        sim.ended = left;
+        for end in seen {
+            match end.kind {
+                EndKind::Done if end.sequence > sim.void_up_to => {
+                    self.acknowledged.insert(end.run.task);
+                }
+                EndKind::Failed if end.sequence > sim.void_up_to => {
+                    *self.failures.entry(end.run.task).or_default() += 1;
+                }
+                _ => (),
+            }
+        }
+    }
+
+    pub fn trouble(&mut self) {
+        let names: Vec<String> = self.vms.keys().cloned().collect();
+        let name = names[self.rng.random_range(0..names.len())].clone();
+        let now = self.now;
+        let lasts = self.rng.random_range(500..9_000);
+        let sim = self.vms.get_mut(&name).expect("it is there");
+        match self.rng.random_range(0..100) {
+            0..3 => sim.cut_until = now + lasts,
+            3..5 => {
+                // It crashes and comes back as another incarnation.
+                let old = id_of(&name, sim.life);
+                *sim =
+                    SimVm { life: sim.life + 1, next_end: 1, lease_until: now, ..SimVm::default() };
+                self.pool.unlist_vm(&old);
+                self.pool.list_vm(vm_facts(&name, sim.life));
+                self.pool.vm_lost(&old, at(now));
+                self.last_answer.remove(&old);
+            }
+            5..8 => self.replace_owner(),
+            _ => (),
+        }
+    }
+
+    pub fn check_settled(&self) {
+        for (id, entry) in self.log.iter() {
+            let lasting = entry.spec.as_ref().is_some_and(|s| s.is_lasting());
+            let settled = entry.progress.phase != Phase::Open;
+            let at_work = entry.progress.placed_on().count();
+            assert!(
+                settled || entry.cancelled || (lasting && at_work == 2),
+                "{id} is still open at the end: {:?}",
+                entry.progress
+            );
+            if entry.progress.phase == Phase::Completed {
+                for (i, shape) in (0..).zip(&self.steps[&id]) {
+                    let task = |index| TaskId { job: id, time: 0, step: i, index };
+                    let done = (0..shape.count).filter(|&n| self.done.contains(&task(n))).count();
+                    assert!(
+                        done == shape.count as usize || (shape.gang && done > 0),
+                        "{id} step {i}"
+                    );
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/world/vm.rs
@@ -0,0 +1,39 @@
+//! A VM as the random runs see it.
+
+use std::collections::BTreeMap;
+
+use thistle_schedule::{EndKind, Ms, Room, RunEnd, RunId, TaskId};
+
+#[derive(Debug)]
+pub struct Run {
+    pub attempt: u32,
+    pub ends_at: Ms,
+    pub fails: bool,
+    pub demand: Room,
+}
+
+#[derive(Default, Debug)]
+pub struct SimVm {
+    pub life: u32,
+    pub fence: u64,
+    pub runs: BTreeMap<TaskId, Run>,
+    pub barred: BTreeMap<TaskId, u32>,
+    pub ended: Vec<RunEnd>,
+    /// Ends up to this number were listed before the lease ran out: the platform does not count
+    /// them as noted when they are acknowledged later.
+    pub void_up_to: u64,
+    pub next_end: u64,
+    pub lease_until: Ms,
+    pub cut_until: Ms,
+    pub dark_until: Ms,
+}
+
+impl SimVm {
+    pub fn list_end(&mut self, run: RunId, kind: EndKind) {
+        let barred = self.barred.entry(run.task).or_default();
+        *barred = run.attempt.max(*barred);
+        let sequence = self.next_end;
+        self.next_end += 1;
+        self.ended.push(RunEnd { sequence, run, kind, checkpoint: String::new() });
+    }
+}
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -61,8 +61,13 @@
 /// Reads what the store holds; `job` is the ID of a job to look for.
 pub async fn overview(store: SocketAddr, job: Option<&str>) -> Result<Overview, StoreError> {
     let store = Store::new(store);
-    let mut overview =
-        Overview { version: 0, pools: BTreeMap::new(), fleet: FleetRecord::default(), job: None };
+    let mut overview = Overview {
+        version: 0,
+        pools: BTreeMap::new(),
+        fleet_owner: None,
+        fleet: FleetRecord::default(),
+        job: None,
+    };
     overview.read_config(&store).await?;
     overview.read_vms(&store).await?;
     overview.read_owners(&store).await?;
