Runs that were told to stop and are still listed are told again

The successor adopted it as cancelled and ordered the stops before it had links to its VMs; they were dropped, and the run counted as stopping for good. A start without a link counts as not taken. Test: a_run_that_was_told_to_stop_and_is_still_listed_is_told_again, red before.

--- a/crates/e2e/tests/cluster/mod.rs
+++ b/crates/e2e/tests/cluster/mod.rs
@@ -284,3 +284,13 @@
         }
     }
 }
+
+/// A key that no other test uses.
+pub fn key(test: &str) -> String {
+    format!("{test}-{}", std::process::id())
+}
+
+/// Returns whether an answer says that the request may have run.
+pub fn is_unknown(answer: &http::Answer) -> bool {
+    answer.status >= 400 && answer.has("\"outcome\":\"unknown\"")
+}
--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -25,7 +25,7 @@
                 .collect();
             for (task, attempt) in runs {
                 if self.may_move(key, task, now) {
-                    self.stop_to_move(key, task, attempt);
+                    self.stop_to_move(key, task, attempt, now);
                 }
             }
         }
@@ -76,9 +76,10 @@
         })
     }
 
-    fn stop_to_move(&mut self, vm: VmKey, task: TaskId, attempt: u32) {
+    fn stop_to_move(&mut self, vm: VmKey, task: TaskId, attempt: u32, now: Now) {
         if let Some(run) = self.vms[vm].runs.get_mut(&task) {
             run.stopping = true;
+            run.stop_ordered = now.steady;
         }
         if let Some((step, index)) = self.job_mut(task).and_then(|j| j.step_mut(task)) {
             step.tasks[index].at_work = false;
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -207,6 +207,7 @@
             let of_job = vm.runs.iter_mut().filter(|(task, run)| task.job == id && !run.stopping);
             for (&task, run) in of_job {
                 run.stopping = true;
+                run.stop_ordered = now.steady;
                 stops.push((vm_key, task, run.attempt));
             }
         }
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -231,6 +231,7 @@
             confirmed: None,
             started: now.steady,
             stopping: false,
+            stop_ordered: 0,
             tail_target_ms: shape.tail_target_ms,
             fills: shape.fills,
             lasting: shape.lasting,
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -4,12 +4,16 @@
 
 use super::vms::Run;
 use super::{JobKey, Now, Pool, VmKey};
+use crate::Ms;
 use crate::id::{RunId, TaskId, VmId};
 use crate::vm::{RunRow, VmReport};
 
 /// Ends listed at once at most; a longer list comes in parts, and a run that is not in one part
 /// may be in the next.
 const MAX_ENDS: usize = 500;
+/// Pause before a run that is still listed is told to stop again, in milliseconds: longer than the
+/// users' VMs take to stop one (900 ms).
+const STOP_AGAIN_MS: Ms = 1_000;
 /// A lasting task that works at this share is at work.
 const FULL_SPEED: u32 = 100;
 
@@ -26,7 +30,7 @@
         let complete = report.ended.len() < MAX_ENDS;
         let listed: HashSet<RunId> = report.running.iter().map(|r| r.run).collect();
         for row in &report.running {
-            self.take_row(key, row);
+            self.take_row(key, row, now);
         }
         if complete {
             self.drop_missing(key, report, &listed, now);
@@ -39,7 +43,7 @@
         self.forget_vm_if_empty(key);
     }
 
-    fn take_row(&mut self, key: VmKey, row: &RunRow) {
+    fn take_row(&mut self, key: VmKey, row: &RunRow, now: Now) {
         let vm = &mut self.vms[key];
         let task = row.run.task;
         if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
@@ -53,6 +57,10 @@
             // One that was told to stop is as good as gone, though it still works.
             if !run.stopping {
                 self.note_at_work(row);
+            } else if now.steady >= run.stop_ordered + STOP_AGAIN_MS {
+                // The order may have been given when there was no link to the VM.
+                run.stop_ordered = now.steady;
+                self.order_stop(key, task, row.run.attempt);
             }
             return;
         }
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -59,6 +59,7 @@
             confirmed: None,
             started: now.steady,
             stopping: false,
+            stop_ordered: 0,
             tail_target_ms: shape.as_ref().map_or(0, |s| s.tail_target_ms),
             fills: shape.as_ref().is_some_and(|s| s.fills),
             lasting: shape.is_some_and(|s| s.lasting),
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -26,6 +26,8 @@
     pub confirmed: Option<Ms>,
     pub started: Ms,
     pub stopping: bool,
+    /// When it was last told to stop.
+    pub stop_ordered: Ms,
     /// It serves users of its own, with this tail to keep.
     pub tail_target_ms: u32,
     pub fills: bool,
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -156,3 +156,33 @@
     after.plan(at(130));
     expect_that!(after.take_records()[0].1.phase, eq(Phase::Failed));
 }
+
+/// Budnet, hunt-f627-47 (UNASKED): a job was cancelled while its pool changed hands; the stops were
+/// ordered before there was a link to the VM, and never again.
+#[gtest]
+fn a_run_that_was_told_to_stop_and_is_still_listed_is_told_again() {
+    let spec = job(vec![common::lasting(1, 1)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let started = plan_and_start(&mut before, 10);
+    let mut entry = JobEntry { spec: Some(spec), cancelled: true, ..JobEntry::default() };
+    entry.progress.tasks.push(thistle_schedule::progress::TaskRecord {
+        time: 0,
+        step: 0,
+        index: 0,
+        place: thistle_schedule::progress::Place::On(started[0].vm.as_ref().to_owned()),
+        attempt: 1,
+        failures: 0,
+        checkpoint: String::new(),
+    });
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    expect_that!(common::stops(&after.plan(at(100))), eq(&vec![started[0].run]));
+    after.list_vm(vm("a", 1));
+    let listed = report(150, vec![row(started[0].run, 100)], vec![]);
+    after.report(&started[0].vm, &listed, at(150));
+    expect_that!(common::stops(&after.plan(at(150))), is_empty());
+    after.report(&started[0].vm, &listed, at(1_200));
+    expect_that!(common::stops(&after.plan(at(1_200))), eq(&vec![started[0].run]));
+}
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -249,7 +249,7 @@
         self.purge().await
     }
 
-    fn dispatch(&self, order: Order) {
+    fn dispatch(&mut self, order: Order) {
         let vm = match &order {
             Order::Start(start) => &start.vm,
             Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm,
@@ -260,6 +260,11 @@
         };
         let Some(link) = self.links.get(vm) else {
             log::warn!("order step=no-link vm={vm}");
+            if let Order::Start(start) = &order {
+                // It was never sent.
+                let (vm, run) = (start.vm.clone(), start.run);
+                self.pool.start_result(&vm, run, StartResult::NotTaken, now());
+            }
             return;
         };
         match order {
