--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! One node owns the fleet and gives all orders to the machine service. It empties a VM by its
 //! record, which the pools' owners read, and orders only once the pool's owner reports it empty.
 
+mod facts;
 mod moves;
 mod record;
 mod wave;
@@ -10,11 +11,9 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
-
 use crate::Ms;
-use crate::id::VmId;
 
+pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
 use wave::Wave;
 
@@ -27,88 +26,6 @@
 /// Pause before an order is given again.
 const AGAIN_MS: Ms = 400;
 
-/// What a VM is doing, by the machine service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum VmState {
-    /// It is up.
-    Up,
-    /// It is on its way to another pool, or being maintained.
-    Away,
-    /// It is down.
-    Down,
-}
-
-/// A VM as the machine service tells it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FleetVm {
-    /// Its lasting name.
-    pub name: Arc<str>,
-    /// Its pool.
-    pub pool: Arc<str>,
-    /// What it is doing.
-    pub state: VmState,
-    /// Its rack.
-    pub rack: Arc<str>,
-    /// Its incarnation, if it has one.
-    pub incarnation: Option<VmId>,
-}
-
-/// What a pool's owner reports to the fleet's.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PoolReport {
-    /// Processor that waiting tasks ask for, in thousandths of a core.
-    pub waiting_cpu: u64,
-    /// Processor in use, in thousandths of a core.
-    pub used_cpu: u64,
-    /// Processor of VMs that take work, in thousandths of a core.
-    pub cpu: u64,
-    /// VMs that take work.
-    pub vms: u32,
-    /// VMs that are to be emptied and have nothing running: lasting name and incarnation.
-    pub emptied: Vec<(String, String)>,
-    /// VMs that lasting tasks need, which may not share one.
-    pub spread: u32,
-    /// VMs on which nothing runs.
-    pub idle: Vec<String>,
-    /// VMs that run only tasks that end by themselves, those with the least work first.
-    pub light: Vec<String>,
-}
-
-/// A wave of maintenance, as the operator asked for it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WaveRequest {
-    /// Its number.
-    pub wave: u64,
-    /// The VMs, by lasting name.
-    pub vms: Vec<String>,
-    /// How long it may take, in milliseconds.
-    pub duration_ms: Ms,
-    /// How many VMs may be down for it at once.
-    pub cap: usize,
-}
-
-/// An order to the machine service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct FleetOrder {
-    /// The VM's lasting name.
-    pub vm: String,
-    /// What for.
-    pub purpose: Purpose,
-}
-
-/// What the machine service made of an order.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// Done, now or before.
-    Done,
-    /// Surely not done.
-    NotDone,
-    /// Maybe done, or done later.
-    Unknown,
-    /// It can never be done: no such VM, or not part of that wave.
-    Impossible,
-}
-
 /// What is known of an order that was given in this term.
 #[derive(Clone, Copy, Debug, Default)]
 struct Given {
@@ -145,16 +62,6 @@
     hold_off: HoldOff,
 }
 
-/// Until when a new owner gives no orders. Orders about one VM from different nodes are to lie a
-/// while apart.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HoldOff {
-    /// About VMs that the predecessor was working on.
-    pub worked_on: Ms,
-    /// About others: an order that was carried out lies a move's time back at least.
-    pub others: Ms,
-}
-
 impl Fleet {
     /// Takes over from a record.
     pub fn new(record: FleetRecord, hold_off: HoldOff) -> Self {
--- a/crates/schedule/tests/world/mod.rs
+++ b/crates/schedule/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! VMs that lose answers, carry orders out late, are cut off and crash, and owners that are replaced
 //! at any moment.
 
+mod checks;
 mod vm;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,8 +11,7 @@
 use thistle_schedule::job_log::{cancel_key, encode, progress_key, submit_key};
 use thistle_schedule::pool::{Order, StartOrder, StartResult};
 use thistle_schedule::{
-    EndKind, JobId, JobLog, Ms, Phase, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId,
-    VmReport,
+    EndKind, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId, VmReport,
 };
 
 use self::vm::{Run, SimVm};
@@ -259,22 +259,6 @@
         }
     }
 
-    fn check_start(&self, name: &str, start: &StartOrder) {
-        let (now, task) = (self.now, start.run.task);
-        let elsewhere = self.vms.iter().find(|(_, sim)| sim.runs.contains_key(&task));
-        assert!(elsewhere.is_none(), "{task} starts on {name} at {now}, runs on {elsewhere:?}");
-        assert!(!self.acknowledged.contains(&task), "{task} starts at {now} after its end");
-        let shape = &self.steps[&task.job][usize::from(task.step)];
-        for &on in &shape.depends_on {
-            let count = self.steps[&task.job][usize::from(on)].count;
-            let all =
-                (0..count).all(|index| self.done.contains(&TaskId { step: on, index, ..task }));
-            assert!(all, "{task} starts at {now} before step {on} is done");
-        }
-        let failed = self.failures.get(&task).copied().unwrap_or(0);
-        assert!(shape.lasting || failed < 2, "{task} starts at {now} after {failed} failures");
-    }
-
     fn end_runs(&mut self) {
         let now = self.now;
         for sim in self.vms.values_mut().filter(|sim| sim.dark_until <= now) {
@@ -382,27 +366,4 @@
             _ => (),
         }
     }
-
-    pub fn check_settled(&self) {
-        for (id, entry) in self.log.iter() {
-            let lasting = entry.spec.as_ref().is_some_and(|s| s.is_lasting());
-            let settled = entry.progress.phase != Phase::Open;
-            let at_work = entry.progress.placed_on().count();
-            assert!(
-                settled || entry.cancelled || (lasting && at_work == 2),
-                "{id} is still open at the end: {:?}",
-                entry.progress
-            );
-            if entry.progress.phase == Phase::Completed {
-                for (i, shape) in (0..).zip(&self.steps[&id]) {
-                    let task = |index| TaskId { job: id, time: 0, step: i, index };
-                    let done = (0..shape.count).filter(|&n| self.done.contains(&task(n))).count();
-                    assert!(
-                        done == shape.count as usize || (shape.gang && done > 0),
-                        "{id} step {i}"
-                    );
-                }
-            }
-        }
-    }
 }
--- a/crates/scheduler/src/fleet_owner.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -1,5 +1,7 @@
 //! Owning the fleet: waves of maintenance and moves between pools.
 
+mod records;
+
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -7,17 +9,19 @@
 use metrics::counter;
 use thistle_platform::config::{STATUS_TOPIC, WaveState, encode_wave_status};
 use thistle_platform::machines::{Holder, Machine, MachineError, MachineState};
-use thistle_platform::{Guard, KeyedRecord, MachineClient, Stored};
+use thistle_platform::{Guard, KeyedRecord, MachineClient};
 use thistle_schedule::Ms;
 use thistle_schedule::fleet::{
-    Fleet, FleetOrder, FleetRecord, FleetVm, HoldOff, OrderOutcome, PoolReport, Purpose, VmState,
+    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, PoolReport, Purpose, VmState,
 };
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::control::{TOPIC, to_json};
-use crate::follow::{News, Pace, Tail, follow};
 use crate::journal::{Fenced, Journal};
-use crate::node::{Node, lock, steady_ms};
+use crate::node::{Node, steady_ms};
+use records::{follow_reports, hold_off, read_record};
+
+pub use records::follow_record;
 
 /// The name under which the fleet is owned, beside the pools' names.
 pub const FLEET: &str = "#fleet";
@@ -35,13 +39,6 @@
 const LIST_BUSY_MS: Ms = 400;
 /// How often the VMs are read otherwise, in milliseconds.
 const LIST_IDLE_MS: Ms = 3_000;
-/// Added to the least time between orders of different nodes, in milliseconds.
-const GAP_MARGIN_MS: Ms = 300;
-
-/// The least time between an order and its being finished in the record, in milliseconds: the
-/// shortest move.
-const CARRIED_OUT_MS: Ms = 1_500;
-
 /// Returns the key of a pool's report.
 pub fn pool_key(pool: &str) -> String {
     format!("{POOL_PREFIX}{pool}")
@@ -53,26 +50,6 @@
     Vms(Ms, Result<Vec<Machine>, MachineError>),
 }
 
-/// Follows the fleet's record, so that pools on this node know which VMs to empty.
-pub async fn follow_record(node: Arc<Node>) {
-    let cx = node.clone();
-    follow(&node, Tail::new(TOPIC, RECORD), Pace::AtOnce, move |news, _| {
-        let records = match news {
-            News::Reloaded(records) | News::Records(records) => records,
-        };
-        for Stored { record, offset } in records {
-            let Some(value) = record.value() else { continue };
-            match serde_json::from_slice::<FleetRecord>(value) {
-                Ok(record) => {
-                    cx.fleet.send_replace(Arc::new(record));
-                }
-                Err(e) => log::error!("fleet step=unreadable offset={offset} error=\"{e}\""),
-            }
-        }
-    })
-    .await;
-}
-
 struct FleetOwner {
     node: Arc<Node>,
     token: u64,
@@ -135,69 +112,6 @@
     }
 }
 
-/// Returns until when the predecessor's orders are to be kept a distance from.
-fn hold_off(node: &Node, record: Option<&FleetRecord>) -> HoldOff {
-    // Without a record nobody has given an order yet; this node's own orders need no distance, and
-    // a predecessor that gave the fleet up had its last order answered before.
-    let Some(record) = record.filter(|r| r.owner != node.me.name) else {
-        return HoldOff::default();
-    };
-    if lock(&node.ownership).was_given_up(FLEET) {
-        return HoldOff::default();
-    }
-    log::debug!("fleet step=hold-off predecessor={}", record.owner);
-    let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
-    let now = steady_ms();
-    HoldOff {
-        worked_on: now + gap + GAP_MARGIN_MS,
-        others: now + (gap + GAP_MARGIN_MS).saturating_sub(CARRIED_OUT_MS),
-    }
-}
-
-/// Returns the record as it is now that nobody else can write it; `None` for the outer if the
-/// task is to end.
-async fn read_record(node: &Node) -> Option<Option<FleetRecord>> {
-    loop {
-        match node.store.newest(TOPIC, RECORD).await {
-            Ok(newest) => {
-                let record = newest.records.into_iter().find(|s| s.record.key == RECORD_KEY);
-                let Some(stored) = record else { return Some(None) };
-                return match serde_json::from_slice(&stored.record.value) {
-                    Ok(record) => Some(Some(record)),
-                    Err(e) => {
-                        log::error!("fleet step=unreadable offset={} error=\"{e}\"", stored.offset);
-                        None
-                    }
-                };
-            }
-            Err(e) => {
-                node.note_store(false);
-                log::debug!("fleet step=read-failed error=\"{e}\"");
-                tokio::time::sleep(TICK).await;
-            }
-        }
-    }
-}
-
-async fn follow_reports(node: Arc<Node>, tx: UnboundedSender<Event>) {
-    follow(&node, Tail::new(TOPIC, REPORTS), Pace::AtOnce, move |news, _| {
-        let records = match news {
-            News::Reloaded(records) | News::Records(records) => records,
-        };
-        for Stored { record, offset } in records {
-            let Some(pool) = record.key.strip_prefix(POOL_PREFIX) else { continue };
-            let Some(value) = record.value() else { continue };
-            match serde_json::from_slice(value) {
-                Ok(report) => {
-                    let _ = tx.send(Event::Report(pool.into(), report));
-                }
-                Err(e) => log::error!("report step=unreadable offset={offset} error=\"{e}\""),
-            }
-        }
-    })
-    .await;
-}
-
 impl FleetOwner {
     fn take(&mut self, event: Event) {
         let now = steady_ms();
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -3,6 +3,7 @@
 mod advisor;
 mod link;
 mod progress;
+mod purge;
 mod report;
 mod vms;
 
@@ -11,10 +12,8 @@
 use std::time::Duration;
 
 use metrics::{counter, gauge};
-use thistle_platform::KeyedRecord;
-use thistle_schedule::job_log::{cancel_key, progress_key, submit_key};
 use thistle_schedule::pool::{Load, Order, StartResult, StepId};
-use thistle_schedule::{JobId, LogChange, Ms, Phase, Pool, RunId, VmId, VmReport};
+use thistle_schedule::{LogChange, Ms, Pool, RunId, VmId, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::journal::{Fenced, Journal};
@@ -26,14 +25,6 @@
 
 /// How often the schedule is looked at when nothing happens.
 const TICK: Duration = Duration::from_millis(100);
-/// How often settled jobs are looked through for those to be dropped, in milliseconds.
-const PURGE_EVERY_MS: Ms = 5_000;
-/// How much longer than promised settled jobs are kept, in milliseconds: callers' clocks and ours
-/// may differ by seconds.
-const PURGE_SLACK_MS: Ms = 30_000;
-/// Settled jobs dropped in one go at most.
-const PURGE_BATCH: usize = 500;
-
 /// What an owner takes in.
 #[derive(Debug)]
 pub enum Event {
@@ -303,41 +294,6 @@
         let used = used_cpu as f64 / (cpu as f64).max(1.0);
         gauge!("thistle_pool_cpu_used", "pool" => pool).set(used);
     }
-
-    /// Drops the records of jobs that were settled long ago.
-    async fn purge(&mut self) -> Result<(), Fenced> {
-        if steady_ms().saturating_sub(self.purged_at) < PURGE_EVERY_MS {
-            return Ok(());
-        }
-        self.purged_at = steady_ms();
-        let keep = u64::try_from(self.node.settings.keep_settled.0.as_millis()).unwrap_or(Ms::MAX);
-        let before = now().wall.saturating_sub(keep.saturating_add(PURGE_SLACK_MS));
-        let old: Vec<JobId> = {
-            let jobs = self.log.jobs();
-            let is_old = |p: &thistle_schedule::Progress| {
-                p.phase != Phase::Open && p.settled_ms > 0 && p.settled_ms < before
-            };
-            let old = jobs.iter().filter(|(_, e)| is_old(&e.progress)).map(|(id, _)| id);
-            old.take(PURGE_BATCH).collect()
-        };
-        if old.is_empty() {
-            return Ok(());
-        }
-        log::info!("jobs step=dropped pool={} count={}", self.log.pool, old.len());
-        let progress: Vec<KeyedRecord> =
-            old.iter().map(|&id| KeyedRecord::dropping(progress_key(id))).collect();
-        self.journal.append(&self.node, &progress).await?;
-        let drop_both = |&id: &JobId| {
-            [KeyedRecord::dropping(cancel_key(id)), KeyedRecord::dropping(submit_key(id))]
-        };
-        let records: Vec<KeyedRecord> = old.iter().flat_map(drop_both).collect();
-        let guard = thistle_platform::Guard::Always;
-        match self.node.store.append(&self.log.topic, SUBMISSIONS, guard, &records).await {
-            Ok(_) => (),
-            Err(e) => log::warn!("jobs step=drop-failed pool={} error=\"{e}\"", self.log.pool),
-        }
-        Ok(())
-    }
 }
 
 fn log_ends(vm: &VmId, report: &VmReport) {
