--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -187,3 +187,45 @@
     system.platform.store.set_fault(Fault::None);
     until_state(&system.nodes[1], ID, "running").await;
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn appends_that_are_done_late_double_no_job_and_no_task() {
+    let system = System::start(21, 2, 2).await;
+    until_owned(&system).await;
+    system.platform.store.set_fault(Fault::Late);
+    let ids: Vec<String> = (0..6).map(|i| format!("{i:016x}")).collect();
+    for (i, id) in ids.iter().enumerate() {
+        let answer = submit(&system.nodes[i % 2], id, &job(2, 100)).await;
+        expect_that!(answer.status, any![eq(200), eq(504)]);
+    }
+    system.platform.store.set_fault(Fault::None);
+    for id in &ids {
+        until_state(&system.nodes[0], id, "completed").await;
+        let starts = system.starts_of(id);
+        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_that_are_carried_out_late_run_no_task_twice() {
+    let system = System::start(22, 2, 1).await;
+    until_owned(&system).await;
+    for vm in system.platform.machines.vms() {
+        vm.carry_out_late(true);
+    }
+    let ids: Vec<String> = (0..4).map(|i| format!("{i:016x}")).collect();
+    for id in &ids {
+        submit(&system.nodes[0], id, &job(2, 300)).await;
+    }
+    for id in &ids {
+        until_state(&system.nodes[0], id, "completed").await;
+    }
+    // The late copies have come by then.
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    for id in &ids {
+        let starts = system.starts_of(id);
+        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+    }
+}
