--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -254,13 +254,15 @@
 async fn pending(node: &Arc<Node>, queue: &Queue) -> Reply {
     let log = node.pool_log(&queue.pool);
     let since = steady_ms().saturating_sub(PENDING_AGE_MS);
+    // An owner that is cut off may not know of the newest jobs.
+    let current = log.is_owned() && node.lease_valid();
     for part in [SUBMISSIONS, PROGRESS] {
-        if log.is_owned() {
+        if current {
             break;
         }
-        // An older count is better than none.
         if let Err(e) = log.catch_up(node, part, since).await {
-            log::debug!("pending queue={} step=old error=\"{e}\"", queue.name);
+            log::info!("pending queue={} step=not-read error=\"{e}\"", queue.name);
+            return reply::not_taken("the store cannot be read from here: come back");
         }
     }
     let count = log.jobs().pending(&queue.name);
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -229,3 +229,15 @@
         expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
     }
 }
+
+/// Budnet grown, hunt-10af-7 (MIXED): a node that could not read on told an old count.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_count_that_cannot_be_read_is_not_told() {
+    let system = System::start(23, 1, 1).await;
+    until_owned(&system).await;
+    expect_that!(send(&system.nodes[0], Method::GET, "/quotes/").await.status, eq(200));
+    system.platform.store.set_fault(Fault::Busy);
+    let status = async || send(&system.nodes[0], Method::GET, "/quotes/").await.status;
+    until("the count is not told", async || status().await == 503).await;
+}
