--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -15,6 +15,24 @@
     system.owner().expect("it has one")
 }
 
+/// Hands jobs in while the store has a fault: each is kept or may be, and runs once.
+async fn run_jobs_under(system: &System, fault: Fault) {
+    until_owned(system).await;
+    system.platform.store.set_fault(fault);
+    let ids: Vec<String> = (0..8).map(|i| format!("{i:016x}")).collect();
+    for (i, id) in ids.iter().enumerate() {
+        let answer = submit(&system.nodes[i % 2], id, &job(2, 100)).await;
+        expect_that!(answer.status, any![eq(200), eq(504)]);
+    }
+    system.platform.store.set_fault(Fault::None);
+    for id in &ids {
+        until_state(&system.nodes[0], id, "completed").await;
+        let starts = system.starts_of(id);
+        expect_that!(starts.len(), eq(2));
+        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn an_owner_that_is_killed_is_replaced_and_its_work_goes_on() {
@@ -71,20 +89,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn answers_that_the_store_loses_double_no_job_and_no_task() {
     let system = System::start(14, 2, 2).await;
-    until_owned(&system).await;
-    system.platform.store.set_fault(Fault::LosesAnswers);
-    let ids: Vec<String> = (0..8).map(|i| format!("{i:016x}")).collect();
-    for (i, id) in ids.iter().enumerate() {
-        let answer = submit(&system.nodes[i % 2], id, &job(2, 100)).await;
-        expect_that!(answer.status, any![eq(200), eq(504)]);
-    }
-    system.platform.store.set_fault(Fault::None);
-    for id in &ids {
-        until_state(&system.nodes[0], id, "completed").await;
-        let starts = system.starts_of(id);
-        expect_that!(starts.len(), eq(2));
-        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
-    }
+    run_jobs_under(&system, Fault::LosesAnswers).await;
 }
 
 #[gtest]
@@ -192,19 +197,7 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn appends_that_are_done_late_double_no_job_and_no_task() {
     let system = System::start(21, 2, 2).await;
-    until_owned(&system).await;
-    system.platform.store.set_fault(Fault::Late);
-    let ids: Vec<String> = (0..6).map(|i| format!("{i:016x}")).collect();
-    for (i, id) in ids.iter().enumerate() {
-        let answer = submit(&system.nodes[i % 2], id, &job(2, 100)).await;
-        expect_that!(answer.status, any![eq(200), eq(504)]);
-    }
-    system.platform.store.set_fault(Fault::None);
-    for id in &ids {
-        until_state(&system.nodes[0], id, "completed").await;
-        let starts = system.starts_of(id);
-        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
-    }
+    run_jobs_under(&system, Fault::Late).await;
 }
 
 #[gtest]
