--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -109,6 +109,10 @@
     let mut fleet = fleet(&["new"], 1);
     fleet.plan(10);
     expect_that!(fleet.to_complete(), is_empty());
+    // A list read after the wave was asked for does not hold it either.
+    fleet.set_vms(up(&["a"]), 300);
+    fleet.plan(310);
+    expect_that!(fleet.to_complete(), is_empty());
     fleet.set_vms(up(&["a", "new"]), 500);
     fleet.plan(510);
     expect_that!(fleet.record().cordoned().collect::<Vec<_>>(), eq(&vec!["new"]));
