Lasting tasks that were taken over leave VMs that are to be emptied

A run that the VM lists now counts as answered, from when the report was asked for. Ruled out: no room elsewhere, the budget of absent tasks. Test: a_lasting_task_that_was_taken_over_leaves_a_vm_that_is_to_be_emptied, red before.

--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -30,7 +30,7 @@
         let complete = report.ended.len() < MAX_ENDS;
         let listed: HashSet<RunId> = report.running.iter().map(|r| r.run).collect();
         for row in &report.running {
-            self.take_row(key, row, now);
+            self.take_row(key, row, report.asked_at, now);
         }
         if complete {
             self.drop_missing(key, report, &listed, now);
@@ -43,11 +43,14 @@
         self.forget_vm_if_empty(key);
     }
 
-    fn take_row(&mut self, key: VmKey, row: &RunRow, now: Now) {
+    fn take_row(&mut self, key: VmKey, row: &RunRow, asked_at: Ms, now: Now) {
         let vm = &mut self.vms[key];
         let task = row.run.task;
         if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
             run.figure = row.figure;
+            // What is listed is there, also if this owner has not ordered it and never had an
+            // answer about it.
+            run.confirmed.get_or_insert(asked_at);
             if !row.checkpoint.is_empty() {
                 run.checkpoint.clone_from(&row.checkpoint);
             }
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -2,7 +2,9 @@
 
 mod common;
 
-use common::{JOB, at, end, job, plan_and_start, pool_with, report, row, starts, step, vm};
+use common::{
+    JOB, at, end, job, lasting, plan_and_start, pool_with, report, row, starts, step, stops, vm,
+};
 use googletest::prelude::*;
 use thistle_schedule::job_log::{JobEntry, cancel_key, encode, progress_key, submit_key};
 use thistle_schedule::progress::JobState;
@@ -37,6 +39,25 @@
     expect_that!(after.take_records()[0].1.phase, eq(Phase::Completed));
 }
 
+#[gtest]
+fn a_lasting_task_that_was_taken_over_leaves_a_vm_that_is_to_be_emptied() {
+    let spec = job(vec![lasting(1, 1)]);
+    let mut before = pool_with(&["a"]);
+    before.submit(JOB, spec.clone(), at(0));
+    let run = starts(&before.plan(at(10)))[0].run;
+    let entry = entry_of(&mut before, &spec);
+
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.list_vm(vm("a", 1));
+    after.list_vm(vm("b", 1));
+    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    after.set_cordoned([std::sync::Arc::from("a")].into());
+    expect_that!(stops(&after.plan(at(120))), is_empty(), "its VM has not answered yet");
+    after.report(&vm("a", 1).id, &report(130, vec![row(run, 100)], vec![]), at(131));
+    expect_that!(stops(&after.plan(at(140))), eq(&vec![run]));
+}
+
 #[gtest]
 fn an_order_that_was_written_but_never_sent_is_given_anew() {
     let spec = job(vec![step(1, 500)]);
