Late jobs go first when they would otherwise be of no use at all

A late job that must begin within a second now goes first; it costs those in time little, since they mostly have slack. Ruled out: refusals and lost jobs (all of these were accepted and completed). Test: a_late_job_waits_for_those_in_time_until_it_would_be_of_no_use_at_all, red before.

--- a/crates/schedule/src/pool/rank.rs
+++ b/crates/schedule/src/pool/rank.rs
@@ -4,6 +4,9 @@
 
 /// A job finished by this many times its objective still earns a little.
 const LATE_FACTOR: u64 = 3;
+/// A late job that must begin within this time to be of use at all goes before those that can be
+/// in time, in milliseconds.
+const RESCUE_MS: Ms = 1_000;
 
 /// The order in which jobs are placed: smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,7 +23,7 @@
 impl Rank {
     /// Returns whether the job can no longer earn anything by its time.
     pub const fn is_too_late(&self) -> bool {
-        self.not_lasting && self.lateness > 1
+        self.not_lasting && self.lateness > 2
     }
 }
 
@@ -34,12 +37,15 @@
             + u64::from(job.spec.objective.target_ms);
         let due = job.accepted + objective;
         let finish = now + left;
+        let last = job.accepted + objective * LATE_FACTOR;
         let (lateness, then) = if finish <= due {
-            (0, due)
-        } else if finish <= job.accepted + objective * LATE_FACTOR {
-            (1, left)
-        } else {
+            (1, due)
+        } else if finish <= last && last - finish < RESCUE_MS {
+            (0, last - left)
+        } else if finish <= last {
             (2, left)
+        } else {
+            (3, left)
         };
         let not_lasting = !job.spec.is_lasting();
         Rank { not_lasting, priority: job.spec.objective.priority, lateness, then }
