VMs that another pool needs are emptied by stopping what can be resumed, soonest empty first

Tasks that save their progress are stopped there if they would take longer than stopping and resuming; VMs are offered by how soon they can be empty, from the progress that they report, not by processor in use. Tasks to be resumed count as running in their pool's need, so that it does not ask for the VM back with three times the weight. Ruled out: detection (first moves 0.2 s after the first waiting task), the bound on moves at once. Tests: tests/emptying.rs.

--- a/crates/schedule/src/fleet/record.rs
+++ b/crates/schedule/src/fleet/record.rs
@@ -77,6 +77,13 @@
         self.work.iter().map(|w| w.vm.as_str())
     }
 
+    /// Returns the VMs, by lasting name, that are emptied to move to another pool.
+    pub fn moving(&self) -> impl Iterator<Item = &str> {
+        let moves =
+            |w: &&VmWork| w.stage == Stage::Emptying && matches!(w.purpose, Purpose::Move { .. });
+        self.work.iter().filter(moves).map(|w| w.vm.as_str())
+    }
+
     /// Returns the VMs, by lasting name, that a wave will take down before long.
     pub fn due(&self) -> impl Iterator<Item = &str> {
         self.waves.iter().flat_map(|w| w.left.iter().map(String::as_str))
--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -1,6 +1,8 @@
-//! Moving lasting tasks off VMs that are to be emptied or are leaving.
+//! Moving tasks off VMs that are to be emptied or are leaving: lasting ones, and for a pool that
+//! needs the VM now also those that can be resumed elsewhere.
 
 use super::job::{Spot, Task};
+use super::remaining::WORTH_STOPPING_MS;
 use super::vms::Run;
 use super::{Now, Pool, VmKey};
 use crate::id::TaskId;
@@ -24,13 +26,24 @@
                 .map(|(&task, run)| (task, run.attempt))
                 .collect();
             for (task, attempt) in runs {
-                if self.may_move(key, task, now) {
+                if self.may_move(key, task, now) || self.hurries(key, task, now) {
                     self.stop_to_move(key, task, attempt, now);
                 }
             }
         }
     }
 
+    /// Returns whether a run is to be stopped for the sake of the pool that needs its VM. The task
+    /// may have to wait for room: its pool was found to need the VM less.
+    fn hurries(&self, vm: VmKey, task: TaskId, now: Now) -> bool {
+        let vm = &self.vms[vm];
+        let hurried = vm.cordoned && vm.name().is_some_and(|name| self.hurried.contains(name));
+        let Some(run) = vm.runs.get(&task).filter(|run| hurried && run.can_be_resumed()) else {
+            return false;
+        };
+        self.time_left(task, run, now.steady) > WORTH_STOPPING_MS
+    }
+
     fn may_move(&self, vm: VmKey, task: TaskId, now: Now) -> bool {
         let Some(job) = self.job_key(task).and_then(|key| self.jobs.get(key)) else { return false };
         let Some(shape) = job.spec.steps.get(usize::from(task.step)).filter(|s| s.lasting) else {
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -50,6 +50,12 @@
         self.done == self.tasks.len()
     }
 
+    /// Counts the waiting tasks that have a checkpoint to resume from.
+    pub fn to_resume(&self) -> u32 {
+        let resumes = |t: &&Task| t.spot == Spot::Waiting && !t.checkpoint.is_empty();
+        u32::try_from(self.tasks.iter().filter(resumes).count()).unwrap_or(u32::MAX)
+    }
+
     /// Counts the attempts of the whole gang that failed: the failures of its members, of which
     /// one is counted an attempt.
     pub fn gang_failures(&self) -> u32 {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -13,6 +13,7 @@
 mod pace;
 mod place;
 mod rank;
+mod remaining;
 mod report;
 mod takeover;
 mod vms;
@@ -59,7 +60,8 @@
     /// of jobs that are too late to be of use are not counted.
     pub waiting_cpu: u64,
     /// Processor in use on VMs that take work, in thousandths of a core; what runs on others ends
-    /// or moves and needs no VM to replace it.
+    /// or moves and needs no VM to replace it. Tasks that were stopped to be resumed elsewhere
+    /// count as running: more of their kind do not come with them.
     pub used_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
@@ -84,6 +86,8 @@
     vm_keys: HashMap<VmId, VmKey>,
     /// VMs, by lasting name, that are to be emptied.
     cordoned: HashSet<Arc<str>>,
+    /// VMs among them that another pool needs now.
+    hurried: HashSet<Arc<str>>,
     /// VMs, by lasting name, that maintenance will take down before long.
     due: HashSet<Arc<str>>,
     orders: Vec<Order>,
@@ -162,7 +166,7 @@
         for job in self.jobs.values().filter(|j| j.phase == Phase::Open) {
             load.jobs += 1;
             load.spread = load.spread.max(job.spread());
-            for (_, step, waiting) in job.ready_steps() {
+            for (time, step, waiting) in job.ready_steps() {
                 if !self.fits_somewhere(job.spec.steps[step].room()) {
                     continue;
                 }
@@ -170,8 +174,10 @@
                 if self.rank(job, now.steady).is_too_late() {
                     continue;
                 }
-                let cpu = job.spec.steps[step].room().cpu;
-                load.waiting_cpu += u64::from(cpu) * u64::from(waiting);
+                let cpu = u64::from(job.spec.steps[step].room().cpu);
+                let resumed = job.times[&time].steps[step].to_resume();
+                load.waiting_cpu += cpu * u64::from(waiting - resumed);
+                load.used_cpu += cpu * u64::from(resumed);
             }
         }
         load
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -225,21 +225,9 @@
         vm: VmKey,
         now: Now,
     ) {
-        let run = Run {
-            attempt,
-            demand: shape.room(),
-            confirmed: None,
-            started: now.steady,
-            stopping: false,
-            stop_ordered: 0,
-            tail_target_ms: shape.tail_target_ms,
-            fills: shape.fills,
-            lasting: shape.lasting,
-            pace: 100,
-            paced_at: 0,
-            figure: None,
-            checkpoint: String::new(),
-        };
+        let task = self.jobs[ready.job].task(ready.task(index));
+        let from_start = task.is_some_and(|t| t.checkpoint.is_empty());
+        let run = Run { from_start, ..Run::new(attempt, shape, now.steady) };
         self.vms[vm].add_run(ready.task(index), run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(ready.task(index)) {
             step.set(index, Spot::On(vm));
--- a/crates/schedule/src/pool/rank.rs
+++ b/crates/schedule/src/pool/rank.rs
@@ -58,6 +58,6 @@
     clippy::cast_sign_loss,
     reason = "times of jobs are far below 2^52 ms, and factors are not negative"
 )]
-fn scale(ms: u64, factor: f64) -> u64 {
+pub(super) fn scale(ms: u64, factor: f64) -> u64 {
     (ms as f64 * factor) as u64
 }
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -48,6 +48,7 @@
         let task = row.run.task;
         if let Some(run) = vm.runs.get_mut(&task).filter(|r| r.attempt == row.run.attempt) {
             run.figure = row.figure;
+            (run.progress, run.progress_at) = (row.percent, now.steady);
             // What is listed is there, also if this owner has not ordered it and never had an
             // answer about it.
             run.confirmed.get_or_insert(asked_at);
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -8,7 +8,6 @@
 use crate::id::{JobId, TaskId, VmId};
 use crate::job_log::JobEntry;
 use crate::progress::{Phase, Place, TaskRecord};
-use crate::vm::Room;
 
 impl Pool {
     /// Takes in a job as its records tell. Tasks ordered to run somewhere count as running there
@@ -52,22 +51,8 @@
         task.failures = record.failures;
         task.checkpoint.clone_from(&record.checkpoint);
         let Spot::On(vm) = spot else { return };
-        let demand = shape.as_ref().map_or(Room::default(), crate::spec::Step::room);
-        let run = Run {
-            attempt: record.attempt,
-            demand,
-            confirmed: None,
-            started: now.steady,
-            stopping: false,
-            stop_ordered: 0,
-            tail_target_ms: shape.as_ref().map_or(0, |s| s.tail_target_ms),
-            fills: shape.as_ref().is_some_and(|s| s.fills),
-            lasting: shape.is_some_and(|s| s.lasting),
-            pace: 100,
-            paced_at: 0,
-            figure: None,
-            checkpoint: String::new(),
-        };
+        let Some(shape) = shape else { return };
+        let run = Run::new(record.attempt, &shape, now.steady);
         self.vms[vm].add_run(id, run);
     }
 
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -6,6 +6,7 @@
 use super::{Now, Pool, VmKey};
 use crate::Ms;
 use crate::id::{JobId, RunId, TaskId, VmId};
+use crate::spec::Step;
 use crate::vm::{Room, VmFacts};
 
 /// Failures of different jobs in a row after which a VM is set aside. One job that can never be
@@ -32,6 +33,16 @@
     pub tail_target_ms: u32,
     pub fills: bool,
     pub lasting: bool,
+    /// It saves its progress, so that it can be stopped and resumed elsewhere.
+    pub saves: bool,
+    /// It is a member of a gang, which ends whole.
+    pub in_gang: bool,
+    /// It was ordered by this owner, to start at its beginning.
+    pub from_start: bool,
+    /// How much of its work it has done, in percent, by its VM's newest report.
+    pub progress: u32,
+    /// When that report came.
+    pub progress_at: Ms,
     /// The share of its full speed that it was last told to work at.
     pub pace: u32,
     pub paced_at: Ms,
@@ -41,6 +52,32 @@
     pub checkpoint: String,
 }
 
+impl Run {
+    /// Makes a run that its VM has not answered about.
+    pub fn new(attempt: u32, shape: &Step, now: Ms) -> Self {
+        Self {
+            attempt,
+            demand: shape.room(),
+            confirmed: None,
+            started: now,
+            stopping: false,
+            stop_ordered: 0,
+            tail_target_ms: shape.tail_target_ms,
+            fills: shape.fills,
+            lasting: shape.lasting,
+            saves: shape.checkpointing,
+            in_gang: shape.gang,
+            from_start: false,
+            progress: 0,
+            progress_at: now,
+            pace: 100,
+            paced_at: 0,
+            figure: None,
+            checkpoint: String::new(),
+        }
+    }
+}
+
 /// One incarnation of a VM.
 #[derive(Clone, Debug)]
 pub(super) struct Vm {
@@ -186,6 +223,11 @@
         self.cordoned = names;
     }
 
+    /// Sets which VMs, by lasting name, are emptied for a pool that needs them now.
+    pub fn set_hurried(&mut self, names: HashSet<Arc<str>>) {
+        self.hurried = names;
+    }
+
     /// Sets which VMs, by lasting name, maintenance will take down before long.
     pub fn set_due(&mut self, names: HashSet<Arc<str>>) {
         self.due = names;
@@ -197,13 +239,18 @@
         self.vms.values().filter(idle).filter_map(|vm| vm.name().cloned()).collect()
     }
 
-    /// Returns the lasting names of VMs that run only tasks that end by themselves, those with the
-    /// least work first.
-    pub fn light(&self) -> Vec<Arc<str>> {
+    /// Returns the lasting names of VMs that run only tasks that end by themselves, those that can
+    /// be empty soonest first.
+    pub fn light(&self, now: Now) -> Vec<Arc<str>> {
         let ends = |vm: &&Vm| vm.takes_work() && !vm.runs.is_empty() && vm.lasting_runs() == 0;
-        let mut vms: Vec<&Vm> = self.vms.values().filter(ends).collect();
-        vms.sort_by_key(|vm| vm.used.cpu);
-        vms.into_iter().filter_map(|vm| vm.name().cloned()).collect()
+        let mut vms: Vec<(Ms, u32, &Vm)> = self
+            .vms
+            .values()
+            .filter(ends)
+            .map(|vm| (self.can_be_empty_in(vm, now.steady), vm.used.cpu, vm))
+            .collect();
+        vms.sort_by_key(|&(time, cpu, _)| (time, cpu));
+        vms.into_iter().filter_map(|(_, _, vm)| vm.name().cloned()).collect()
     }
 
     /// Takes in whether a VM answers.
--- /dev/null
+++ b/crates/schedule/tests/emptying.rs
@@ -0,0 +1,87 @@
+//! Emptying VMs for a pool that needs them now.
+
+mod common;
+
+use std::collections::HashSet;
+use std::sync::Arc;
+
+use common::{JOB, at, end, job, plan_and_start, pool_with, report, row, starts, step, stops};
+use googletest::prelude::*;
+use thistle_schedule::pool::StartOrder;
+use thistle_schedule::{EndKind, JobId, Pool, RunEnd, Step};
+
+fn saving(count: u32, cpu: u32) -> Step {
+    Step { checkpointing: true, estimated_ms: 4_000, ..step(count, cpu) }
+}
+
+/// Starts one task that saves its progress on VM a, which is then to be emptied in a hurry; VM b
+/// has room.
+fn hurried(shape: Step) -> (Pool, StartOrder) {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![shape]), at(0));
+    let started = plan_and_start(&mut pool, 10).remove(0);
+    let b = common::vm("b", 1);
+    pool.list_vm(b.clone());
+    pool.report(&b.id, &report(0, vec![], vec![]), at(20));
+    let names: HashSet<Arc<str>> = [Arc::from("a")].into();
+    pool.set_cordoned(names.clone());
+    pool.set_hurried(names);
+    (pool, started)
+}
+
+#[gtest]
+fn what_can_be_resumed_is_stopped_on_a_vm_that_another_pool_needs_and_resumes_elsewhere() {
+    let (mut pool, started) = hurried(saving(1, 1_000));
+    pool.report(&started.vm, &report(500, vec![row(started.run, 10)], vec![]), at(510));
+    expect_that!(stops(&pool.plan(at(520))), eq(&vec![started.run]));
+    expect_that!(stops(&pool.plan(at(530))), is_empty(), "told once");
+    let stopped = RunEnd { checkpoint: "half".into(), ..end(1, started.run, EndKind::Stopped) };
+    pool.report(&started.vm, &report(600, vec![], vec![stopped]), at(610));
+    let again = starts(&pool.plan(at(620)));
+    expect_that!(again, len(eq(1)));
+    expect_that!(again[0].vm, eq(&common::vm("b", 1).id));
+    expect_that!(again[0].checkpoint, eq("half"));
+}
+
+#[gtest]
+fn a_run_that_is_nearly_done_or_would_lose_its_work_is_left_to_end() {
+    let (mut pool, started) = hurried(saving(1, 1_000));
+    pool.report(&started.vm, &report(3_000, vec![row(started.run, 90)], vec![]), at(3_010));
+    expect_that!(stops(&pool.plan(at(3_020))), is_empty(), "a tenth of 3.3 s is left");
+    for shape in [step(1, 1_000), Step { gang: true, ..saving(1, 1_000) }] {
+        let (mut pool, started) = hurried(shape);
+        pool.report(&started.vm, &report(100, vec![row(started.run, 1)], vec![]), at(110));
+        expect_that!(stops(&pool.plan(at(120))), is_empty());
+    }
+}
+
+#[gtest]
+fn a_vm_that_is_emptied_for_maintenance_lets_its_tasks_end() {
+    let (mut pool, started) = hurried(saving(1, 1_000));
+    pool.set_hurried(HashSet::new());
+    pool.report(&started.vm, &report(100, vec![row(started.run, 1)], vec![]), at(110));
+    expect_that!(stops(&pool.plan(at(120))), is_empty());
+}
+
+#[gtest]
+fn vms_that_can_be_empty_soonest_are_offered_first() {
+    let mut pool = pool_with(&["a", "b"]);
+    // The fuller VM is nearly done, the other has just begun.
+    pool.submit(JOB, job(vec![step(1, 4_000)]), at(0));
+    let long = plan_and_start(&mut pool, 10).remove(0);
+    pool.submit(JobId(2), job(vec![step(1, 1_000)]), at(0));
+    let short = plan_and_start(&mut pool, 10).remove(0);
+    pool.report(&long.vm, &report(900, vec![row(long.run, 90)], vec![]), at(910));
+    pool.report(&short.vm, &report(900, vec![row(short.run, 20)], vec![]), at(910));
+    let names = [long.vm, short.vm].map(|vm| vm.split('-').nth(1).map(Arc::from));
+    expect_that!(pool.light(at(910)), eq(&names.into_iter().flatten().collect::<Vec<Arc<str>>>()));
+}
+
+#[gtest]
+fn tasks_to_be_resumed_count_like_running_ones_in_their_pools_need() {
+    let (mut pool, started) = hurried(saving(1, 1_000));
+    let stopped = RunEnd { checkpoint: "half".into(), ..end(1, started.run, EndKind::Stopped) };
+    pool.report(&started.vm, &report(600, vec![], vec![stopped]), at(610));
+    let load = pool.load(at(620));
+    expect_that!((load.waiting_cpu, load.used_cpu), eq((0, 1_000)));
+}
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -146,6 +146,7 @@
                 Ok(()) = fleet.changed() => {
                     let record = fleet.borrow_and_update().clone();
                     self.pool.set_cordoned(record.cordoned().map(Arc::from).collect());
+                    self.pool.set_hurried(record.moving().map(Arc::from).collect());
                     self.pool.set_due(record.due().map(Arc::from).collect());
                 }
                 () = tokio::time::sleep(pause) => (),
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -42,7 +42,7 @@
             spread: load.spread,
             emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
             idle: self.pool.idle().into_iter().map(text).collect(),
-            light: self.pool.light().into_iter().map(text).collect(),
+            light: self.pool.light(now()).into_iter().map(text).collect(),
         };
         if report == self.reporter.last {
             return;
