A pool's need is also taken from how fast work comes

A new owner's reading of old jobs is no arrival. Ruled out: the pause between reports (250 ms), the machine service (orders answered within 20 ms).

--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -50,7 +50,8 @@
             need.vm_cpu = report.cpu / u64::from(report.vms);
         }
         let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
-        let wanted = (report.used_cpu + WAITING_WEIGHT * report.waiting_cpu) * 100;
+        let there = report.used_cpu + WAITING_WEIGHT * report.waiting_cpu;
+        let wanted = there.max(report.coming_cpu + report.waiting_cpu) * 100;
         let vms = wanted.div_ceil(vm_cpu * FILL_PERCENT);
         let vms = usize::try_from(vms).unwrap_or(usize::MAX);
         let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -5,6 +5,7 @@
 //! ([`Pool::take_acks`]) only then: a successor finds every order and every end in the records.
 
 mod advice;
+mod arrivals;
 mod ends;
 mod estimate;
 mod evacuate;
@@ -31,6 +32,7 @@
 
 use advice::Advised;
 pub use advice::{Question, StepId};
+use arrivals::Arrivals;
 use estimate::Estimates;
 use job::Job;
 pub use order::{Order, StartOrder, StartResult};
@@ -65,6 +67,9 @@
     pub used_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
+    /// Processor that jobs would keep busy if they went on coming as they came of late, in
+    /// thousandths of a core.
+    pub coming_cpu: u64,
     /// VMs that take work.
     pub vms: u32,
     /// VMs that lasting tasks need, which may not share one.
@@ -94,6 +99,7 @@
     dirty: Vec<JobKey>,
     acks: Vec<(VmId, u64)>,
     estimates: Estimates,
+    arrivals: Arrivals,
     /// What is known of the policies of steps that need advice.
     advice: BTreeMap<StepId, Advised>,
 }
@@ -109,6 +115,7 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
+        self.note_arrival(&spec, now.steady);
         let key = self.jobs.insert(Job::new(id, spec, now));
         self.job_keys.insert(id, key);
     }
@@ -154,7 +161,7 @@
 
     /// Counts what waits and what is in use.
     pub fn load(&self, now: Now) -> Load {
-        let mut load = Load::default();
+        let mut load = Load { coming_cpu: self.arrivals.coming_cpu(now.steady), ..Load::default() };
         for vm in self.vms.values().filter(|vm| vm.takes_work()) {
             load.vms += 1;
             load.cpu += u64::from(vm.room().cpu);
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -4,11 +4,15 @@
 
 use super::job::{Job, Spot};
 use super::vms::Run;
-use super::{Now, Pool};
+use super::{Ms, Now, Pool};
 use crate::id::{JobId, TaskId, VmId};
 use crate::job_log::JobEntry;
 use crate::progress::{Phase, Place, TaskRecord};
 
+/// A job that is read within this time of its acceptance counts for the rate at which jobs come, in
+/// milliseconds; a new owner reads older ones all at once.
+const JUST_ACCEPTED_MS: Ms = 1_000;
+
 impl Pool {
     /// Takes in a job as its records tell. Tasks ordered to run somewhere count as running there
     /// until that VM has answered under this owner's token, or its lease is over.
@@ -18,6 +22,9 @@
             return;
         }
         let mut job = Job::new(id, spec.clone(), now);
+        if now.steady.saturating_sub(job.accepted) < JUST_ACCEPTED_MS {
+            self.note_arrival(spec, now.steady);
+        }
         job.begun = entry.progress.begun;
         job.done_times.clone_from(&entry.progress.done_times);
         job.begin_due(now);
--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -306,3 +306,13 @@
     fleet.plan(1_910);
     expect_that!(fleet.record().cordoned().collect::<Vec<_>>(), eq(&vec!["o"]));
 }
+
+#[gtest]
+fn a_pool_to_which_much_comes_gets_vms_before_it_waits() {
+    let mut fleet = two_pools();
+    fleet.set_report(&"desk".into(), busy(0, 0, &[]), 0);
+    let coming = PoolReport { coming_cpu: 80_000, ..busy(0, 0, &[]) };
+    fleet.set_report(&"hub".into(), coming, 0);
+    fleet.plan(1);
+    expect_that!(fleet.record().cordoned().any(|n| n.starts_with('o')), eq(true));
+}
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -37,6 +37,7 @@
         let report = PoolReport {
             waiting_cpu: load.waiting_cpu,
             used_cpu: load.used_cpu,
+            coming_cpu: load.coming_cpu,
             cpu: load.cpu,
             vms: load.vms,
             spread: load.spread,
