Lasting tasks leave VMs that have left the list without a word

Cause: by the users' news some VMs never say that they drain: their entry goes, and they serve on for as long. Lasting tasks stayed there until the VM was gone. They are moved now within their steps' budgets, unless calls to the store have failed in the last 2.5 s: entries that lapse in an outage are back within two seconds. Test: lasting_tasks_leave_a_vm_that_has_left_the_list_unless_the_list_may_not_be_whole, red with the rule taken out.

--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -14,7 +14,10 @@
     pub(super) fn evacuate(&mut self, now: Now) {
         let leaving = |key: VmKey| {
             let vm = &self.vms[key];
-            (vm.cordoned || vm.draining()) && vm.reachable && !vm.runs.is_empty()
+            // Some VMs leave without a word: they are no longer listed and go on for a while.
+            let left_the_list = self.listing_is_sound && !vm.listed;
+            let leaves = vm.cordoned || vm.draining() || left_the_list;
+            leaves && vm.reachable && !vm.runs.is_empty()
         };
         let vms: Vec<VmKey> = self.vms.keys().filter(|&k| leaving(k)).collect();
         for key in vms {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -95,6 +95,9 @@
     hurried: HashSet<Arc<str>>,
     /// VMs, by lasting name, that maintenance will take down before long.
     due: HashSet<Arc<str>>,
+    /// The list of VMs is whole, as far as is known: after an outage of the store entries that
+    /// lapsed meanwhile are not back at once.
+    listing_is_sound: bool,
     orders: Vec<Order>,
     dirty: Vec<JobKey>,
     acks: Vec<(VmId, u64)>,
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -215,6 +215,11 @@
         self.forget_vm_if_empty(key);
     }
 
+    /// Sets whether a VM that is not listed is to be taken as leaving.
+    pub fn set_listing_is_sound(&mut self, sound: bool) {
+        self.listing_is_sound = sound;
+    }
+
     /// Sets which VMs, by lasting name, are to be emptied.
     pub fn set_cordoned(&mut self, names: HashSet<Arc<str>>) {
         for vm in self.vms.values_mut() {
--- a/crates/schedule/tests/emptying.rs
+++ b/crates/schedule/tests/emptying.rs
@@ -85,3 +85,19 @@
     let load = pool.load(at(620));
     expect_that!((load.waiting_cpu, load.used_cpu), eq((0, 1_000)));
 }
+
+#[gtest]
+fn lasting_tasks_leave_a_vm_that_has_left_the_list_unless_the_list_may_not_be_whole() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![common::lasting(1, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10).remove(0);
+    let b = common::vm("b", 1);
+    pool.list_vm(b.clone());
+    pool.report(&b.id, &report(0, vec![], vec![]), at(20));
+    pool.report(&started.vm, &report(20, vec![row(started.run, 100)], vec![]), at(30));
+    pool.unlist_vm(&started.vm);
+    pool.set_listing_is_sound(false);
+    expect_that!(stops(&pool.plan(at(40))), is_empty());
+    pool.set_listing_is_sound(true);
+    expect_that!(stops(&pool.plan(at(50))), eq(&vec![started.run]));
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -18,6 +18,9 @@
 /// How long a node counts as in touch with the store after a call that it answered: more than the
 /// longest wait for records.
 const IN_TOUCH_MS: Ms = 2_200;
+/// Within what time VMs whose entries lapsed in an outage of the store are listed again, in
+/// milliseconds: the users' two seconds, and a margin for reading the list.
+const LISTED_AGAIN_MS: Ms = 2_500;
 /// Nodes that may read as often as on a small site: 30 of them make about 300 reads a second for
 /// five pools, of the 2,000 that the smallest store grants.
 const NODES_AT_EASE: usize = 30;
@@ -70,6 +73,8 @@
     lease_until: AtomicU64,
     /// When the store last answered.
     store_answered: AtomicU64,
+    /// When a call to the store last failed.
+    store_failed: AtomicU64,
     store_lost: AtomicBool,
     /// It owns a pool or the fleet.
     pub owning: watch::Sender<bool>,
@@ -96,6 +101,7 @@
             pools: Mutex::default(),
             lease_until: AtomicU64::new(0),
             store_answered: AtomicU64::new(0),
+            store_failed: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
             owning: watch::Sender::new(false),
             stopping: watch::Sender::new(false),
@@ -147,11 +153,21 @@
             if self.store_lost.swap(false, Ordering::Relaxed) {
                 log::info!("store step=regained");
             }
-        } else if !self.in_touch() && !self.store_lost.swap(true, Ordering::Relaxed) {
+            return;
+        }
+        self.store_failed.store(steady_ms(), Ordering::Relaxed);
+        if !self.in_touch() && !self.store_lost.swap(true, Ordering::Relaxed) {
             log::warn!("store step=lost silent_ms={IN_TOUCH_MS}");
         }
     }
 
+    /// Returns whether the store has answered all calls for as long as VMs may need to be listed again
+    /// after an outage.
+    pub fn listing_is_sound(&self) -> bool {
+        let failed = self.store_failed.load(Ordering::Relaxed);
+        self.in_touch() && steady_ms().saturating_sub(failed) >= LISTED_AGAIN_MS
+    }
+
     /// Returns how many times as seldom as on a small site this node reads what it does not need at
     /// once: all nodes share the store's calls.
     pub fn crowd(&self) -> u32 {
