Calls to the store go through another node while it turns this one away

Such a node refused its callers' jobs with 503 and lost its pools after 2.7 s, though others reached the store. Nodes pass calls on for each other now: where, stands in their heartbeats. A node takes that way when its calls have failed for 100 ms with none answered, and asks the store itself every 250 ms. One that does not reach the store itself passes nothing on and says so: nothing was done. A call that was passed on and not answered stays unknown. Ruled out: sending callers on to other nodes (the balancer keeps a connection at its node), giving pools up sooner (they would wander from node to node).

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -5,6 +5,7 @@
 //! longer than its own lease lasts. Nothing here decides who *is* owner: the store does.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -56,10 +57,14 @@
     pub sequence: u64,
     /// It is about to stop and takes no pools.
     pub leaving: bool,
+    /// Where it passes calls to the store on for others, if it does.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
 }
 
 #[derive(Clone, Debug)]
 struct Member {
+    relay: Option<SocketAddr>,
     life: u64,
     sequence: u64,
     leaving: bool,
@@ -97,8 +102,8 @@
 
     /// Takes in a heartbeat that was read.
     pub fn heard(&mut self, name: &str, beat: &Heartbeat, now: Ms) {
-        let Heartbeat { life, sequence, leaving } = *beat;
-        let news = Member { life, sequence, leaving, heard_at: now };
+        let Heartbeat { life, sequence, leaving, relay } = *beat;
+        let news = Member { relay, life, sequence, leaving, heard_at: now };
         match self.members.get_mut(name) {
             Some(m) if m.life == life && m.sequence >= sequence => m.leaving |= leaving,
             Some(m) => *m = news,
@@ -177,6 +182,16 @@
         self.members.iter().filter(move |(_, m)| lately(m)).map(|(name, _)| name.as_str())
     }
 
+    /// Returns where other members that were heard lately pass calls to the store on.
+    pub fn relays(&self, now: Ms) -> Vec<SocketAddr> {
+        let lately = |m: &Member| !m.leaving && now.saturating_sub(m.heard_at) < ALIVE_MS;
+        let others = self.members.iter().filter(|(name, m)| **name != self.me.name && lately(m));
+        let mut relays: Vec<SocketAddr> = others.filter_map(|(_, m)| m.relay).collect();
+        // Each node begins with another one.
+        relays.sort_by_key(|addr| weight(format!("{}/{addr}", self.me.name).as_bytes(), 0));
+        relays
+    }
+
     /// Returns which of some pools this node is to claim now.
     pub fn to_claim<'a>(
         &mut self,
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -13,7 +13,7 @@
 }
 
 fn beat(life: u64, sequence: u64) -> Heartbeat {
-    Heartbeat { life, sequence, leaving: false }
+    Heartbeat { life, sequence, leaving: false, relay: None }
 }
 
 fn claim(name: &str, life: u64) -> Claim {
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -21,7 +21,7 @@
 /// Its partition of claims.
 pub const CLAIMS: u32 = 0;
 /// Its partition of heartbeats.
-const HEARTBEATS: u32 = 1;
+pub const HEARTBEATS: u32 = 1;
 /// What the keys of claims start with.
 pub const OWNER_PREFIX: &str = "owner/";
 const MEMBER_PREFIX: &str = "member/";
@@ -101,7 +101,8 @@
         let sent_at = steady_ms();
         sequence += 1;
         let leaving = *node.stopping.borrow();
-        let beat = Heartbeat { life: node.me.life, sequence, leaving };
+        let relay = node.settings.relay_listen;
+        let beat = Heartbeat { life: node.me.life, sequence, leaving, relay };
         let key = format!("{MEMBER_PREFIX}{}", node.me.name);
         let record = KeyedRecord::new(key, to_json(&beat));
         let appended = node.store.append(TOPIC, HEARTBEATS, Guard::Always, &[record]).await;
@@ -149,6 +150,7 @@
     let records = match news {
         News::Reloaded(records) | News::Records(records) => records,
     };
+    let any = !records.is_empty();
     for Stored { record, offset } in records {
         let Some(name) = record.key.strip_prefix(MEMBER_PREFIX) else { continue };
         let Some(value) = record.value() else { continue };
@@ -157,6 +159,9 @@
             Err(e) => log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\""),
         }
     }
+    if any {
+        node.store.set_peers(ownership.relays(now));
+    }
 }
 
 /// Encodes a record that operators may read.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -1,7 +1,8 @@
 //! The job scheduler's daemon: takes callers' jobs, keeps them in the platform's store, schedules
 //! the pools that this node owns, and maintains VMs.
 //!
-//! Nodes do not talk to each other: all that they agree on goes through the store. Lock order: a
+//! All that nodes agree on goes through the store; they talk to each other only to pass calls to
+//! the store on for one that it turns away. Lock order: a
 //! pool log's cursors, then its jobs, then the node's tables; no lock but a cursor's is held
 //! across an await.
 
@@ -16,6 +17,7 @@
 mod owner;
 mod pool_log;
 mod readiness;
+mod relay;
 mod reply;
 mod run;
 mod stats;
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -10,7 +10,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::node::{Node, steady_ms};
-use crate::{callers, control, listing, readiness, stats};
+use crate::{callers, control, listing, readiness, relay, stats};
 
 /// Bounds of the buckets of answer times, in seconds.
 const SECONDS: [f64; 9] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
@@ -31,6 +31,10 @@
         .map_err(|e| RunError::Metrics(e.to_string()))?;
     let listener = TcpListener::bind(settings.listen).await?;
     let readiness_listener = TcpListener::bind(settings.readiness_listen).await?;
+    let relay_listener = match settings.relay_listen {
+        Some(addr) => Some(TcpListener::bind(addr).await?),
+        None => None,
+    };
     let node = Arc::new(Node::new(settings));
     log::info!(
         "node name={} life={:016x} hall={} step=start version={}",
@@ -51,6 +55,10 @@
     tokio::spawn(control::run(node.clone()));
     tokio::spawn(readiness::run(node.clone(), readiness_listener));
     tokio::spawn(callers::run(node.clone(), listener));
+    tokio::spawn(relay::watch(node.clone()));
+    if let Some(listener) = relay_listener {
+        tokio::spawn(relay::run(node.clone(), listener));
+    }
 
     loop {
         tokio::select! {
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -119,12 +119,17 @@
     }
 
     pub fn add_node(&mut self, ip: Ipv4Addr) {
+        self.add_node_at(ip, self.platform.store_addr());
+    }
+
+    /// Adds a node that reaches the store at an address of its own.
+    pub fn add_node_at(&mut self, ip: Ipv4Addr, store: SocketAddr) {
         let name = format!("node-{}", ip.octets()[3]);
         let settings = self.dir.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nhall: hall-a\nlisten: {ip}:8080\nreadiness_listen: {ip}:8081\n\
-             metrics_listen: {ip}:9464\nstore: {}\nmachine_service: {}\nlog:\n  output: stdout\n",
-            self.platform.store_addr(),
+             metrics_listen: {ip}:9464\nrelay_listen: {ip}:7060\nstore: {store}\n\
+             machine_service: {}\nlog:\n  output: stdout\n",
             self.platform.machines_addr(),
         );
         std::fs::write(&settings, text).expect("the settings are written");
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -23,6 +23,10 @@
     pub readiness_listen: SocketAddr,
     /// Where metrics are served.
     pub metrics_listen: SocketAddr,
+    /// Where other nodes reach it to have their calls to the store passed on; without it, it passes
+    /// none on.
+    #[serde(default)]
+    pub relay_listen: Option<SocketAddr>,
     /// The platform's metadata store.
     pub store: SocketAddr,
     /// The platform's machine service, if there is one.
@@ -79,7 +83,8 @@
         let day = Span::from_secs(86_400);
         in_range("keep_settled", &self.keep_settled, &second, &day)?;
         in_range("machine_order_gap", &self.machine_order_gap, &second, &Span::from_secs(600))?;
-        let listeners = [self.listen, self.readiness_listen, self.metrics_listen];
+        let mut listeners = vec![self.listen, self.readiness_listen, self.metrics_listen];
+        listeners.extend(self.relay_listen);
         for (i, addr) in listeners.iter().enumerate() {
             if listeners[..i].contains(addr) {
                 return Err(SettingsError::value(
