Progress goes to a spare partition while the first does not take it

It writes to a spare partition then, under the same token. Records of progress are numbered by token and count, so that a reader in any order keeps the newest; an append without an answer is still sent again under its number before anything else goes to that partition. What went to the spare one is written to the first as soon as that answers again, and dropped there: other nodes read the first one only. A new owner shuts its predecessor out of both and reads both. Records of before stay readable (key p). Ruled out: starting without records (a VM that is dark at a takeover would stall its whole pool for a lease). Tests: an_owner_goes_on_while_its_first_partition_is_down and work_whose_progress_is_in_the_spare_partition_is_taken_over_and_not_run_again fail without the spare partition; an_older_record_that_is_read_late_changes_nothing; the random runs read older records late.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -1,8 +1,8 @@
 //! The fold of one pool's records: what was submitted, what was cancelled, how far each job is.
 //!
 //! Any node appends submissions and cancels, to one of two partitions. Only the pool's owner appends
-//! to a third: progress. All are folded by job, newest record first come or last, so that a record
-//! that is read twice changes nothing.
+//! to a third: progress, and to a fourth while the third does not take it. All are folded by job,
+//! newest record first come or last, so that a record that is read twice changes nothing.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -14,7 +14,9 @@
 /// What a record's key starts with.
 const SUBMIT: &str = "j";
 const CANCEL: &str = "c";
-const PROGRESS: &str = "p";
+const PROGRESS: &str = "q";
+/// Progress as it was written before it was numbered; any numbered record is newer.
+const UNNUMBERED: &str = "p";
 
 /// Returns the key of a job's submission.
 pub fn submit_key(id: JobId) -> String {
@@ -31,6 +33,36 @@
     format!("{PROGRESS}{id}")
 }
 
+/// Returns the job whose progress a key is about.
+pub fn job_of_progress_key(key: &str) -> Option<JobId> {
+    key.strip_prefix(PROGRESS)?.parse().ok()
+}
+
+/// The order of one job's progress records: those of a later owner are newer.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+pub struct Version {
+    /// The owner's token.
+    pub token: u64,
+    /// The count of the owner's records.
+    pub number: u64,
+}
+
+/// Encodes how far a job is.
+pub fn encode_progress(version: Version, progress: &Progress) -> Vec<u8> {
+    encode(&(version, progress))
+}
+
 /// A record that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadRecord(pub String);
@@ -50,9 +82,18 @@
     pub cancelled: bool,
     /// How far it is.
     pub progress: Progress,
+    /// Which record told so.
+    pub version: Version,
 }
 
 impl JobEntry {
+    /// Takes in a record of progress unless a newer one was read.
+    fn take_progress(&mut self, version: Version, progress: Progress) {
+        if version >= self.version {
+            (self.version, self.progress) = (version, progress);
+        }
+    }
+
     /// Returns the state to show, if the job was submitted.
     pub fn state(&self) -> Option<JobState> {
         self.spec.as_ref()?;
@@ -138,8 +179,13 @@
                 Ok(news.then_some(LogChange::Cancelled(id)))
             }
             PROGRESS => {
+                let (version, progress) = postcard::from_bytes(value).map_err(|_| bad())?;
+                self.jobs.entry(id).or_default().take_progress(version, progress);
+                Ok(None)
+            }
+            UNNUMBERED => {
                 let progress = postcard::from_bytes(value).map_err(|_| bad())?;
-                self.jobs.entry(id).or_default().progress = progress;
+                self.jobs.entry(id).or_default().take_progress(Version::default(), progress);
                 Ok(None)
             }
             _ => Err(bad()),
@@ -157,9 +203,9 @@
     }
 
     /// Sets a job's progress, as its owner has just written it.
-    pub fn set_progress(&mut self, id: JobId, progress: Progress) {
+    pub fn set_progress(&mut self, id: JobId, version: Version, progress: Progress) {
         if let Some(entry) = self.jobs.get_mut(&id) {
-            entry.progress = progress;
+            entry.take_progress(version, progress);
         }
     }
 }
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -6,14 +6,21 @@
     JOB, at, end, job, lasting, plan_and_start, pool_with, report, row, starts, step, stops, vm,
 };
 use googletest::prelude::*;
-use thistle_schedule::job_log::{JobEntry, cancel_key, encode, progress_key, submit_key};
+use thistle_schedule::job_log::{
+    JobEntry, Version, cancel_key, encode, encode_progress, progress_key, submit_key,
+};
 use thistle_schedule::progress::JobState;
 use thistle_schedule::{EndKind, JobId, JobLog, LogChange, Phase, Pool, VmReport};
 
 fn entry_of(pool: &mut Pool, spec: &std::sync::Arc<thistle_schedule::JobSpec>) -> JobEntry {
     let records = pool.take_records();
     let progress = records.into_iter().find(|(id, _)| *id == JOB).map(|(_, p)| p);
-    JobEntry { spec: Some(spec.clone()), cancelled: false, progress: progress.unwrap_or_default() }
+    JobEntry {
+        spec: Some(spec.clone()),
+        cancelled: false,
+        progress: progress.unwrap_or_default(),
+        ..JobEntry::default()
+    }
 }
 
 #[gtest]
@@ -122,7 +129,10 @@
     expect_that!(submitted, eq(&Ok(Some(LogChange::Submitted(JOB)))));
     expect_that!(log.apply(&submit_key(JOB), Some(&value)), eq(&Ok(None)));
     let progress = thistle_schedule::Progress { begun: true, ..Default::default() };
-    expect_that!(log.apply(&progress_key(JOB), Some(&encode(&progress))), eq(&Ok(None)));
+    expect_that!(
+        log.apply(&progress_key(JOB), Some(&encode_progress(Version::default(), &progress))),
+        eq(&Ok(None))
+    );
     expect_that!(log.apply(&submit_key(JOB), Some(&value)), eq(&Ok(None)));
     expect_that!(log.get(JOB).and_then(JobEntry::state), some(eq(JobState::Running)));
 }
@@ -207,3 +217,20 @@
     after.report(&started[0].vm, &listed, at(1_200));
     expect_that!(common::stops(&after.plan(at(1_200))), eq(&vec![started[0].run]));
 }
+
+#[gtest]
+fn an_older_record_that_is_read_late_changes_nothing() {
+    let mut log = JobLog::default();
+    let value = encode(job(vec![step(1, 500)]).as_ref());
+    expect_that!(log.apply(&submit_key(JOB), Some(&value)).is_ok(), eq(true));
+    let mut tell = |token, number, phase| {
+        let progress = thistle_schedule::Progress { begun: true, phase, ..Default::default() };
+        let value = encode_progress(Version { token, number }, &progress);
+        expect_that!(log.apply(&progress_key(JOB), Some(&value)), eq(&Ok(None)));
+        log.get(JOB).and_then(JobEntry::state)
+    };
+    expect_that!(tell(3, 7, Phase::Open), some(eq(JobState::Running)));
+    expect_that!(tell(3, 8, Phase::Completed), some(eq(JobState::Completed)));
+    expect_that!(tell(3, 7, Phase::Open), some(eq(JobState::Completed)));
+    expect_that!(tell(2, 90, Phase::Open), some(eq(JobState::Completed)), "a former owner's");
+}
--- a/crates/schedule/tests/world/mod.rs
+++ b/crates/schedule/tests/world/mod.rs
@@ -8,7 +8,9 @@
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use thistle_schedule::job_log::{cancel_key, encode, progress_key, submit_key};
+use thistle_schedule::job_log::{
+    Version, cancel_key, encode, encode_progress, progress_key, submit_key,
+};
 use thistle_schedule::pool::{Order, StartOrder, StartResult};
 use thistle_schedule::{
     EndKind, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId, VmReport,
@@ -38,6 +40,9 @@
     flights: Vec<Flight>,
     log: JobLog,
     token: u64,
+    /// How many records of progress were written, and the last one of each job.
+    written: u64,
+    older: BTreeMap<JobId, Vec<u8>>,
     pool: Pool,
     steps: BTreeMap<JobId, Vec<Step>>,
     /// Ends that were listed, by task.
@@ -69,6 +74,8 @@
             flights: Vec::new(),
             log: JobLog::default(),
             token: 1,
+            written: 0,
+            older: BTreeMap::new(),
             pool: Pool::new(),
             steps: BTreeMap::new(),
             done: BTreeSet::new(),
@@ -147,7 +154,14 @@
             return;
         }
         for (id, progress) in records {
-            assert!(self.log.apply(&progress_key(id), Some(&encode(&progress))).is_ok());
+            self.written += 1;
+            let version = Version { token: self.token, number: self.written };
+            let value = encode_progress(version, &progress);
+            assert!(self.log.apply(&progress_key(id), Some(&value)).is_ok());
+            // Records in two partitions may be read in any order.
+            if let Some(older) = self.older.insert(id, value) {
+                assert!(self.log.apply(&progress_key(id), Some(&older)).is_ok());
+            }
         }
         for (id, sequence) in self.pool.take_acks() {
             self.acknowledge(&id, sequence);
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -65,7 +65,7 @@
 /// Owns the fleet until another node does, or the task is aborted.
 pub async fn run(node: Arc<Node>, token: u64) {
     let Some(addr) = node.settings.machine_service else { return };
-    let Ok(journal) = Journal::open(&node, TOPIC, RECORD, token).await else {
+    let Ok(journal) = Journal::open(&node, TOPIC, &[RECORD], token).await else {
         log::warn!("fleet step=fenced token={token}");
         return;
     };
--- a/crates/scheduler/src/journal.rs
+++ b/crates/scheduler/src/journal.rs
@@ -1,66 +1,178 @@
-//! Records that only an owner appends: in order, once each, and only while nobody else owns.
+//! Records that only an owner appends: once each, and only while nobody else owns.
 
 use std::time::Duration;
 
 use thistle_platform::{Appended, Guard, KeyedRecord};
+use thistle_schedule::Ms;
 
-use crate::node::Node;
+use crate::node::{Node, steady_ms};
 
 /// Pause before an append is tried again.
 const PAUSE: Duration = Duration::from_millis(30);
+/// How long a partition that has not taken an append is left alone while another one takes them, in
+/// milliseconds.
+const LEAVE_ALONE_MS: Ms = 400;
 
 /// Another node owns what the records are about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Fenced;
 
-/// Writes to one partition under a token.
+/// Where records were appended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Place {
+    /// The partition.
+    pub part: u32,
+    /// The offset of the first record.
+    pub offset: u64,
+    /// The partition's end.
+    pub end: u64,
+}
+
+/// Writes to one partition under a token, and to others while that one does not take it.
 pub struct Journal {
     topic: String,
-    part: u32,
+    lanes: Vec<Lane>,
     epoch: u64,
+}
+
+struct Lane {
+    part: u32,
+    /// The number of the next append.
     sequence: u64,
+    /// What was sent as number `sequence` and not answered: it may be there, or come yet. Nothing
+    /// else may be sent under that number, as the store would take it for a copy.
+    unanswered: Option<Vec<KeyedRecord>>,
+    /// It is not tried before this if another one is left.
+    again_at: Ms,
+}
+
+/// What came of one try.
+enum Tried {
+    Done(Place),
+    Failed,
 }
 
 impl Journal {
-    /// Shuts out all writers with lower tokens.
-    pub async fn open(node: &Node, topic: &str, part: u32, token: u64) -> Result<Self, Fenced> {
-        let mut journal = Self { topic: topic.to_owned(), part, epoch: token, sequence: 0 };
-        journal.append(node, &[]).await?;
+    /// Shuts out all writers with lower tokens. The first partition is the one to write to.
+    pub async fn open(node: &Node, topic: &str, parts: &[u32], token: u64) -> Result<Self, Fenced> {
+        let lane = |&part: &u32| Lane { part, sequence: 0, unanswered: None, again_at: 0 };
+        let lanes = parts.iter().map(lane).collect();
+        let mut journal = Self { topic: topic.to_owned(), lanes, epoch: token };
+        for i in 0..journal.lanes.len() {
+            journal.append_to(node, i, &[]).await?;
+        }
         Ok(journal)
     }
 
-    /// Appends records and returns their first offset and the partition's end. An append without
-    /// an answer is sent again under the same number, and so done once.
-    pub async fn append(
+    /// Appends records to the first partition that takes them.
+    ///
+    /// An append without an answer may be there twice, in two partitions, or come late: the records
+    /// must tell by themselves which is newer.
+    pub async fn append(&mut self, node: &Node, records: &[KeyedRecord]) -> Result<Place, Fenced> {
+        if self.lanes.len() == 1 {
+            return self.append_to(node, 0, records).await;
+        }
+        loop {
+            let now = steady_ms();
+            let none_left = self.lanes.iter().all(|lane| lane.again_at > now);
+            for i in 0..self.lanes.len() {
+                if self.lanes[i].again_at > now && !none_left {
+                    continue;
+                }
+                if let Tried::Done(place) = self.try_once(node, i, records).await? {
+                    return Ok(place);
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Tries once to append records to the last partition; returns whether it took them.
+    pub async fn append_to_spare(
         &mut self,
         node: &Node,
         records: &[KeyedRecord],
-    ) -> Result<(u64, u64), Fenced> {
+    ) -> Result<bool, Fenced> {
+        let last = self.lanes.len() - 1;
+        if self.lanes[last].again_at > steady_ms() {
+            return Ok(false);
+        }
+        Ok(matches!(self.try_once(node, last, records).await?, Tried::Done(_)))
+    }
+
+    /// Returns whether the first partition is tried now.
+    pub fn first_takes_records(&self) -> bool {
+        self.lanes.first().is_some_and(|lane| lane.again_at <= steady_ms())
+    }
+
+    /// Appends records to one partition, however long that takes. An append without an answer is
+    /// sent again under the same number, and so done once.
+    async fn append_to(
+        &mut self,
+        node: &Node,
+        lane: usize,
+        records: &[KeyedRecord],
+    ) -> Result<Place, Fenced> {
         loop {
-            let guard = Guard::Writer { epoch: self.epoch, sequence: self.sequence };
-            match node.store.append(&self.topic, self.part, guard, records).await {
-                Ok(Appended::Done { offset, end }) => {
-                    node.note_store(true);
-                    self.sequence += 1;
-                    return Ok((offset, end));
-                }
-                Ok(Appended::Fenced) => return Err(Fenced),
-                Ok(Appended::Sequence(Some(wanted))) => {
-                    log::warn!(
-                        "journal topic={} part={} step=renumbered sequence={} wanted={wanted}",
-                        self.topic,
-                        self.part,
-                        self.sequence,
-                    );
-                    self.sequence = wanted;
-                }
-                Ok(other) => log::error!("journal topic={} answer={other:?}", self.topic),
-                Err(e) => {
-                    node.note_store(false);
-                    log::debug!("journal topic={} step=failed error=\"{e}\"", self.topic);
-                }
+            if let Tried::Done(place) = self.try_once(node, lane, records).await? {
+                return Ok(place);
             }
             tokio::time::sleep(PAUSE).await;
         }
     }
+
+    /// Tries one partition: first what it has left unanswered, then the records.
+    async fn try_once(
+        &mut self,
+        node: &Node,
+        lane: usize,
+        records: &[KeyedRecord],
+    ) -> Result<Tried, Fenced> {
+        if let Some(unanswered) = self.lanes[lane].unanswered.clone() {
+            let tried = self.send(node, lane, &unanswered).await?;
+            if matches!(tried, Tried::Failed) || unanswered == records {
+                return Ok(tried);
+            }
+        }
+        self.send(node, lane, records).await
+    }
+
+    async fn send(
+        &mut self,
+        node: &Node,
+        lane: usize,
+        records: &[KeyedRecord],
+    ) -> Result<Tried, Fenced> {
+        let lane = &mut self.lanes[lane];
+        let guard = Guard::Writer { epoch: self.epoch, sequence: lane.sequence };
+        match node.store.append(&self.topic, lane.part, guard, records).await {
+            Ok(Appended::Done { offset, end }) => {
+                node.note_store(true);
+                (lane.unanswered, lane.again_at) = (None, 0);
+                lane.sequence += 1;
+                return Ok(Tried::Done(Place { part: lane.part, offset, end }));
+            }
+            Ok(Appended::Fenced) => return Err(Fenced),
+            Ok(Appended::Sequence(Some(wanted))) => {
+                log::warn!(
+                    "journal topic={} part={} step=renumbered sequence={} wanted={wanted}",
+                    self.topic,
+                    lane.part,
+                    lane.sequence,
+                );
+                (lane.sequence, lane.unanswered) = (wanted, None);
+            }
+            Ok(other) => log::error!("journal topic={} answer={other:?}", self.topic),
+            Err(e) => {
+                node.note_store(false);
+                if !e.nothing_done() {
+                    lane.unanswered = Some(records.to_vec());
+                }
+                lane.again_at = steady_ms() + LEAVE_ALONE_MS;
+                let (topic, part) = (&self.topic, lane.part);
+                log::info!("journal topic={topic} part={part} step=failed error=\"{e}\"");
+            }
+        }
+        Ok(Tried::Failed)
+    }
 }
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -13,7 +13,7 @@
 
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
 use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
-use crate::pool_log::{PROGRESS, SPARE, SUBMISSIONS, topic_of};
+use crate::pool_log::{PROGRESS, SPARE, SPARE_PROGRESS, SUBMISSIONS, topic_of};
 
 /// What the store holds.
 #[derive(Debug, Serialize)]
@@ -142,7 +142,7 @@
     async fn read_job(&mut self, store: &Store, id: JobId) -> Result<(), StoreError> {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
             let mut log = JobLog::default();
-            for part in [SUBMISSIONS, SPARE, PROGRESS] {
+            for part in [SUBMISSIONS, SPARE, PROGRESS, SPARE_PROGRESS] {
                 for stored in store.newest(&topic_of(&pool), part).await?.records {
                     log.apply(&stored.record.key, stored.record.value())
                         .map_err(|e| StoreError::Malformed(e.0))?;
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -18,9 +18,10 @@
 
 use crate::journal::{Fenced, Journal};
 use crate::node::{Node, now, steady_ms};
-use crate::pool_log::{PROGRESS, PoolLog};
+use crate::pool_log::{PROGRESS, PoolLog, SPARE_PROGRESS};
 use advisor::Advisor;
 use link::Link;
+use progress::ProgressWriter;
 use report::Reporter;
 
 /// How often the schedule is looked at when nothing happens.
@@ -56,6 +57,7 @@
     token: u64,
     pool: Pool,
     journal: Journal,
+    writer: ProgressWriter,
     links: HashMap<VmId, Link>,
     /// When runs on VMs that cannot be asked are surely over.
     orphans: HashMap<VmId, Ms>,
@@ -70,7 +72,7 @@
     let (tx, rx) = unbounded_channel();
     let pool_name = log.pool.clone();
     let began = steady_ms();
-    let journal = match Journal::open(&node, &log.topic, PROGRESS, token).await {
+    let journal = match Journal::open(&node, &log.topic, &[PROGRESS, SPARE_PROGRESS], token).await {
         Ok(journal) => journal,
         Err(Fenced) => {
             log::warn!("owner pool={pool_name} step=fenced token={token}");
@@ -83,6 +85,7 @@
         log::debug!("owner pool={pool_name} step=read-failed error=\"{e}\"");
         tokio::time::sleep(TICK).await;
     }
+    let spilled = log.spilled();
     let advisor = Advisor::start(&node, tx.clone());
     let mut owner = Owner {
         node,
@@ -90,6 +93,7 @@
         token,
         pool: Pool::new(),
         journal,
+        writer: ProgressWriter::new(token, spilled),
         links: HashMap::new(),
         orphans: HashMap::new(),
         tx: tx.clone(),
@@ -216,6 +220,7 @@
         if !records.is_empty() {
             self.write_progress(records).await?;
         }
+        self.repair_progress().await?;
         for (vm, sequence) in acks {
             if let Some(link) = self.links.get(&vm) {
                 link.acknowledge(sequence);
--- a/crates/scheduler/src/pool_log.rs
+++ b/crates/scheduler/src/pool_log.rs
@@ -1,13 +1,16 @@
 //! One pool's records, as this node has read them.
 
+use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use thistle_platform::{KeyedRecord, ReadError, StoreError, Stored};
+use thistle_schedule::job_log::{Version, job_of_progress_key};
 use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::journal::Place;
 use crate::node::{Node, lock, steady_ms};
 use crate::owner::Event;
 use crate::submit::{Submission, start_submitter};
@@ -19,6 +22,9 @@
 /// The partition to which any node appends submissions and cancels that the first one does not take:
 /// an outage of the store may concern some partitions only.
 pub const SPARE: u32 = 2;
+/// The partition to which the owner appends progress that its first one does not take, until that
+/// one does.
+pub const SPARE_PROGRESS: u32 = 3;
 /// Where submissions may go, in the order in which they are tried.
 pub const LANES: [u32; 2] = [SUBMISSIONS, SPARE];
 /// How often a node that does not own a pool reads on, on a small site; what callers ask for is read
@@ -69,7 +75,9 @@
     /// The topic of its partitions.
     pub topic: String,
     jobs: Mutex<JobLog>,
-    cursors: [tokio::sync::Mutex<Cursor>; 3],
+    cursors: [tokio::sync::Mutex<Cursor>; 4],
+    /// Jobs of which the spare partition holds progress, as far as it was read.
+    spilled: Mutex<BTreeSet<JobId>>,
     /// Where the owner on this node takes in changes.
     owner: Mutex<Option<UnboundedSender<Event>>>,
     owned: AtomicBool,
@@ -91,6 +99,7 @@
             topic: topic_of(pool),
             jobs: Mutex::default(),
             cursors: Default::default(),
+            spilled: Mutex::default(),
             owner: Mutex::default(),
             owned: AtomicBool::new(false),
             loaded: AtomicBool::new(false),
@@ -180,6 +189,7 @@
     ) -> Result<(), StoreError> {
         let Some(from) = cursor.next else {
             let newest = node.store.newest(&self.topic, part).await?;
+            self.note_spilled(part, &newest.records);
             self.apply(newest.records);
             cursor.next = Some(newest.end);
             return Ok(());
@@ -188,6 +198,7 @@
             Ok(batch) => {
                 let next = from + batch.records.len() as u64;
                 let reached_end = next >= batch.end;
+                self.note_spilled(part, &batch.records);
                 self.apply(batch.records);
                 cursor.next = Some(next);
                 if reached_end {
@@ -231,7 +242,8 @@
         match part {
             SUBMISSIONS => &self.cursors[0],
             SPARE => &self.cursors[1],
-            _ => &self.cursors[2],
+            PROGRESS => &self.cursors[2],
+            _ => &self.cursors[3],
         }
     }
 
@@ -240,6 +252,7 @@
     pub async fn read_all(&self, node: &Node, since: Ms) -> Result<(), StoreError> {
         self.catch_up(node, SUBMISSIONS, since).await?;
         self.catch_up(node, PROGRESS, since).await?;
+        self.catch_up(node, SPARE_PROGRESS, since).await?;
         match self.catch_up(node, SPARE, since).await {
             Err(e) if self.jobs().has_begun_unseen() => Err(e),
             Err(e) => {
@@ -255,6 +268,27 @@
         self.cursor(SPARE).lock().await.next.is_none_or(|next| next > 0)
     }
 
+    /// Notes which jobs' progress the spare partition holds.
+    fn note_spilled(&self, part: u32, records: &[Stored]) {
+        if part != SPARE_PROGRESS {
+            return;
+        }
+        let mut spilled = lock(&self.spilled);
+        for Stored { record, .. } in records {
+            let Some(id) = job_of_progress_key(&record.key) else { continue };
+            if record.value().is_some() {
+                spilled.insert(id);
+            } else {
+                spilled.remove(&id);
+            }
+        }
+    }
+
+    /// Returns the jobs of which the spare partition holds progress, for a new owner.
+    pub fn spilled(&self) -> BTreeSet<JobId> {
+        lock(&self.spilled).clone()
+    }
+
     fn apply(&self, records: Vec<Stored>) {
         let mut jobs = self.jobs();
         for Stored { offset, record } in records {
@@ -311,16 +345,14 @@
     }
 
     /// Takes in progress that this node has just appended as owner.
-    pub async fn apply_progress(&self, records: Vec<(JobId, Progress)>, offset: u64, end: u64) {
-        let mut cursor = self.cursor(PROGRESS).lock().await;
-        if cursor.next != Some(offset) {
-            // Someone on this node has read it already, or a read will bring it in order.
-            return;
+    pub async fn apply_progress(&self, records: Vec<(JobId, Version, Progress)>, place: Place) {
+        let mut cursor = self.cursor(place.part).lock().await;
+        if cursor.next == Some(place.offset) {
+            cursor.next = Some(place.end);
         }
-        cursor.next = Some(end);
         let mut jobs = self.jobs();
-        for (id, progress) in records {
-            jobs.set_progress(id, progress);
+        for (id, version, progress) in records {
+            jobs.set_progress(id, version, progress);
         }
     }
 
--- a/crates/scheduler/tests/partitions.rs
+++ b/crates/scheduler/tests/partitions.rs
@@ -10,6 +10,8 @@
 const ID: &str = "5c0e7a21d94b36f8";
 const TOPIC: &str = "jobs.desk";
 const SUBMISSIONS: u32 = 0;
+const PROGRESS: u32 = 1;
+const SPARE_PROGRESS: u32 = 3;
 
 /// Waits until the pool's owner knows all jobs, which it could not learn without the partition.
 async fn until_served(system: &System) {
@@ -95,3 +97,49 @@
     until_state(&system.nodes[0], later, "completed").await;
     expect_that!(system.starts_of(ID).len(), eq(0));
 }
+
+/// Budnet trouble-2, 31 to 36.5 s: an owner whose partition of progress was down started nothing.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_goes_on_while_its_first_partition_is_down() {
+    let system = System::start(34, 2, 2).await;
+    until_served(&system).await;
+    for (i, fault) in [Fault::Busy, Fault::Silent, Fault::Late].into_iter().enumerate() {
+        system.platform.store.set_part_fault(TOPIC, PROGRESS, fault);
+        let id = format!("{:016x}", i + 1);
+        expect_that!(submit(&system.nodes[0], &id, &job(3, 200)).await.status, eq(200));
+        until("all tasks were started", async || system.starts_of(&id).len() == 3).await;
+        // Each task ends 200 ms after its start, and its job is settled in the spare partition.
+        tokio::time::sleep(std::time::Duration::from_millis(1_500)).await;
+        system.platform.store.set_part_fault(TOPIC, PROGRESS, Fault::None);
+        for node in &system.nodes {
+            until_state(node, &id, "completed").await;
+        }
+        expect_that!(system.starts_of(&id).values().all(|&n| n == 1), eq(true));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn work_whose_progress_is_in_the_spare_partition_is_taken_over_and_not_run_again() {
+    let mut system = System::start(35, 2, 2).await;
+    until_served(&system).await;
+    system.platform.store.set_part_fault(TOPIC, PROGRESS, Fault::Busy);
+    expect_that!(submit(&system.nodes[0], ID, &job(3, 3_000)).await.status, eq(200));
+    until("all tasks were started", async || system.starts_of(ID).len() == 3).await;
+    for node in &mut system.nodes {
+        node.kill();
+    }
+    let spilled = || system.platform.store.newest(TOPIC, SPARE_PROGRESS, &format!("q{ID}"));
+    expect_that!(spilled().is_some(), eq(true));
+    system.platform.store.set_part_fault(TOPIC, PROGRESS, Fault::None);
+    for node in &mut system.nodes {
+        node.start();
+    }
+    until("a node is ready", || system.nodes[1].is_ready()).await;
+    until_state(&system.nodes[1], ID, "completed").await;
+    expect_that!(system.starts_of(ID).values().all(|&n| n == 1), eq(true));
+    let gone =
+        async || system.platform.store.newest(TOPIC, SPARE_PROGRESS, &format!("q{ID}")).is_none();
+    until("the spare partition is empty again", gone).await;
+}
