Filling tasks: progress is not their speed; full speed again alone; a new owner says their speed

Cause, found by reading while the meaning of percent in VMs' reports was looked up (trial with a log line for each row: it is the progress of a task, for lasting ones of their start): a filling task's progress was taken for its share of speed, so that each report had it told to work at 20% more than its progress. Filling tasks paced down stayed so once the serving task beside them was gone; and a new owner took them to be at full speed, whatever its predecessor had told them. Tests in tests/policies.rs: how_far_a_filling_task_is_says_nothing_of_its_speed, filling_tasks_work_at_full_speed_again_when_nothing_serves_beside_them, a_new_owner_says_at_which_speed_filling_tasks_work, red before.

--- a/crates/schedule/src/pool/pace.rs
+++ b/crates/schedule/src/pool/pace.rs
@@ -3,7 +3,7 @@
 //! A serving task reports the tail of its answer times. While it is near its target, the tasks that
 //! fill beside it are slowed down, fast; once it is well below, they are let go again, slowly.
 
-use super::vms::Run;
+use super::vms::{FULL_SPEED, Run};
 use super::{Now, Order, Pool, VmKey};
 use crate::Ms;
 use crate::id::{RunId, TaskId, VmId};
@@ -41,17 +41,19 @@
     /// Paces the filling tasks of a VM by what its serving tasks have just reported.
     pub(super) fn pace(&mut self, key: VmKey, now: Now) {
         let vm = &mut self.vms[key];
-        let Some(tail) = tail(vm.runs.values()) else { return };
+        let tail = tail(vm.runs.values());
         let id = vm.id.clone();
         for (&task, run) in vm.runs.iter_mut().filter(|(_, run)| run.fills && !run.stopping) {
-            if now.steady < run.paced_at + CHANGE_EVERY_MS {
+            // The first word of a new owner waits for nothing.
+            if run.pace.is_some() && now.steady < run.paced_at + CHANGE_EVERY_MS {
                 continue;
             }
             let percent = next_share(run.pace, tail);
             if percent != run.pace {
                 (run.pace, run.paced_at) = (percent, now.steady);
                 let run = run_id(task, run);
-                self.orders.push(Order::Pace { vm: id.clone(), run, percent });
+                let order = |percent| Order::Pace { vm: id.clone(), run, percent };
+                self.orders.extend(percent.map(order));
             }
         }
     }
@@ -61,24 +63,37 @@
     RunId { task, attempt: run.attempt }
 }
 
-/// Returns how the serving task that is worst off is doing; none if none has reported.
-fn tail<'a>(runs: impl Iterator<Item = &'a Run>) -> Option<Tail> {
-    let serving = runs.filter(|run| run.tail_target_ms > 0);
+/// Returns how the serving task that is worst off is doing; far below its target if there is none.
+fn tail<'a>(runs: impl Iterator<Item = &'a Run>) -> Tail {
+    let mut serving = runs.filter(|run| run.tail_target_ms > 0).peekable();
+    if serving.peek().is_none() {
+        return Tail::Below;
+    }
     let percent = |run: &Run| run.figure.map(|ms| ms * 100 / u64::from(run.tail_target_ms));
-    let worst = serving.filter_map(percent).max()?;
-    Some(match worst {
-        SLOW_ABOVE_PERCENT.. => Tail::Near,
-        LET_GO_BELOW_PERCENT.. => Tail::Between,
-        _ => Tail::Below,
-    })
+    match serving.filter_map(percent).max() {
+        // None has told yet.
+        None => Tail::Between,
+        Some(SLOW_ABOVE_PERCENT..) => Tail::Near,
+        Some(LET_GO_BELOW_PERCENT..) => Tail::Between,
+        Some(_) => Tail::Below,
+    }
 }
 
-const fn next_share(share: u32, tail: Tail) -> u32 {
-    match tail {
+/// Returns the next share of a filling task's full speed, given the present one; none while that is
+/// not known and may stay as it is.
+const fn next_share(share: Option<u32>, tail: Tail) -> Option<u32> {
+    let Some(share) = share else {
+        return match tail {
+            Tail::Near => Some(0),
+            Tail::Between => None,
+            Tail::Below => Some(FULL_SPEED),
+        };
+    };
+    Some(match tail {
         Tail::Near if share / SLOW_BY < LEAST_SHARE => 0,
         Tail::Near => share / SLOW_BY,
         Tail::Between => share,
-        Tail::Below if share + LET_GO_BY > 100 => 100,
+        Tail::Below if share + LET_GO_BY > FULL_SPEED => FULL_SPEED,
         Tail::Below => share + LET_GO_BY,
-    }
+    })
 }
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -14,8 +14,8 @@
 /// Pause before a run that is still listed is told to stop again, in milliseconds: longer than the
 /// users' VMs take to stop one (900 ms).
 const STOP_AGAIN_MS: Ms = 1_000;
-/// A lasting task that works at this share is at work.
-const FULL_SPEED: u32 = 100;
+/// A lasting task whose start is done, in percent, is at work.
+const STARTED: u32 = 100;
 
 impl Pool {
     /// Takes in a VM's report, asked for under this owner's token.
@@ -55,9 +55,6 @@
             if !row.checkpoint.is_empty() {
                 run.checkpoint.clone_from(&row.checkpoint);
             }
-            if run.fills {
-                run.pace = row.percent;
-            }
             // One that was told to stop is as good as gone, though it still works.
             if !run.stopping {
                 self.note_at_work(row);
@@ -78,7 +75,7 @@
         let lasting = job.spec.steps.get(usize::from(row.run.task.step)).is_some_and(|s| s.lasting);
         let Some((step, index)) = job.step_mut(row.run.task) else { return };
         if lasting {
-            step.tasks[index].at_work = row.percent >= FULL_SPEED;
+            step.tasks[index].at_work = row.percent >= STARTED;
         }
     }
 
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -69,7 +69,7 @@
         task.checkpoint.clone_from(&record.checkpoint);
         let Spot::On(vm) = spot else { return };
         let Some(shape) = shape else { return };
-        let run = Run::new(record.attempt, &shape, now.steady);
+        let run = Run { pace: None, ..Run::new(record.attempt, &shape, now.steady) };
         self.vms[vm].add_run(id, run);
     }
 
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -18,6 +18,9 @@
 /// How long a VM that turned a start away gets no new ones, in milliseconds.
 const ASIDE_BRIEFLY_MS: Ms = 500;
 
+/// All of a run's speed, in percent.
+pub(super) const FULL_SPEED: u32 = 100;
+
 /// A run that a VM has, may have, or is about to get.
 #[derive(Clone, Debug)]
 pub(super) struct Run {
@@ -43,8 +46,9 @@
     pub progress: u32,
     /// When that report came.
     pub progress_at: Ms,
-    /// The share of its full speed that it was last told to work at.
-    pub pace: u32,
+    /// The share of its full speed that it was last told to work at, in percent; none if only a
+    /// predecessor may have told it.
+    pub pace: Option<u32>,
     pub paced_at: Ms,
     /// The newest figure that it reported; see [`crate::vm::RunRow`].
     pub figure: Option<u64>,
@@ -70,7 +74,7 @@
             from_start: false,
             progress: 0,
             progress_at: now,
-            pace: 100,
+            pace: Some(FULL_SPEED),
             paced_at: 0,
             figure: None,
             checkpoint: String::new(),
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -76,7 +76,8 @@
     pub run: RunId,
     /// Its newest checkpoint, empty for none.
     pub checkpoint: String,
-    /// The share of its full speed at which it works; a lasting task at 100 is at work.
+    /// How much of its work is done, in percent; a lasting task has only its start to do, and is at
+    /// work at 100. At which share of its full speed it works is not told.
     pub percent: u32,
     /// For a serving task the tail of its answer times in milliseconds, else the processor in
     /// use; none if not told.
--- a/crates/schedule/tests/policies.rs
+++ b/crates/schedule/tests/policies.rs
@@ -4,9 +4,11 @@
 
 use common::{JOB, at, job, pool_with, report, row, starts, step};
 use googletest::prelude::*;
+use thistle_schedule::job_log::JobEntry;
 use thistle_schedule::pool::{Order, Question};
+use thistle_schedule::progress::{Place, TaskRecord};
 use thistle_schedule::spec::AdvicePolicy;
-use thistle_schedule::{JobId, JobSpec, Pool, RunRow, Step};
+use thistle_schedule::{EndKind, JobId, JobSpec, Pool, Progress, RunRow, Step};
 
 fn questions(orders: &[Order]) -> Vec<Question> {
     let question = |o: &Order| match o {
@@ -114,3 +116,61 @@
     let started = common::plan_and_start(&mut pool, 10);
     expect_that!(started[0].vm, not(eq(&started[1].vm)));
 }
+
+/// By reading: a filling task's progress was taken for its share of speed, and each report of a task
+/// at 41% of its work had it told to work at 61% of its speed.
+#[gtest]
+fn how_far_a_filling_task_is_says_nothing_of_its_speed() {
+    let (mut pool, rows) = mixed();
+    let vm = common::vm("a", 1).id.clone();
+    for (time, progress) in [(1_000, 41), (1_600, 55), (2_200, 80)] {
+        pool.report(&vm, &report(time, with_tail(&rows, 40, progress), vec![]), at(time));
+        expect_that!(paces(&pool.plan(at(time))), is_empty());
+    }
+}
+
+#[gtest]
+fn filling_tasks_work_at_full_speed_again_when_nothing_serves_beside_them() {
+    let (mut pool, rows) = mixed();
+    let vm = common::vm("a", 1).id.clone();
+    pool.report(&vm, &report(1_000, with_tail(&rows, 95, 10), vec![]), at(1_000));
+    expect_that!(paces(&pool.plan(at(1_000))), eq(&vec![25]));
+    pool.cancel(JOB, at(1_100));
+    let ended = vec![common::end(1, rows[0].run, EndKind::Stopped)];
+    let mut told = Vec::new();
+    for time in (1_600..4_500).step_by(600) {
+        let ended = if time == 1_600 { ended.clone() } else { Vec::new() };
+        pool.report(&vm, &report(time, vec![rows[1].clone()], ended), at(time));
+        told.extend(paces(&pool.plan(at(time))));
+    }
+    expect_that!(told, eq(&vec![45, 65, 85, 100]));
+}
+
+#[gtest]
+fn a_new_owner_says_at_which_speed_filling_tasks_work() {
+    for (tail, told) in [(95, vec![0]), (70, vec![]), (40, vec![100])] {
+        let (_, rows) = mixed();
+        let mut after = Pool::new();
+        let serving = Step { lasting: true, tail_target_ms: 100, ..step(1, 500) };
+        let specs = [job(vec![serving]), job(vec![Step { fills: true, ..step(1, 3_000) }])];
+        for (id, spec) in [JOB, JobId(2)].into_iter().zip(specs) {
+            let run = rows.iter().find(|r| r.run.task.job == id).expect("it runs").run;
+            let task = TaskRecord {
+                time: 0,
+                step: 0,
+                index: 0,
+                place: Place::On("i-a-1".into()),
+                attempt: run.attempt,
+                failures: 0,
+                checkpoint: String::new(),
+            };
+            let progress = Progress { begun: true, tasks: vec![task], ..Progress::default() };
+            let entry = JobEntry { spec: Some(spec), progress, ..JobEntry::default() };
+            after.adopt(id, &entry, at(100));
+        }
+        let vm = common::vm("a", 1);
+        after.list_vm(vm.clone());
+        after.report(&vm.id, &report(110, with_tail(&rows, tail, 50), vec![]), at(110));
+        expect_that!(paces(&after.plan(at(110))), eq(&told), "tail {tail}");
+    }
+}
