Waves leave VMs to pools that are short of them while there is time

VMs of pools that have fewer than they need wait while the wave has time: 5 s for each round of as many as may be down, and 7 s to spare. A node that did not see the wave asked for takes it that there is none. Test: a_wave_leaves_vms_to_pools_that_are_short_while_it_has_time.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -70,6 +70,9 @@
     pub duration_ms: Ms,
     /// How many VMs may be down for it at once.
     pub cap: usize,
+    /// When it was asked for, by this node's steady clock; none if it stood in the store when the
+    /// node started.
+    pub asked_at: Option<Ms>,
 }
 
 /// An order to the machine service.
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -146,7 +146,7 @@
             return Vec::new();
         }
         self.unsettled.retain(|_, until| now < *until);
-        self.begin_maintenance();
+        self.begin_maintenance(now);
         self.begin_moves(now);
         self.order_emptied();
         self.give_orders(now)
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -156,7 +156,7 @@
     }
 
     /// Counts a pool's VMs that work or are on their way to it.
-    fn size(&self, pool: &Arc<str>) -> usize {
+    pub(super) fn size(&self, pool: &Arc<str>) -> usize {
         let there = |vm: &&super::FleetVm| {
             // One that is to be maintained is replaced before it is empty.
             vm.pool == *pool && vm.state != VmState::Down && self.record.work_on(&vm.name).is_none()
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -12,6 +12,13 @@
 /// VMs that are emptied beyond those that may be down, so that the next is ready when one is back.
 const AHEAD: usize = 2;
 
+/// How long one VM of a wave takes, from its being emptied to its being back, in milliseconds: tasks of
+/// two seconds, an upkeep of two, and what it takes to hear of both.
+const VM_TIME_MS: Ms = 5_000;
+/// What is left of a wave's time when the last of its VMs should be back, in milliseconds: a change of
+/// the fleet's owner costs up to six seconds.
+const SPARE_TIME_MS: Ms = 7_000;
+
 /// How long a VM must be missing from the list to count as gone for good, in milliseconds. A new
 /// VM may be asked for before it is first listed.
 const GONE_MS: Ms = 3_000;
@@ -26,6 +33,14 @@
     pub const fn new(request: WaveRequest) -> Self {
         Self { request }
     }
+
+    /// Returns whether VMs that their pools need may be left to be done later.
+    fn has_time(&self, left: usize, now: Ms) -> bool {
+        let Some(asked_at) = self.request.asked_at else { return false };
+        let rounds = left.div_ceil(self.request.cap.max(1));
+        let needed = VM_TIME_MS * Ms::try_from(rounds).unwrap_or(Ms::MAX) + SPARE_TIME_MS;
+        now + needed < asked_at + self.request.duration_ms
+    }
 }
 
 impl Fleet {
@@ -55,8 +70,9 @@
         }
     }
 
-    /// Begins to empty VMs of waves, as many as may be down and a few more.
-    pub(super) fn begin_maintenance(&mut self) {
+    /// Begins to empty VMs of waves, as many as may be down and a few more. Those of pools that are
+    /// short of VMs wait while the wave has time.
+    pub(super) fn begin_maintenance(&mut self, now: Ms) {
         let mut by_pool: HashMap<Arc<str>, usize> = HashMap::new();
         for work in &self.record.work {
             if let Some(vm) = self.vms.get(work.vm.as_str()) {
@@ -68,11 +84,15 @@
         for record in waves {
             let Some(wave) = self.waves.get(&record.wave) else { continue };
             let cap = wave.request.cap.max(1);
+            let has_time = wave.has_time(record.left.len(), now);
             let mut at_work = self.work_of(record.wave).count();
             for name in self.order_of(&record) {
                 if at_work >= cap + AHEAD {
                     break;
                 }
+                if has_time && self.is_short(&name) {
+                    continue;
+                }
                 if self.begin_vm(record.wave, &name, &mut by_pool) {
                     at_work += 1;
                 }
@@ -80,6 +100,13 @@
         }
     }
 
+    /// Returns whether a VM's pool needs all that it has and more.
+    fn is_short(&self, vm: &str) -> bool {
+        let pool = self.vms.get(vm).map(|vm| &vm.pool);
+        let pool = pool.filter(|pool| self.working_pools.contains(*pool));
+        pool.is_some_and(|pool| self.size(pool) < self.needs.now(pool))
+    }
+
     fn begin_vm(&mut self, wave: u64, name: &str, by_pool: &mut HashMap<Arc<str>, usize>) -> bool {
         let Some(vm) = self.vms.get(name).filter(|vm| vm.state == VmState::Up) else {
             return false;
--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -22,7 +22,7 @@
 
 fn wave(names: &[&str], cap: usize) -> WaveRequest {
     let vms = names.iter().map(|n| (*n).to_owned()).collect();
-    WaveRequest { wave: 1, vms, duration_ms: 25_000, cap }
+    WaveRequest { wave: 1, vms, duration_ms: 25_000, cap, asked_at: None }
 }
 
 fn fleet(names: &[&str], cap: usize) -> Fleet {
@@ -316,3 +316,24 @@
     fleet.plan(1);
     expect_that!(fleet.record().cordoned().any(|n| n.starts_with('o')), eq(true));
 }
+
+#[gtest]
+fn a_wave_leaves_vms_to_pools_that_are_short_while_it_has_time() {
+    let mut fleet = two_pools();
+    fleet.set_report(&"desk".into(), busy(60_000, 90_000, &[]), 10);
+    fleet.set_report(&"hub".into(), busy(0, 20_000, &[]), 10);
+    let request = wave(&["d0", "h0"], 2);
+    fleet.set_wave(WaveRequest { asked_at: Some(0), ..request });
+    let begun = |fleet: &Fleet| -> Vec<String> {
+        let maintain = Purpose::Maintain { wave: 1 };
+        let work = fleet.record().work.iter().filter(|w| w.purpose == maintain);
+        work.map(|w| w.vm.clone()).collect()
+    };
+    fleet.plan(20);
+    expect_that!(begun(&fleet), eq(&vec!["h0".to_owned()]));
+    // 5 s for one round, and 7 s to spare, of 25 s.
+    fleet.plan(12_900);
+    expect_that!(begun(&fleet), eq(&vec!["h0".to_owned()]));
+    fleet.plan(13_100);
+    expect_that!(begun(&fleet), eq(&vec!["h0".to_owned(), "d0".to_owned()]));
+}
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -3,22 +3,25 @@
 use std::sync::Arc;
 
 use thistle_platform::{Stored, config, listing};
+use thistle_schedule::Ms;
+use thistle_schedule::fleet::WaveRequest;
 
 use crate::follow::{News, Pace, Tail, follow};
-use crate::node::{Node, VmTable};
+use crate::node::{Node, VmTable, steady_ms};
 
 /// Follows the operator's configuration.
 pub async fn follow_config(node: Arc<Node>) {
     let cx = node.clone();
     follow(&node, Tail::new(config::TOPIC, 0), Pace::AtOnce, move |news, _| {
-        let records = match news {
-            News::Reloaded(records) | News::Records(records) => records,
+        let (records, asked_at) = match news {
+            News::Reloaded(records) => (records, None),
+            News::Records(records) => (records, Some(steady_ms())),
         };
         for stored in records {
             if stored.record.key == config::CATALOG_KEY {
                 take_catalog(&cx, &stored);
             } else if let Some(wave) = config::wave_of_key(&stored.record.key) {
-                take_wave(&cx, wave, &stored);
+                take_wave(&cx, wave, &stored, asked_at);
             }
         }
     })
@@ -55,10 +58,10 @@
     node.catalog.send_replace(Some(catalog));
 }
 
-fn take_wave(node: &Node, wave: u64, stored: &Stored) {
+fn take_wave(node: &Node, wave: u64, stored: &Stored, asked_at: Option<Ms>) {
     let Some(value) = stored.record.value() else { return };
     let request = match config::decode_wave(value) {
-        Ok(request) => request,
+        Ok(request) => WaveRequest { asked_at, ..request },
         Err(e) => {
             log::error!("wave wave={wave} step=unreadable error=\"{}\"", e.0);
             return;
