A new owner of the fleet takes on sooner what its predecessor had only begun

The predecessor writes that a VM is ordered before it gives the order: those only begun need no more distance than others. And it is replaced 0.5 s after its right to act is over, so that 0.4 s of the distance have passed by then. Ruled out: the machine service (answers within 20 ms), the pools' owners (took over at 5.8 s as well). Test: a_successor_takes_on_sooner_what_its_predecessor_had_only_begun.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -101,8 +101,8 @@
 /// while apart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HoldOff {
-    /// About VMs that the predecessor was working on.
-    pub worked_on: Ms,
+    /// About VMs that the predecessor may have given an order about, by its record.
+    pub ordered: Ms,
     /// About others: an order that was carried out lies a move's time back at least.
     pub others: Ms,
 }
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -65,8 +65,12 @@
 impl Fleet {
     /// Takes over from a record.
     pub fn new(record: FleetRecord, hold_off: HoldOff) -> Self {
+        // The predecessor wrote that a VM was ordered before it gave the order.
         let given = |work: &VmWork| {
-            let again_at = hold_off.worked_on;
+            let again_at = match work.stage {
+                Stage::Emptying => hold_off.others,
+                Stage::Ordered { .. } => hold_off.ordered,
+            };
             (work.vm.clone(), Given { again_at, ..Given::default() })
         };
         let given = record.work.iter().map(given).collect();
--- a/crates/schedule/tests/fleet.rs
+++ b/crates/schedule/tests/fleet.rs
@@ -2,8 +2,8 @@
 
 use googletest::prelude::*;
 use thistle_schedule::fleet::{
-    Fleet, FleetOrder, FleetRecord, FleetVm, HoldOff, OrderOutcome, PoolReport, Purpose, VmState,
-    WaveRequest,
+    Fleet, FleetOrder, FleetRecord, FleetVm, HoldOff, OrderOutcome, PoolReport, Purpose, Stage,
+    VmState, VmWork, WaveRequest,
 };
 
 fn vm(name: &str, pool: &str, life: u32, state: VmState) -> FleetVm {
@@ -135,7 +135,7 @@
     before.set_report(&"desk".into(), emptied(&["a"]), 20);
     expect_that!(before.plan(30), len(eq(1)));
 
-    let hold_off = HoldOff { worked_on: 3_300, others: 1_800 };
+    let hold_off = HoldOff { ordered: 3_300, others: 1_800 };
     let mut after = Fleet::new(before.record().clone(), hold_off);
     after.set_pools(["desk".into()].into(), None);
     after.set_wave(wave(&["a"], 1));
@@ -337,3 +337,26 @@
     fleet.plan(13_100);
     expect_that!(begun(&fleet), eq(&vec!["h0".to_owned(), "d0".to_owned()]));
 }
+
+/// Budnet trouble-3, 6 to 9 s: sixteen VMs that the fleet's owner had told to empty before it was lost
+/// stood idle until its successor dared to order anything about them.
+#[gtest]
+fn a_successor_takes_on_sooner_what_its_predecessor_had_only_begun() {
+    let work = |vm: &str, stage| VmWork {
+        vm: vm.to_owned(),
+        purpose: Purpose::Move { to: "hub".to_owned() },
+        stage,
+    };
+    let ordered = Stage::Ordered { incarnation: Some("i-d1-1".to_owned()) };
+    let work = vec![work("d0", Stage::Emptying), work("d1", ordered)];
+    let record = FleetRecord { work, ..FleetRecord::default() };
+    let mut fleet = Fleet::new(record, HoldOff { ordered: 3_000, others: 1_500 });
+    fleet.set_pools(["desk".into(), "hub".into()].into(), None);
+    let vms = ["d0", "d1"].map(|name| vm(name, "desk", 1, VmState::Up));
+    fleet.set_vms(vms.into(), 0);
+    fleet.set_report(&"desk".into(), emptied(&["d0", "d1"]), 10);
+    expect_that!(vms_of(&fleet.plan(1_400)), is_empty());
+    expect_that!(vms_of(&fleet.plan(1_600)), eq(&vec!["d0"]));
+    expect_that!(vms_of(&fleet.plan(2_900)), is_empty());
+    expect_that!(vms_of(&fleet.plan(3_100)), eq(&vec!["d1"]));
+}
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -74,10 +74,10 @@
     let hold_off = hold_off(&node, record.as_ref());
     let written = record.unwrap_or_default();
     log::info!(
-        "fleet step=took-over token={token} work={} wait_ms={} wait_worked_on_ms={}",
+        "fleet step=took-over token={token} work={} wait_ms={} wait_ordered_ms={}",
         written.work.len(),
         hold_off.others.saturating_sub(steady_ms()),
-        hold_off.worked_on.saturating_sub(steady_ms()),
+        hold_off.ordered.saturating_sub(steady_ms()),
     );
     let mut owner = FleetOwner {
         fleet: Fleet::new(written.clone(), hold_off),
--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -12,6 +12,9 @@
 use crate::follow::{News, Pace, Tail, follow};
 use crate::node::{Node, lock, steady_ms};
 
+/// For how long a predecessor that did not give the fleet up can have given no order, at the least, in
+/// milliseconds: it is replaced that much after its right to act is over, or after its restart.
+const SILENT_SINCE_MS: Ms = 400;
 /// Added to the least time between orders of different nodes, in milliseconds.
 const GAP_MARGIN_MS: Ms = 300;
 
@@ -52,10 +55,8 @@
     log::debug!("fleet step=hold-off predecessor={}", record.owner);
     let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
     let now = steady_ms();
-    HoldOff {
-        worked_on: now + gap + GAP_MARGIN_MS,
-        others: now + (gap + GAP_MARGIN_MS).saturating_sub(CARRIED_OUT_MS),
-    }
+    let gap = (gap + GAP_MARGIN_MS).saturating_sub(SILENT_SINCE_MS);
+    HoldOff { ordered: now + gap, others: now + gap.saturating_sub(CARRIED_OUT_MS) }
 }
 
 /// Returns the record as it is now that nobody else can write it; `None` for the outer if the
