--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -3,7 +3,7 @@
 
 use super::job::{Spot, Task};
 use super::remaining::WORTH_STOPPING_MS;
-use super::vms::Run;
+use super::run::Run;
 use super::{Now, Pool, VmKey};
 use crate::id::TaskId;
 use crate::spec::Step;
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -16,6 +16,7 @@
 mod rank;
 mod remaining;
 mod report;
+mod run;
 mod takeover;
 mod vms;
 
--- a/crates/schedule/src/pool/pace.rs
+++ b/crates/schedule/src/pool/pace.rs
@@ -3,7 +3,7 @@
 //! A serving task reports the tail of its answer times. While it is near its target, the tasks that
 //! fill beside it are slowed down, fast; once it is well below, they are let go again, slowly.
 
-use super::vms::{FULL_SPEED, Run};
+use super::run::{FULL_SPEED, Run};
 use super::{Now, Order, Pool, VmKey};
 use crate::Ms;
 use crate::id::{RunId, TaskId, VmId};
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -1,7 +1,8 @@
 //! Which waiting task runs on which VM.
 
 use super::job::Spot;
-use super::vms::{Run, Vm};
+use super::run::Run;
+use super::vms::Vm;
 use super::{JobKey, Now, Order, Pool, StartOrder, StepId, VmKey};
 use crate::Ms;
 use crate::id::{JobId, RunId, TaskId};
--- a/crates/schedule/src/pool/remaining.rs
+++ b/crates/schedule/src/pool/remaining.rs
@@ -1,32 +1,15 @@
 //! How long runs will still take, by how far their VMs say they are.
 
-use super::vms::{Run, Vm};
+use super::run::Run;
+use super::vms::Vm;
 use super::{Ms, Pool};
 use crate::id::TaskId;
 
-/// Progress below this says little of a run's speed, in percent.
-const LEAST_PROGRESS: u32 = 5;
 /// A run that saves its progress is stopped on a VM that another pool needs if it would take longer
 /// than this, in milliseconds: to stop and to resume it elsewhere takes about as long (the users'
 /// bounds on both: 400 and 100 ms, 900 and 250 ms).
 pub(super) const WORTH_STOPPING_MS: Ms = 700;
 
-impl Run {
-    /// Returns how long it takes from its beginning, by what it has done so far.
-    fn measured_ms(&self) -> Option<Ms> {
-        if !self.from_start || self.progress < LEAST_PROGRESS {
-            return None;
-        }
-        let elapsed = self.progress_at.saturating_sub(self.started);
-        Some(elapsed * 100 / Ms::from(self.progress))
-    }
-
-    /// Returns whether it can be stopped now and resumed elsewhere without losing work.
-    pub fn can_be_resumed(&self) -> bool {
-        self.saves && !self.in_gang && !self.lasting
-    }
-}
-
 impl Pool {
     /// Returns in how many milliseconds a run that ends by itself is expected to.
     pub(super) fn time_left(&self, task: TaskId, run: &Run, now: Ms) -> Ms {
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 
-use super::vms::Run;
+use super::run::Run;
 use super::{JobKey, Now, Pool, VmKey};
 use crate::Ms;
 use crate::id::{RunId, TaskId, VmId};
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use super::job::{Job, Spot};
-use super::vms::Run;
+use super::run::Run;
 use super::{Ms, Now, Pool};
 use crate::id::{JobId, TaskId, VmId};
 use crate::job_log::JobEntry;
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
+use super::run::Run;
 use super::{Now, Pool, VmKey};
 use crate::Ms;
 use crate::id::{JobId, RunId, TaskId, VmId};
-use crate::spec::Step;
 use crate::vm::{Room, VmFacts};
 
 /// Failures of different jobs in a row after which a VM is set aside. One job that can never be
@@ -18,70 +18,6 @@
 /// How long a VM that turned a start away gets no new ones, in milliseconds.
 const ASIDE_BRIEFLY_MS: Ms = 500;
 
-/// All of a run's speed, in percent.
-pub(super) const FULL_SPEED: u32 = 100;
-
-/// A run that a VM has, may have, or is about to get.
-#[derive(Clone, Debug)]
-pub(super) struct Run {
-    pub attempt: u32,
-    pub demand: Room,
-    /// When the VM last answered an order about it; a report asked for after that lists it.
-    pub confirmed: Option<Ms>,
-    pub started: Ms,
-    pub stopping: bool,
-    /// When it was last told to stop.
-    pub stop_ordered: Ms,
-    /// It serves users of its own, with this tail to keep.
-    pub tail_target_ms: u32,
-    pub fills: bool,
-    pub lasting: bool,
-    /// It saves its progress, so that it can be stopped and resumed elsewhere.
-    pub saves: bool,
-    /// It is a member of a gang, which ends whole.
-    pub in_gang: bool,
-    /// It was ordered by this owner, to start at its beginning.
-    pub from_start: bool,
-    /// How much of its work it has done, in percent, by its VM's newest report.
-    pub progress: u32,
-    /// When that report came.
-    pub progress_at: Ms,
-    /// The share of its full speed that it was last told to work at, in percent; none if only a
-    /// predecessor may have told it.
-    pub pace: Option<u32>,
-    pub paced_at: Ms,
-    /// The newest figure that it reported; see [`crate::vm::RunRow`].
-    pub figure: Option<u64>,
-    /// Its newest checkpoint, from which it resumes elsewhere if its VM is lost.
-    pub checkpoint: String,
-}
-
-impl Run {
-    /// Makes a run that its VM has not answered about.
-    pub fn new(attempt: u32, shape: &Step, now: Ms) -> Self {
-        Self {
-            attempt,
-            demand: shape.room(),
-            confirmed: None,
-            started: now,
-            stopping: false,
-            stop_ordered: 0,
-            tail_target_ms: shape.tail_target_ms,
-            fills: shape.fills,
-            lasting: shape.lasting,
-            saves: shape.checkpointing,
-            in_gang: shape.gang,
-            from_start: false,
-            progress: 0,
-            progress_at: now,
-            pace: Some(FULL_SPEED),
-            paced_at: 0,
-            figure: None,
-            checkpoint: String::new(),
-        }
-    }
-}
-
 /// One incarnation of a VM.
 #[derive(Clone, Debug)]
 pub(super) struct Vm {
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -23,6 +23,16 @@
     }
 }
 
+/// Makes a new owner that knows the job by its record; VM b has answered it, VM a has not.
+fn successor(entry: &JobEntry) -> Pool {
+    let mut after = Pool::new();
+    after.adopt(JOB, entry, at(100));
+    after.list_vm(vm("a", 1));
+    after.list_vm(vm("b", 1));
+    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    after
+}
+
 #[gtest]
 fn running_work_is_taken_over_and_not_started_again() {
     let spec = job(vec![step(1, 500)]);
@@ -31,11 +41,7 @@
     let started = starts(&before.plan(at(10)));
     let entry = entry_of(&mut before, &spec);
 
-    let mut after = Pool::new();
-    after.adopt(JOB, &entry, at(100));
-    after.list_vm(vm("a", 1));
-    after.list_vm(vm("b", 1));
-    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    let mut after = successor(&entry);
     expect_that!(starts(&after.plan(at(120))), is_empty());
     let run = started[0].run;
     after.report(&started[0].vm, &report(130, vec![row(run, 100)], vec![]), at(131));
@@ -54,11 +60,7 @@
     let run = starts(&before.plan(at(10)))[0].run;
     let entry = entry_of(&mut before, &spec);
 
-    let mut after = Pool::new();
-    after.adopt(JOB, &entry, at(100));
-    after.list_vm(vm("a", 1));
-    after.list_vm(vm("b", 1));
-    after.report(&vm("b", 1).id, &VmReport::default(), at(110));
+    let mut after = successor(&entry);
     after.set_cordoned([std::sync::Arc::from("a")].into());
     expect_that!(stops(&after.plan(at(120))), is_empty(), "its VM has not answered yet");
     after.report(&vm("a", 1).id, &report(130, vec![row(run, 100)], vec![]), at(131));
--- a/crates/scheduler/src/pool_log.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -1,11 +1,13 @@
 //! One pool's records, as this node has read them.
 
+mod lanes;
+mod read;
+
 use std::collections::BTreeSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
 
-use thistle_platform::{KeyedRecord, ReadError, StoreError, Stored};
+use thistle_platform::{KeyedRecord, Stored};
 use thistle_schedule::job_log::{Version, job_of_progress_key};
 use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
 use tokio::sync::mpsc::UnboundedSender;
@@ -14,6 +16,7 @@
 use crate::node::{Node, lock, steady_ms};
 use crate::owner::Event;
 use crate::submit::{Submission, start_submitter};
+use lanes::Lane;
 
 /// The partition to which any node appends submissions and cancels.
 pub const SUBMISSIONS: u32 = 0;
@@ -27,20 +30,6 @@
 pub const SPARE_PROGRESS: u32 = 3;
 /// Where submissions may go, in the order in which they are tried.
 pub const LANES: [u32; 2] = [SUBMISSIONS, SPARE];
-/// How often a node that does not own a pool reads on, on a small site; what callers ask for is read
-/// when they ask.
-const READ_EVERY: Duration = Duration::from_millis(1_000);
-/// How long the owner's read waits for submissions: the longest delay of a job whose append was
-/// under way when the read arrived, and so does not wake it.
-const WAIT: Duration = Duration::from_millis(250);
-/// Pause after a failure.
-const PAUSE: Duration = Duration::from_millis(100);
-/// How often the owner reads the spare partition while the first one answers, and otherwise.
-const SPARE_EVERY: Duration = Duration::from_millis(1_000);
-const SPARE_EVERY_IN_TROUBLE: Duration = Duration::from_millis(150);
-/// Pause before a partition that does not answer is asked again, in milliseconds: those who wait for
-/// it meanwhile are few, and the others are answered at once.
-const ASK_PAUSE_MS: Ms = 500;
 /// How old a reading of the spare partition may be when callers ask, in milliseconds: half of the
 /// time within which each node is to show a job.
 pub const SPARE_AGE_MS: Ms = 1_500;
@@ -59,15 +48,6 @@
     read_at: Ms,
 }
 
-/// How a partition took submissions lately.
-#[derive(Debug, Default)]
-struct Lane {
-    /// It has left an append unanswered, and has not answered since.
-    suspect: AtomicBool,
-    /// It is not asked again before this.
-    ask_after: AtomicU64,
-}
-
 /// One pool's records, as this node has read them.
 pub struct PoolLog {
     /// The pool.
@@ -109,8 +89,8 @@
             submitted: AtomicU64::new(0),
         });
         tokio::spawn(start_submitter(node.clone(), log.clone(), rx));
-        tokio::spawn(read_on(node.clone(), log.clone()));
-        tokio::spawn(read_spare_on(node.clone(), log.clone()));
+        tokio::spawn(read::read_on(node.clone(), log.clone()));
+        tokio::spawn(read::read_spare_on(node.clone(), log.clone()));
         log
     }
 
@@ -129,115 +109,12 @@
         self.owned.load(Ordering::Relaxed)
     }
 
-    /// Takes in that an append of submissions to a partition was not answered.
-    pub fn suspect(&self, part: u32) {
-        self.lane(part).suspect.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns whether submissions may be appended to a partition: one that has left an append
-    /// unanswered is asked first, now and then.
-    pub async fn may_append(&self, node: &Node, part: u32) -> bool {
-        let lane = self.lane(part);
-        if !lane.suspect.load(Ordering::Relaxed) {
-            return true;
-        }
-        let now = steady_ms();
-        if lane.ask_after.fetch_max(now + ASK_PAUSE_MS, Ordering::Relaxed) > now {
-            return false;
-        }
-        match node.store.probe(&self.topic, part).await {
-            Ok(()) => {
-                lane.suspect.store(false, Ordering::Relaxed);
-                lane.ask_after.store(0, Ordering::Relaxed);
-                true
-            }
-            Err(e) => {
-                log::info!("submit step=no-answer pool={} part={part} error=\"{e}\"", self.pool);
-                false
-            }
-        }
-    }
-
-    fn lane(&self, part: u32) -> &Lane {
-        &self.lanes[usize::from(part == SPARE)]
-    }
-
     /// Hands a submission or a cancel to the task that appends.
     pub fn submit(&self, submission: Submission) {
         // The task ends with the process only; if it has, the caller finds its answer dropped.
         let _ = self.submitter.send(submission);
     }
 
-    /// Makes sure that everything the store had at `since` was read.
-    pub async fn catch_up(&self, node: &Node, part: u32, since: Ms) -> Result<(), StoreError> {
-        let mut cursor = self.cursor(part).lock().await;
-        while cursor.read_at < since {
-            let began = steady_ms();
-            let result = self.read_once(node, part, &mut cursor, began).await;
-            node.note_store(result.is_ok());
-            result?;
-        }
-        Ok(())
-    }
-
-    async fn read_once(
-        &self,
-        node: &Node,
-        part: u32,
-        cursor: &mut Cursor,
-        began: Ms,
-    ) -> Result<(), StoreError> {
-        let Some(from) = cursor.next else {
-            let newest = node.store.newest(&self.topic, part).await?;
-            self.note_spilled(part, &newest.records);
-            self.apply(newest.records);
-            cursor.next = Some(newest.end);
-            return Ok(());
-        };
-        match node.store.read(&self.topic, part, from, Duration::ZERO).await {
-            Ok(batch) => {
-                let next = from + batch.records.len() as u64;
-                let reached_end = next >= batch.end;
-                self.note_spilled(part, &batch.records);
-                self.apply(batch.records);
-                cursor.next = Some(next);
-                if reached_end {
-                    cursor.read_at = began;
-                }
-                Ok(())
-            }
-            Err(ReadError::Dropped) => {
-                log::info!("jobs step=reload pool={} part={part} from={from}", self.pool);
-                cursor.next = None;
-                Ok(())
-            }
-            Err(ReadError::Store(e)) => Err(e),
-        }
-    }
-
-    /// Waits for new submissions and takes them in; for the owner, who acts on them at once.
-    async fn wait_for_submissions(&self, node: &Node) -> Result<(), StoreError> {
-        let Some(from) = self.cursor(SUBMISSIONS).lock().await.next else {
-            return self.catch_up(node, SUBMISSIONS, steady_ms()).await;
-        };
-        // The cursor is free while this waits, so that callers' reads go on.
-        let batch = match node.store.read(&self.topic, SUBMISSIONS, from, WAIT).await {
-            Ok(batch) => batch,
-            Err(ReadError::Dropped) => {
-                self.cursor(SUBMISSIONS).lock().await.next = None;
-                return Ok(());
-            }
-            Err(ReadError::Store(e)) => return Err(e),
-        };
-        let mut cursor = self.cursor(SUBMISSIONS).lock().await;
-        let next = from + batch.records.len() as u64;
-        if cursor.next.is_some_and(|known| known < next) {
-            self.apply(batch.records);
-            cursor.next = Some(next);
-        }
-        Ok(())
-    }
-
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
         match part {
             SUBMISSIONS => &self.cursors[0],
@@ -247,22 +124,6 @@
         }
     }
 
-    /// Reads all that a new owner must know. Jobs of the spare partition are read later if it does
-    /// not answer, unless some of them have begun.
-    pub async fn read_all(&self, node: &Node, since: Ms) -> Result<(), StoreError> {
-        self.catch_up(node, SUBMISSIONS, since).await?;
-        self.catch_up(node, PROGRESS, since).await?;
-        self.catch_up(node, SPARE_PROGRESS, since).await?;
-        match self.catch_up(node, SPARE, since).await {
-            Err(e) if self.jobs().has_begun_unseen() => Err(e),
-            Err(e) => {
-                log::info!("jobs step=spare-not-read pool={} error=\"{e}\"", self.pool);
-                Ok(())
-            }
-            Ok(()) => Ok(()),
-        }
-    }
-
     /// Returns whether the spare partition holds, or held, anything, as far as it was read.
     pub async fn spare_was_used(&self) -> bool {
         self.cursor(SPARE).lock().await.next.is_none_or(|next| next > 0)
@@ -365,45 +226,3 @@
         jobs
     }
 }
-
-async fn read_on(node: Arc<Node>, log: Arc<PoolLog>) {
-    loop {
-        let result = if log.is_owned() {
-            log.wait_for_submissions(&node).await
-        } else {
-            let since = steady_ms();
-            match log.catch_up(&node, SUBMISSIONS, since).await {
-                Ok(()) => log.catch_up(&node, PROGRESS, since).await,
-                Err(e) => Err(e),
-            }
-        };
-        log.in_trouble.store(result.is_err(), Ordering::Relaxed);
-        match result {
-            Ok(()) if log.is_owned() => node.note_store(true),
-            Ok(()) => {
-                log.loaded.store(true, Ordering::Relaxed);
-                tokio::time::sleep(READ_EVERY * node.crowd()).await;
-            }
-            Err(e) => {
-                node.note_store(false);
-                log::debug!("jobs step=read-failed pool={} error=\"{e}\"", log.pool);
-                tokio::time::sleep(PAUSE).await;
-            }
-        }
-    }
-}
-
-/// Reads the spare partition for the owner. Other nodes read it when they are asked for a job that
-/// they do not know.
-async fn read_spare_on(node: Arc<Node>, log: Arc<PoolLog>) {
-    loop {
-        let in_trouble = log.in_trouble.load(Ordering::Relaxed);
-        tokio::time::sleep(if in_trouble { SPARE_EVERY_IN_TROUBLE } else { SPARE_EVERY }).await;
-        if !log.is_owned() {
-            continue;
-        }
-        if let Err(e) = log.catch_up(&node, SPARE, steady_ms()).await {
-            log::debug!("jobs step=spare-not-read pool={} error=\"{e}\"", log.pool);
-        }
-    }
-}
