Heartbeats go to a spare partition while the first does not take them

Others look there only while an owner has been quiet for 0.9 s; while they cannot, silence counts anew. A word read there of a life that is not known says nothing: it may be old. Ruled out: reading both always (13 calls a second on the small site).

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -24,6 +24,9 @@
 /// A pause between two readings of the heartbeats after which silence counts anew, in
 /// milliseconds: a little more than two readings lie apart.
 const DEAF_MS: Ms = 1_200;
+/// How long an owner must be silent to be looked for where heartbeats go that their first partition
+/// does not take, in milliseconds: twice the time between two of them.
+const QUIET_MS: Ms = 900;
 /// How long the second-best node waits before it takes a pool that the best has not, and each
 /// further one as much longer.
 const RANK_STEP_MS: Ms = 400;
@@ -113,6 +116,26 @@
         }
     }
 
+    /// Takes in a heartbeat that was read where those go that their first partition does not take. It may
+    /// be an old one: it is no word of a life that is not known.
+    pub fn heard_aside(&mut self, name: &str, beat: &Heartbeat, now: Ms) {
+        let other_life = self.members.get(name).is_some_and(|m| m.life != beat.life);
+        if !other_life {
+            self.heard(name, beat, now);
+        }
+    }
+
+    /// Returns whether some other node that owns something has not been heard for a while.
+    pub fn has_quiet_owner(&self, now: Ms) -> bool {
+        let quiet = |owned: &Owned| {
+            let heard = self.members.get(&owned.claim.owner.name).map_or(0, |m| m.heard_at);
+            let latest = heard.max(owned.seen_at);
+            let other = owned.claim.owner != self.me && !owned.claim.released;
+            other && now.saturating_sub(latest) >= QUIET_MS
+        };
+        self.claims.values().any(quiet)
+    }
+
     /// Takes in that heartbeats are being read now; to be called before those that were read are
     /// taken in. After a pause silence counts anew: returns whether there was one.
     pub fn listen(&mut self, now: Ms) -> bool {
@@ -129,7 +152,8 @@
         self.listened_at.is_none_or(|at| now.saturating_sub(at) > DEAF_MS)
     }
 
-    fn forgive_silence(&mut self, now: Ms) {
+    /// Takes in that not all heartbeats could be read: silence counts anew.
+    pub fn forgive_silence(&mut self, now: Ms) {
         for member in self.members.values_mut() {
             member.heard_at = now;
         }
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -159,3 +159,37 @@
     expect_that!(lease.is_over(100 + 7_143), eq(false));
     expect_that!(lease.is_over(100 + 7_143 + 200), eq(true));
 }
+
+#[gtest]
+fn an_owner_whose_heartbeats_go_elsewhere_is_not_silent() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    view.heard("a", &beat(1, 1), 1_000);
+    expect_that!(view.has_quiet_owner(1_500), eq(false));
+    expect_that!(view.has_quiet_owner(2_000), eq(true));
+    for (now, sequence) in [(2_000, 2), (3_000, 3), (4_000, 4), (5_000, 5)] {
+        view.listen(now);
+        view.heard_aside("a", &beat(1, sequence), now);
+        expect_that!(wanted(&mut view, &["desk"], now), is_empty());
+    }
+    // An old word of an earlier life says nothing.
+    view.heard_aside("a", &beat(9, 90), 5_500);
+    view.listen(6_000);
+    view.listen(7_000);
+    expect_that!(wanted(&mut view, &["desk"], 7_600), is_empty());
+    view.listen(7_700);
+    expect_that!(wanted(&mut view, &["desk"], 7_700), len(eq(1)));
+}
+
+#[gtest]
+fn silence_counts_anew_when_not_all_heartbeats_can_be_read() {
+    let mut view = Ownership::new(node("b", 1), 0);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 900);
+    view.heard("a", &beat(1, 1), 1_000);
+    for now in [1_000, 2_000, 3_000] {
+        view.listen(now);
+        view.forgive_silence(now);
+    }
+    view.listen(4_000);
+    expect_that!(wanted(&mut view, &["desk"], 4_000), is_empty());
+}
--- a/crates/scheduler/tests/partitions.rs
+++ b/crates/scheduler/tests/partitions.rs
@@ -143,3 +143,23 @@
         async || system.platform.store.newest(TOPIC, SPARE_PROGRESS, &format!("q{ID}")).is_none();
     until("the spare partition is empty again", gone).await;
 }
+
+/// All owners lost the right to act within 2.2 s while the partition of heartbeats was down.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owners_go_on_while_the_partition_of_heartbeats_is_down() {
+    let system = System::start(36, 2, 2).await;
+    until_served(&system).await;
+    let owner = system.owner();
+    for (i, fault) in [Fault::Busy, Fault::Silent].into_iter().enumerate() {
+        system.platform.store.set_part_fault("control", 1, fault);
+        tokio::time::sleep(std::time::Duration::from_secs(4)).await;
+        let id = format!("{:016x}", i + 1);
+        expect_that!(submit(&system.nodes[0], &id, &job(2, 100)).await.status, eq(200));
+        until_state(&system.nodes[1], &id, "completed").await;
+        expect_that!(system.owner(), eq(owner), "{fault:?}");
+        system.platform.store.set_part_fault("control", 1, Fault::None);
+        tokio::time::sleep(std::time::Duration::from_secs(4)).await;
+        expect_that!(system.owner(), eq(owner), "after {fault:?}");
+    }
+}
