A step of the schedule does not look for room that is not there; slopes of a pool's owner

The most that is free on any VM is kept while jobs are placed; what asks for more is passed over. Tasks of a step are alike, so that the first without a VM ends its step. Test: a_task_that_fits_nowhere_now_keeps_no_smaller_one_waiting; the random runs.

--- a/crates/bench/src/slopes/mod.rs
+++ b/crates/bench/src/slopes/mod.rs
@@ -1,6 +1,7 @@
 //! Slopes: a cost measured at several sizes, and the line through it.
 
 mod control;
+mod pool;
 mod requests;
 mod state;
 
@@ -51,6 +52,7 @@
     slopes.extend(state::measure());
     slopes.extend(control::measure());
     slopes.extend(requests::measure());
+    slopes.extend(pool::measure());
     slopes
 }
 
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -8,6 +8,7 @@
 use crate::id::{JobId, RunId, TaskId};
 use crate::progress::Phase;
 use crate::spec::Step;
+use crate::vm::Room;
 
 /// A step of one repetition of a job that has waiting tasks.
 #[derive(Clone, Copy, Debug)]
@@ -54,12 +55,19 @@
             }
         }
         ranked.sort_unstable();
+        let mut most_free = self.most_free(now.steady);
         for (_, _, key) in ranked {
-            self.place_job(key, now);
+            self.place_job(key, &mut most_free, now);
         }
     }
 
-    fn place_job(&mut self, key: JobKey, now: Now) {
+    /// Returns the most of each kind that is free on any VM: a task that asks for more fits nowhere.
+    fn most_free(&self, now: Ms) -> Room {
+        let takes = |vm: &&Vm| vm.takes_work() && vm.aside_until <= now;
+        self.vms.values().filter(takes).map(Vm::free).fold(Room::default(), Room::greater_of_each)
+    }
+
+    fn place_job(&mut self, key: JobKey, most_free: &mut Room, now: Now) {
         let job = &self.jobs[key];
         let id = job.id;
         let ready: Vec<ReadyStep> = job
@@ -69,10 +77,13 @@
         for step in ready {
             let spec = self.jobs[key].spec.clone();
             let shape = &spec.steps[step.step];
-            if shape.gang {
+            // Placing only takes room away, so that this may be too much, and never too little.
+            if !most_free.holds(shape.room()) {
+                // The VMs are not looked through.
+            } else if shape.gang {
                 self.place_gang(step, shape, now);
-            } else {
-                self.place_step(step, shape, now);
+            } else if !self.place_step(step, shape, now) {
+                *most_free = self.most_free(now.steady);
             }
             let waits = !self.waiting_tasks(step).is_empty();
             if let Some(policy) = spec.advice.filter(|_| waits) {
@@ -81,19 +92,17 @@
         }
     }
 
-    fn place_step(&mut self, ready: ReadyStep, shape: &Step, now: Now) {
-        let waiting = self.waiting_tasks(ready);
-        for index in waiting {
+    /// Places the waiting tasks of a step; returns whether there was a VM for each.
+    fn place_step(&mut self, ready: ReadyStep, shape: &Step, now: Now) -> bool {
+        for index in self.waiting_tasks(ready) {
+            // Tasks of a step are alike: the VM that each avoids is only its last choice.
             let Some(vm) = self.choose_vm(ready, shape, index, None, now.steady) else {
-                // Tasks of a step are alike, but for the VM that each avoids.
-                if self.avoids(ready, index).is_none() {
-                    return;
-                }
-                continue;
+                return false;
             };
             let attempt = self.next_attempt(ready, index);
             self.start(ready, shape, index, attempt, vm, now);
         }
+        true
     }
 
     /// Places all tasks of a gang or none, on one rack if they are slow when spread.
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Returns the greater of each kind.
+    #[must_use]
+    pub fn greater_of_each(self, other: Self) -> Self {
+        Self {
+            cpu: self.cpu.max(other.cpu),
+            mem_mb: self.mem_mb.max(other.mem_mb),
+            gpu: self.gpu.max(other.gpu),
+        }
+    }
+
     /// Returns what is left, never below zero.
     #[must_use]
     pub const fn minus(self, other: Self) -> Self {
--- a/crates/schedule/tests/pool.rs
+++ b/crates/schedule/tests/pool.rs
@@ -345,3 +345,16 @@
     pool.set_cordoned([started[0].vm.as_ref()[2..3].into()].into());
     expect_that!(pool.load(at(30)).used_cpu, eq(0));
 }
+
+#[gtest]
+fn a_task_that_fits_nowhere_now_keeps_no_smaller_one_waiting() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(2, 3_500)]), at(0));
+    plan_and_start(&mut pool, 10);
+    // 500 thousandths are left on each VM.
+    pool.submit(JobId(2), job(vec![step(3, 900)]), at(20));
+    pool.submit(JobId(3), job(vec![step(3, 400)]), at(30));
+    let started = plan_and_start(&mut pool, 40);
+    expect_that!(started, len(eq(2)));
+    expect_that!(started.iter().all(|s| s.run.task.job == JobId(3)), eq(true));
+}
