A VM that does not answer gets no new lease by starts that queued up for it

The lease itself knows now that its VM is silent and gives none; a start that was never sent goes elsewhere at once. Ruled out: the link was closed, a new incarnation, the owner changed. Test: a_vm_that_does_not_answer_gets_no_new_lease (new call, so not run red).

--- a/crates/schedule/src/lease.rs
+++ b/crates/schedule/src/lease.rs
@@ -17,23 +17,32 @@
     /// A reading of the VM's clock and when its answer arrived.
     clock: Option<(u64, Ms)>,
     over_at: Ms,
+    /// It has not answered the last call: it gets no new lease. Calls to it may arrive though their
+    /// answers are lost, and its tasks could never be given up.
+    silent: bool,
 }
 
 impl TaskLease {
     /// Makes the lease of a VM to which someone else may just have given one of full length.
     pub fn new(length: Ms, now: Ms) -> Self {
         let over_at = now + stretched(length) + MARGIN_MS;
-        Self { length, clock: None, over_at }
+        Self { length, clock: None, over_at, silent: false }
     }
 
     /// Takes in a reading of the VM's clock.
     pub fn read_clock(&mut self, clock_ms: u64, now: Ms) {
         self.clock = Some((clock_ms, now));
+        self.silent = false;
+    }
+
+    /// Takes in that the VM does not answer.
+    pub fn set_silent(&mut self) {
+        self.silent = true;
     }
 
     /// Returns the end, on the VM's clock, of a lease that is given now, and counts it as given.
     pub fn give(&mut self, now: Ms) -> Option<u64> {
-        let (clock_ms, read_at) = self.clock?;
+        let (clock_ms, read_at) = self.clock.filter(|_| !self.silent)?;
         let since = now.saturating_sub(read_at) + self.length;
         self.over_at = self.over_at.max(read_at + stretched(since) + MARGIN_MS);
         Some(clock_ms + since)
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -193,3 +193,20 @@
     view.listen(4_000);
     expect_that!(wanted(&mut view, &["desk"], 4_000), is_empty());
 }
+
+/// Trasteo Listo, hunt seed 773173945759 (LOST): starts that had queued up for a VM that had gone dark
+/// were tried one after the other, each with a new lease, and its lasting tasks counted as running for
+/// nine seconds more.
+#[gtest]
+fn a_vm_that_does_not_answer_gets_no_new_lease() {
+    let mut lease = TaskLease::new(6_000, 0);
+    lease.read_clock(50_000, 1_000);
+    expect_that!(lease.give(1_000), some(eq(56_000)));
+    lease.set_silent();
+    for now in [2_000, 4_000, 6_000] {
+        expect_that!(lease.give(now), none());
+    }
+    expect_that!(lease.is_over(7_300), eq(true));
+    lease.read_clock(58_000, 9_000);
+    expect_that!(lease.give(9_000), some(eq(64_000)));
+}
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -188,9 +188,7 @@
             continue;
         }
         let asked_at = steady_ms();
-        // A VM that does not answer gets no new lease: a call may arrive whose answer is lost, and
-        // its tasks could never be given up.
-        let deadline_ms = if reachable { lock(&link.lease).give(asked_at) } else { None };
+        let deadline_ms = lock(&link.lease).give(asked_at);
         let last_seen = *acked.borrow_and_update();
         let ask = Hold { token: link.token, last_seen, deadline_ms, wait };
         let result = link.client.hold(ask, asked_at).await;
@@ -225,6 +223,7 @@
                     link.tell(Event::Reachable(link.vm.clone(), false));
                 }
                 reachable = false;
+                lock(&link.lease).set_silent();
                 wait = Duration::ZERO;
                 let over = lock(&link.lease).is_over(steady_ms());
                 if over && !lost {
@@ -247,8 +246,11 @@
         if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
             return None;
         }
-        // Sent again it gives no longer lease: the VM may not be answering.
-        let until = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms()))?;
+        // Sent again it gives no longer lease. The first time, a VM that has fallen silent gets none, and
+        // the order is not sent.
+        let Some(until) = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms())) else {
+            return Some(StartResult::NotTaken);
+        };
         deadline_ms = Some(until);
         let start = Start {
             run: order.run,
