Tasks on draining VMs leave before those that may wait

What must leave goes first now and counts as away. Ruled out: a change of owner, reports read late. Test: what_must_leave_a_draining_vm_goes_before_what_may_wait, red before.

--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -19,7 +19,9 @@
             let leaves = vm.cordoned || vm.draining() || left_the_list;
             leaves && vm.reachable && !vm.runs.is_empty()
         };
-        let vms: Vec<VmKey> = self.vms.keys().filter(|&k| leaving(k)).collect();
+        let mut vms: Vec<VmKey> = self.vms.keys().filter(|&k| leaving(k)).collect();
+        // What must leave with its VM counts as away for what may wait.
+        vms.sort_by_key(|&key| !self.vms[key].draining());
         for key in vms {
             let waits = |(_, run): &(&TaskId, &Run)| !run.stopping && run.confirmed.is_some();
             let runs: Vec<(TaskId, u32)> = self.vms[key]
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -84,7 +84,7 @@
 }
 
 /// The schedule of one pool.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Pool {
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
--- a/crates/schedule/tests/emptying.rs
+++ b/crates/schedule/tests/emptying.rs
@@ -101,3 +101,26 @@
     pool.set_listing_is_sound(true);
     expect_that!(stops(&pool.plan(at(50))), eq(&vec![started.run]));
 }
+
+/// Trasteo Listo, hunt seed 65012137343 (AVAIL): in one step a task was moved off a sound VM and, after
+/// it, another of its step off one that drained, whose stop came first.
+#[gtest]
+fn what_must_leave_a_draining_vm_goes_before_what_may_wait() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![common::lasting(2, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    common::all_at_work(&mut pool, &started, 100);
+    for name in ["c", "d"] {
+        pool.list_vm(common::vm(name, 1));
+        pool.report(&common::vm(name, 1).id, &report(0, vec![], vec![]), at(20));
+    }
+    for draining in ["b", "a"] {
+        let mut pool = pool.clone();
+        let sound = if draining == "a" { "b" } else { "a" };
+        let facts = common::vm(draining, 1);
+        pool.list_vm(thistle_schedule::VmFacts { draining: true, ..(*facts).clone() }.into());
+        pool.set_cordoned([Arc::from(sound)].into());
+        let leaving = started.iter().find(|s| s.vm == facts.id).expect("one runs there").run;
+        expect_that!(stops(&pool.plan(at(200))), eq(&vec![leaving]), "{draining} drains");
+    }
+}
