Parameters of decisions in one typed struct of the schedule, settable and checked in the settings file

The struct's defaults are the figures that stood there; lasting tasks that share VMs are new in it and not measured yet.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use crate::Ms;
+use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
@@ -39,6 +40,7 @@
 /// The fleet's schedule.
 #[derive(Debug)]
 pub struct Fleet {
+    policy: Policy,
     vms: BTreeMap<Arc<str>, FleetVm>,
     /// When the list of VMs was asked for; none before the first.
     listed_at: Option<Ms>,
@@ -65,6 +67,11 @@
 impl Fleet {
     /// Takes over from a record.
     pub fn new(record: FleetRecord, hold_off: HoldOff) -> Self {
+        Self::with_policy(record, hold_off, Policy::default())
+    }
+
+    /// Takes over from a record, with other parameters of decisions than the usual ones.
+    pub fn with_policy(record: FleetRecord, hold_off: HoldOff, policy: Policy) -> Self {
         // The predecessor wrote that a VM was ordered before it gave the order.
         let given = |work: &VmWork| {
             let again_at = match work.stage {
@@ -75,6 +82,7 @@
         };
         let given = record.work.iter().map(given).collect();
         Self {
+            policy,
             vms: BTreeMap::new(),
             listed_at: None,
             waves: BTreeMap::new(),
@@ -84,7 +92,7 @@
             unsettled: HashMap::new(),
             off_pool: None,
             working_pools: HashSet::new(),
-            needs: moves::Needs::default(),
+            needs: moves::Needs::new(policy),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
             missing_since: HashMap::new(),
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -9,31 +9,17 @@
 
 use super::{Fleet, PoolReport, Purpose, VmState, VmWork};
 use crate::Ms;
+use crate::policy::Policy;
 
-/// How full VMs are to be, in percent: tasks differ in size, and the last of a VM's room is hard
-/// to use.
-const FILL_PERCENT: u64 = 80;
-/// By how much waiting tasks count: as many again come while VMs are on their way.
-const WAITING_WEIGHT: u64 = 3;
-/// What a pool keeps beyond its need when others are short, in percent.
-const MARGIN_PERCENT: usize = 15;
-/// How long a pool keeps what it needed last, in milliseconds. Two moves cost as much as two
-/// seconds of an idle VM (the sites' prices: 0.088 a move, 0.077 a VM-second).
-const KEEP_MS: Ms = 2_500;
-/// How long a VM that got work where it was moved to stays there, in milliseconds.
-const STAY_MS: Ms = 1_500;
-/// VMs that a pool keeps at least, so that the first jobs of a turn start at once.
-const FLOOR_VMS: usize = 4;
-/// Share of all VMs that may be on their way to another pool at once, in percent.
-const MOVING_PERCENT: usize = 50;
 /// Processor of a VM where a pool has none to go by, in thousandths of a core: the users' VMs of
 /// today.
 const USUAL_VM_CPU: u64 = 16_000;
 
 /// What each pool needed over the last seconds.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Needs {
     pools: HashMap<Arc<str>, Need>,
+    policy: Policy,
 }
 
 #[derive(Debug, Default)]
@@ -44,40 +30,44 @@
 }
 
 impl Needs {
+    pub fn new(policy: Policy) -> Self {
+        Self { pools: HashMap::new(), policy }
+    }
+
     pub fn note(&mut self, pool: &Arc<str>, report: &PoolReport, now: Ms) {
         let need = self.pools.entry(pool.clone()).or_default();
         if report.vms > 0 {
             need.vm_cpu = report.cpu / u64::from(report.vms);
         }
         let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
-        let there = report.used_cpu + WAITING_WEIGHT * report.waiting_cpu;
+        let there = report.used_cpu + self.policy.need.waiting_weight * report.waiting_cpu;
         let wanted = there.max(report.coming_cpu + report.waiting_cpu) * 100;
-        let vms = wanted.div_ceil(vm_cpu * FILL_PERCENT);
+        let vms = wanted.div_ceil(vm_cpu * self.policy.need.fill_percent);
         let vms = usize::try_from(vms).unwrap_or(usize::MAX);
         let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
         need.recent.push_back((now, vms.max(spread)));
-        need.forget(now);
+        need.forget(self.policy.moves.keep_ms, now);
     }
 
     /// Returns how many VMs a pool needs by its newest report.
     pub fn now(&self, pool: &str) -> usize {
         let newest = self.pools.get(pool).and_then(|need| need.recent.back());
-        newest.map_or(0, |(_, vms)| *vms).max(FLOOR_VMS)
+        newest.map_or(0, |(_, vms)| *vms).max(self.policy.need.floor_vms)
     }
 
     /// Returns how many VMs a pool needed at most over the last seconds; none before it has
     /// reported for as long.
     fn lately(&mut self, pool: &str, now: Ms) -> Option<usize> {
         let need = self.pools.get_mut(pool)?;
-        need.forget(now);
-        need.recent.iter().map(|(_, vms)| *vms).max().map(|vms| vms.max(FLOOR_VMS))
+        need.forget(self.policy.moves.keep_ms, now);
+        need.recent.iter().map(|(_, vms)| *vms).max().map(|vms| vms.max(self.policy.need.floor_vms))
     }
 }
 
 impl Need {
     /// Forgets old reports; the newest stands until there is another.
-    fn forget(&mut self, now: Ms) {
-        while self.recent.len() > 1 && self.recent[1].0 + KEEP_MS < now {
+    fn forget(&mut self, keep_ms: Ms, now: Ms) {
+        while self.recent.len() > 1 && self.recent[1].0 + keep_ms < now {
             self.recent.pop_front();
         }
     }
@@ -96,7 +86,7 @@
         let mut spare = self.off_vms();
         let mut shares = self.shares(spare.len());
         spare.extend(self.spare_vms(&shares, now));
-        let mut free = (self.vms.len() * MOVING_PERCENT / 100).saturating_sub(self.moves().count());
+        let mut free = (self.vms.len() * self.policy.moves.at_once_percent / 100).saturating_sub(self.moves().count());
         while free > 0 {
             let Some(to) = neediest(&shares) else { break };
             let Some((vm, from)) = take_for(&mut spare, &to) else { break };
@@ -117,15 +107,16 @@
         let sizes: Vec<(Arc<str>, usize)> =
             self.working_pools.iter().map(|p| (p.clone(), self.size(p))).collect();
         let total = off + sizes.iter().map(|(_, size)| size).sum::<usize>();
-        let floors = FLOOR_VMS * sizes.len();
-        let beyond = |pool: &str| self.needs.now(pool) - FLOOR_VMS;
+        let floor = self.policy.need.floor_vms;
+        let floors = floor * sizes.len();
+        let beyond = |pool: &str| self.needs.now(pool) - floor;
         let wanted: usize = sizes.iter().map(|(pool, _)| beyond(pool)).sum();
         let there = total.saturating_sub(floors);
         let target = |pool: &str| {
             if wanted <= there {
                 return self.needs.now(pool);
             }
-            FLOOR_VMS + beyond(pool) * there / wanted
+            floor + beyond(pool) * there / wanted
         };
         let share = |(pool, size): (Arc<str>, usize)| {
             let target = target(&pool);
@@ -181,7 +172,7 @@
         let mut light = Vec::new();
         for (pool, report) in &self.reports {
             let Some(share) = shares.get(pool) else { continue };
-            let keep = share.target + (share.target * MARGIN_PERCENT).div_ceil(100);
+            let keep = share.target + (share.target * self.policy.moves.margin_percent).div_ceil(100);
             let surplus = share.size.saturating_sub(keep);
             let named = |name: &String| (Arc::from(name.as_str()), pool.clone());
             let free = |name: &&String| self.is_free(name, pool);
@@ -199,7 +190,7 @@
 
     /// Returns whether a VM has been in its pool for a while.
     fn has_stayed(&self, name: &str, now: Ms) -> bool {
-        self.moved_at.get(name).is_none_or(|&at| now.saturating_sub(at) >= STAY_MS)
+        self.moved_at.get(name).is_none_or(|&at| now.saturating_sub(at) >= self.policy.moves.stay_ms)
     }
 
     /// Returns whether a VM is up in a pool and nothing else is done with it.
@@ -215,7 +206,7 @@
     }
 
     fn has_been_idle(&self, vm: &str, now: Ms) -> bool {
-        self.idle_since.get(vm).is_some_and(|&since| now.saturating_sub(since) >= KEEP_MS)
+        self.idle_since.get(vm).is_some_and(|&since| now.saturating_sub(since) >= self.policy.moves.keep_ms)
     }
 }
 
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -90,7 +90,7 @@
                 if at_work >= cap + AHEAD {
                     break;
                 }
-                if has_time && self.is_short(&name) {
+                if self.policy.waves.wait_for_pools && has_time && self.is_short(&name) {
                     continue;
                 }
                 if self.begin_vm(record.wave, &name, &mut by_pool) {
--- /dev/null
+++ b/crates/schedule/src/policy.rs
@@ -0,0 +1,110 @@
+//! The parameters of decisions: one typed struct, settable in the settings file, so that a decision
+//! can be changed or switched off without changing the code.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Ms;
+
+/// The parameters of decisions. What a settings file leaves out has the default.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Policy {
+    /// How many VMs a pool needs.
+    pub need: NeedPolicy,
+    /// How VMs move between pools.
+    pub moves: MovePolicy,
+    /// How waves of maintenance are done.
+    pub waves: WavePolicy,
+    /// How tasks are ordered and placed.
+    pub tasks: TaskPolicy,
+}
+
+/// How many VMs a pool needs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NeedPolicy {
+    /// How full VMs are to be, in percent: tasks differ in size, and the last of a VM's room is
+    /// hard to use.
+    pub fill_percent: u64,
+    /// By how much waiting tasks count: as many again come while VMs are on their way.
+    pub waiting_weight: u64,
+    /// Arrivals of a queue that its rate is taken from; 0 takes no account of what comes. With
+    /// eight the rate is off by a third or so; fewer would call VMs for chance, more would tell a
+    /// change later.
+    pub arrivals: usize,
+    /// VMs that a pool keeps at least, so that the first jobs of a turn start at once.
+    pub floor_vms: usize,
+}
+
+/// How VMs move between pools.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct MovePolicy {
+    /// What a pool keeps beyond its need when others are short, in percent.
+    pub margin_percent: usize,
+    /// How long a pool keeps what it needed last, in milliseconds. Two moves cost as much as two
+    /// seconds of an idle VM (the sites' prices: 0.088 a move, 0.077 a VM-second).
+    pub keep_ms: Ms,
+    /// How long a VM that got work where it was moved to stays there, in milliseconds.
+    pub stay_ms: Ms,
+    /// Share of all VMs that may be on their way to another pool at once, in percent.
+    pub at_once_percent: usize,
+    /// Tasks that save their progress are stopped on VMs that another pool needs.
+    pub stop_tasks: bool,
+}
+
+/// How waves of maintenance are done.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct WavePolicy {
+    /// VMs of pools that are short of them wait while the wave has time.
+    pub wait_for_pools: bool,
+}
+
+/// How tasks are ordered and placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct TaskPolicy {
+    /// A late job that must begin within this time to be of use at all goes before those that can
+    /// be in time, in milliseconds; 0 lets it wait.
+    pub rescue_ms: Ms,
+    /// Lasting tasks of one step share as few VMs as their limits allow, in place of as many as
+    /// there are.
+    pub pack_lasting: bool,
+    /// Filling tasks are slowed down while a serving task beside them is near its target.
+    pub pacing: bool,
+    /// How long a new owner moves no lasting tasks, in milliseconds: its predecessor's last stops
+    /// may be under way, of which no record tells. The users' VMs take 900 ms at most to stop a
+    /// run, and the next report comes within half a second.
+    pub pause_after_takeover_ms: Ms,
+}
+
+impl Default for NeedPolicy {
+    fn default() -> Self {
+        Self { fill_percent: 80, waiting_weight: 3, arrivals: 8, floor_vms: 4 }
+    }
+}
+
+impl Default for MovePolicy {
+    fn default() -> Self {
+        Self {
+            margin_percent: 15,
+            keep_ms: 2_500,
+            stay_ms: 1_500,
+            at_once_percent: 50,
+            stop_tasks: true,
+        }
+    }
+}
+
+impl Default for WavePolicy {
+    fn default() -> Self {
+        Self { wait_for_pools: true }
+    }
+}
+
+impl Default for TaskPolicy {
+    fn default() -> Self {
+        Self { rescue_ms: 1_000, pack_lasting: true, pacing: true, pause_after_takeover_ms: 1_500 }
+    }
+}
--- a/crates/schedule/src/pool/arrivals.rs
+++ b/crates/schedule/src/pool/arrivals.rs
@@ -3,11 +3,9 @@
 use std::collections::{HashMap, VecDeque};
 
 use super::{Ms, Pool};
+use crate::policy::NeedPolicy;
 use crate::spec::{JobSpec, Step};
 
-/// Arrivals of a queue that its rate is taken from. With eight the rate is off by a third or so;
-/// fewer would call VMs for chance, more would tell a change later.
-const ARRIVALS: usize = 8;
 /// The shortest time that a rate is taken over, in milliseconds: arrivals come in bunches when
 /// records are read together.
 const LEAST_SPAN_MS: Ms = 300;
@@ -15,9 +13,17 @@
 const WEIGHT: f64 = 1.0 / 30.0;
 
 /// What came to each queue of late.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(super) struct Arrivals {
     by_queue: HashMap<String, QueueArrivals>,
+    /// Arrivals that a rate is taken from.
+    counted: usize,
+}
+
+impl Default for Arrivals {
+    fn default() -> Self {
+        Self::new(NeedPolicy::default().arrivals)
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -28,6 +34,11 @@
 }
 
 impl Arrivals {
+    /// Makes an empty account that takes rates from so many arrivals.
+    pub fn new(counted: usize) -> Self {
+        Self { by_queue: HashMap::new(), counted }
+    }
+
     fn note(&mut self, queue: &str, work: f64, now: Ms) {
         if !self.by_queue.contains_key(queue) {
             let first = QueueArrivals { work, ..QueueArrivals::default() };
@@ -36,7 +47,7 @@
         let Some(known) = self.by_queue.get_mut(queue) else { return };
         known.work += WEIGHT * (work - known.work);
         known.at.push_back(now);
-        if known.at.len() > ARRIVALS {
+        if known.at.len() > self.counted {
             known.at.pop_front();
         }
     }
@@ -44,7 +55,7 @@
     /// Returns the processor that work would keep busy if it went on coming like this, in
     /// thousandths of a core.
     pub fn coming_cpu(&self, now: Ms) -> u64 {
-        self.by_queue.values().map(|queue| queue.coming_cpu(now)).sum()
+        self.by_queue.values().map(|queue| queue.coming_cpu(self.counted, now)).sum()
     }
 }
 
@@ -55,10 +66,11 @@
         clippy::cast_sign_loss,
         reason = "counts and times are far below 2^52, and work is not negative"
     )]
-    fn coming_cpu(&self, now: Ms) -> u64 {
-        let Some(&first) = self.at.front().filter(|_| self.at.len() == ARRIVALS) else { return 0 };
+    fn coming_cpu(&self, counted: usize, now: Ms) -> u64 {
+        let whole = counted > 0 && self.at.len() == counted;
+        let Some(&first) = self.at.front().filter(|_| whole) else { return 0 };
         let span = now.saturating_sub(first).max(LEAST_SPAN_MS);
-        ((ARRIVALS - 1) as f64 * self.work / span as f64) as u64
+        ((counted - 1) as f64 * self.work / span as f64) as u64
     }
 }
 
--- a/crates/schedule/src/pool/evacuate.rs
+++ b/crates/schedule/src/pool/evacuate.rs
@@ -41,6 +41,9 @@
     /// Returns whether a run is to be stopped for the sake of the pool that needs its VM. The task
     /// may have to wait for room: its pool was found to need the VM less.
     fn hurries(&self, vm: VmKey, task: TaskId, now: Now) -> bool {
+        if !self.policy.moves.stop_tasks {
+            return false;
+        }
         let vm = &self.vms[vm];
         let hurried = vm.cordoned && vm.name().is_some_and(|name| self.hurried.contains(name));
         let Some(run) = vm.runs.get(&task).filter(|run| hurried && run.can_be_resumed()) else {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -27,6 +27,7 @@
 
 use crate::Ms;
 use crate::id::{JobId, VmId};
+use crate::policy::Policy;
 use crate::progress::{Phase, Progress};
 use crate::spec::JobSpec;
 use crate::vm::Room;
@@ -86,6 +87,7 @@
 /// The schedule of one pool.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    policy: Policy,
     jobs: SlotMap<JobKey, Job>,
     job_keys: HashMap<JobId, JobKey>,
     vms: SlotMap<VmKey, Vm>,
@@ -116,6 +118,11 @@
         Self::default()
     }
 
+    /// Makes an empty schedule with other parameters of decisions than the usual ones.
+    pub fn with_policy(policy: Policy) -> Self {
+        Self { policy, arrivals: Arrivals::new(policy.need.arrivals), ..Self::default() }
+    }
+
     /// Takes in a job that was accepted.
     pub fn submit(&mut self, id: JobId, spec: Arc<JobSpec>, now: Now) {
         if self.job_keys.contains_key(&id) {
--- a/crates/schedule/src/pool/pace.rs
+++ b/crates/schedule/src/pool/pace.rs
@@ -40,6 +40,9 @@
 
     /// Paces the filling tasks of a VM by what its serving tasks have just reported.
     pub(super) fn pace(&mut self, key: VmKey, now: Now) {
+        if !self.policy.tasks.pacing {
+            return;
+        }
         let vm = &mut self.vms[key];
         let tail = tail(vm.runs.values());
         let id = vm.id.clone();
--- a/crates/schedule/src/pool/rank.rs
+++ b/crates/schedule/src/pool/rank.rs
@@ -4,9 +4,6 @@
 
 /// A job finished by this many times its objective still earns a little.
 const LATE_FACTOR: u64 = 3;
-/// A late job that must begin within this time to be of use at all goes before those that can be
-/// in time, in milliseconds.
-const RESCUE_MS: Ms = 1_000;
 
 /// The order in which jobs are placed: smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,7 +37,7 @@
         let last = job.accepted + objective * LATE_FACTOR;
         let (lateness, then) = if finish <= due {
             (1, due)
-        } else if finish <= last && last - finish < RESCUE_MS {
+        } else if finish <= last && last - finish < self.policy.tasks.rescue_ms {
             (0, last - left)
         } else if finish <= last {
             (2, left)
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -13,15 +13,10 @@
 /// milliseconds; a new owner reads older ones all at once.
 const JUST_ACCEPTED_MS: Ms = 1_000;
 
-/// How long a new owner moves no lasting tasks, in milliseconds: its predecessor's last stops may be
-/// under way, of which no record tells. The users' VMs take 900 ms at most to stop a run, and the
-/// next report comes within half a second.
-const PREDECESSORS_STOPS_MS: Ms = 1_500;
-
 impl Pool {
     /// Takes in that this owner has just taken over.
     pub fn taken_over(&mut self, now: Now) {
-        self.moves_from = now.steady + PREDECESSORS_STOPS_MS;
+        self.moves_from = now.steady + self.policy.tasks.pause_after_takeover_ms;
     }
 
     /// Takes in a job as its records tell. Tasks ordered to run somewhere count as running there
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -80,7 +80,7 @@
         hold_off.ordered.saturating_sub(steady_ms()),
     );
     let mut owner = FleetOwner {
-        fleet: Fleet::new(written.clone(), hold_off),
+        fleet: Fleet::with_policy(written.clone(), hold_off, node.settings.policy),
         client: Arc::new(MachineClient::new(addr)),
         node: node.clone(),
         token,
@@ -118,12 +118,13 @@
         match event {
             Event::Report(pool, report) => {
                 log::info!(
-                    "report pool={pool} waiting_cpu={} used_cpu={} coming_cpu={} cpu={} vms={} idle={} emptied={}",
+                    "report pool={pool} waiting_cpu={} used_cpu={} coming_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
                     report.waiting_cpu,
                     report.used_cpu,
                     report.coming_cpu,
                     report.cpu,
                     report.vms,
+                    report.spread,
                     report.idle.len(),
                     report.emptied.len(),
                 );
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -86,12 +86,13 @@
         tokio::time::sleep(TICK).await;
     }
     let spilled = log.spilled();
+    let policy = node.settings.policy;
     let advisor = Advisor::start(&node, tx.clone());
     let mut owner = Owner {
         node,
         log,
         token,
-        pool: Pool::new(),
+        pool: Pool::with_policy(policy),
         journal,
         writer: ProgressWriter::new(token, spilled),
         links: HashMap::new(),
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
+use thistle_schedule::Policy;
 
 use crate::error::SettingsError;
 use crate::load::{Checked, in_range};
@@ -50,6 +51,9 @@
     /// How long a process that is told to stop may take.
     #[serde(default = "default_stop")]
     pub stop_grace: Span,
+    /// The parameters of decisions.
+    #[serde(default)]
+    pub policy: Policy,
     /// Log lines.
     #[serde(default)]
     pub log: LogSettings,
@@ -83,6 +87,7 @@
         let day = Span::from_secs(86_400);
         in_range("keep_settled", &self.keep_settled, &second, &day)?;
         in_range("machine_order_gap", &self.machine_order_gap, &second, &Span::from_secs(600))?;
+        check_policy(&self.policy)?;
         let mut listeners = vec![self.listen, self.readiness_listen, self.metrics_listen];
         listeners.extend(self.relay_listen);
         for (i, addr) in listeners.iter().enumerate() {
@@ -96,3 +101,17 @@
         Ok(())
     }
 }
+
+fn check_policy(policy: &Policy) -> Result<(), SettingsError> {
+    let Policy { need, moves, .. } = policy;
+    in_range("policy.need.fill_percent", &need.fill_percent, &10, &100)?;
+    in_range("policy.need.waiting_weight", &need.waiting_weight, &1, &20)?;
+    in_range("policy.need.floor_vms", &need.floor_vms, &1, &1_000)?;
+    in_range("policy.moves.margin_percent", &moves.margin_percent, &0, &100)?;
+    in_range("policy.moves.at_once_percent", &moves.at_once_percent, &1, &100)?;
+    if need.arrivals == 1 {
+        let remedy = "is 1, which tells no rate; set it to 0, or to 2 or more";
+        return Err(SettingsError::value("policy.need.arrivals", remedy));
+    }
+    Ok(())
+}
