--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -68,9 +68,6 @@
     /// A late job that must begin within this time to be of use at all goes before those that can
     /// be in time, in milliseconds; 0 lets it wait.
     pub rescue_ms: Ms,
-    /// Lasting tasks of one step share as few VMs as their limits allow, in place of as many as
-    /// there are.
-    pub pack_lasting: bool,
     /// Filling tasks are slowed down while a serving task beside them is near its target.
     pub pacing: bool,
     /// How long a new owner moves no lasting tasks, in milliseconds: its predecessor's last stops
@@ -105,6 +102,6 @@
 
 impl Default for TaskPolicy {
     fn default() -> Self {
-        Self { rescue_ms: 1_000, pack_lasting: true, pacing: true, pause_after_takeover_ms: 1_500 }
+        Self { rescue_ms: 1_000, pacing: true, pause_after_takeover_ms: 1_500 }
     }
 }
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -200,7 +200,7 @@
             // Lasting tasks share few VMs, so that others can be taken away when load is low.
             let packed = if shape.lasting { vm.lasting_runs() } else { 0 };
             // Those of one step are spread all the same: a VM that goes takes few of them.
-            let spread = if shape.lasting && !self.policy.tasks.pack_lasting {
+            let spread = if shape.lasting {
                 std::cmp::Reverse(of_step(vm, ready))
             } else {
                 std::cmp::Reverse(0)
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use metrics::counter;
 use thistle_platform::worker::{Hold, Start};
@@ -23,6 +23,9 @@
 const WAIT_CLOSELY: Duration = Duration::from_millis(400);
 /// Pause before a VM that does not answer is asked again.
 const RETRY: Duration = Duration::from_millis(200);
+/// An order that failed sooner than this is sent again after a pause; one that waited for its answer
+/// has paused enough.
+const FAILED_AT_ONCE: Duration = Duration::from_millis(50);
 /// Pause while this node may not act as owner.
 const NO_LEASE: Duration = Duration::from_millis(50);
 /// How long the acknowledgement of ends is waited for before leases are renewed without it.
@@ -246,6 +249,7 @@
         if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
             return None;
         }
+        let sent_at = Instant::now();
         // Sent again it gives no longer lease. The first time, a VM that has fallen silent gets none, and
         // the order is not sent.
         let Some(until) = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms())) else {
@@ -276,7 +280,7 @@
                 may_be_there |= matches!(e, OrderError::Unanswered(_) | OrderError::Malformed(_));
             }
         }
-        tokio::time::sleep(RETRY).await;
+        pause_after(sent_at).await;
     }
 }
 
@@ -288,11 +292,19 @@
         if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
             return None;
         }
+        let sent_at = Instant::now();
         match link.client.stop(run, link.token).await {
             Ok(()) => return Some(()),
             Err(e) if link.is_over_with(&e) => return None,
             Err(e) => log::info!("stop step=no-answer run={run} vm={} error=\"{e}\"", link.vm),
         }
+        pause_after(sent_at).await;
+    }
+}
+
+/// Waits before an order that failed is sent again.
+async fn pause_after(sent_at: Instant) {
+    if sent_at.elapsed() < FAILED_AT_ONCE {
         tokio::time::sleep(RETRY).await;
     }
 }
