A pool's need is what it will use when VMs that are ordered now have come

Cause: need was three times what waits plus what runs, or the rate of the last eight arrivals. Change: tasks that will not have ended, tasks that wait or whose turn comes, and jobs that come until then; the lead is measured by the fleet's owner from orders to VMs that are up.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -41,10 +41,10 @@
     pub waiting_cpu: u64,
     /// Processor in use, in thousandths of a core.
     pub used_cpu: u64,
-    /// Processor that jobs would keep busy if they went on coming as they came of late, in
-    /// thousandths of a core.
+    /// Processor that will be in use when VMs that are ordered now have come, in thousandths of a
+    /// core; see [`crate::pool::Demand`].
     #[serde(default)]
-    pub coming_cpu: u64,
+    pub soon_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
     /// VMs that take work.
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -24,6 +24,8 @@
 /// How long after an answered order a VM that shows no other incarnation counts as one for which
 /// the order had been carried out before: an upkeep or move takes about two seconds.
 const DONE_BEFORE_MS: Ms = 6_000;
+/// Moves over which their time is averaged.
+const MOVES_MEASURED: Ms = 16;
 /// Pause before an order is given again.
 const AGAIN_MS: Ms = 400;
 
@@ -33,6 +35,7 @@
     under_way: bool,
     again_at: Ms,
     done_at: Option<Ms>,
+    ordered_at: Option<Ms>,
     /// The VM was seen away after the order was answered: up again, it is done.
     seen_away: bool,
 }
@@ -205,17 +208,28 @@
         let done: Vec<VmWork> =
             self.record.work.iter().filter(|w| self.is_carried_out(w, now)).cloned().collect();
         for work in done {
-            self.given.remove(&work.vm);
+            let given = self.given.remove(&work.vm);
             self.record.work.retain(|w| w.vm != work.vm);
             match work.purpose {
                 Purpose::Maintain { wave } => self.mark_maintained(wave, &work.vm),
                 Purpose::Move { .. } => {
+                    self.measure_move(given.and_then(|g| g.ordered_at), now);
                     self.moved_at.insert(work.vm, now);
                 }
             }
         }
     }
 
+    /// Takes in how long a move took from its order; a new owner does not know of its
+    /// predecessor's.
+    fn measure_move(&mut self, ordered_at: Option<Ms>, now: Ms) {
+        let Some(ordered_at) = ordered_at else { return };
+        let took = now.saturating_sub(ordered_at);
+        let known = self.record.move_ms;
+        let mean = (known * (MOVES_MEASURED - 1) + took).div_ceil(MOVES_MEASURED);
+        self.record.move_ms = if known == 0 { took } else { mean };
+    }
+
     fn is_carried_out(&self, work: &VmWork, now: Ms) -> bool {
         let Stage::Ordered { incarnation } = &work.stage else { return false };
         let Some(given) = self.given.get(&work.vm) else { return false };
@@ -282,6 +296,7 @@
                 continue;
             }
             given.under_way = true;
+            given.ordered_at.get_or_insert(now);
             orders.push(FleetOrder { vm: work.vm.clone(), purpose: work.purpose.clone() });
         }
         orders
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -40,9 +40,7 @@
             need.vm_cpu = report.cpu / u64::from(report.vms);
         }
         let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
-        let there = report.used_cpu + self.policy.need.waiting_weight * report.waiting_cpu;
-        let wanted = there.max(report.coming_cpu + report.waiting_cpu) * 100;
-        let vms = wanted.div_ceil(vm_cpu * self.policy.need.fill_percent);
+        let vms = (report.soon_cpu * 100).div_ceil(vm_cpu * self.policy.need.fill_percent);
         let vms = usize::try_from(vms).unwrap_or(usize::MAX);
         let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
         need.recent.push_back((now, vms.max(spread)));
@@ -86,7 +84,8 @@
         let mut spare = self.off_vms();
         let mut shares = self.shares(spare.len());
         spare.extend(self.spare_vms(&shares, now));
-        let mut free = (self.vms.len() * self.policy.moves.at_once_percent / 100).saturating_sub(self.moves().count());
+        let mut free = (self.vms.len() * self.policy.moves.at_once_percent / 100)
+            .saturating_sub(self.moves().count());
         while free > 0 {
             let Some(to) = neediest(&shares) else { break };
             let Some((vm, from)) = take_for(&mut spare, &to) else { break };
@@ -172,7 +171,8 @@
         let mut light = Vec::new();
         for (pool, report) in &self.reports {
             let Some(share) = shares.get(pool) else { continue };
-            let keep = share.target + (share.target * self.policy.moves.margin_percent).div_ceil(100);
+            let keep =
+                share.target + (share.target * self.policy.moves.margin_percent).div_ceil(100);
             let surplus = share.size.saturating_sub(keep);
             let named = |name: &String| (Arc::from(name.as_str()), pool.clone());
             let free = |name: &&String| self.is_free(name, pool);
@@ -190,7 +190,9 @@
 
     /// Returns whether a VM has been in its pool for a while.
     fn has_stayed(&self, name: &str, now: Ms) -> bool {
-        self.moved_at.get(name).is_none_or(|&at| now.saturating_sub(at) >= self.policy.moves.stay_ms)
+        self.moved_at
+            .get(name)
+            .is_none_or(|&at| now.saturating_sub(at) >= self.policy.moves.stay_ms)
     }
 
     /// Returns whether a VM is up in a pool and nothing else is done with it.
@@ -206,7 +208,9 @@
     }
 
     fn has_been_idle(&self, vm: &str, now: Ms) -> bool {
-        self.idle_since.get(vm).is_some_and(|&since| now.saturating_sub(since) >= self.policy.moves.keep_ms)
+        self.idle_since
+            .get(vm)
+            .is_some_and(|&since| now.saturating_sub(since) >= self.policy.moves.keep_ms)
     }
 }
 
--- a/crates/schedule/src/fleet/record.rs
+++ b/crates/schedule/src/fleet/record.rs
@@ -2,6 +2,12 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::Ms;
+
+/// What passes beside the move itself from a pool's report until a VM takes work, in milliseconds:
+/// a report, a record, the list and a first call, some 100 ms each.
+const TELLING_MS: Ms = 400;
+
 /// Why a VM is emptied.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -64,6 +70,9 @@
     pub work: Vec<VmWork>,
     /// The waves.
     pub waves: Vec<WaveRecord>,
+    /// How long a move takes, as measured, in milliseconds; 0 before the first.
+    #[serde(default)]
+    pub move_ms: Ms,
 }
 
 impl FleetRecord {
@@ -72,6 +81,12 @@
         self.work == other.work && self.waves == other.waves
     }
 
+    /// Returns how long it takes from a pool's report until a VM for it takes work, in milliseconds;
+    /// none before a move was measured.
+    pub fn lead_ms(&self) -> Option<Ms> {
+        (self.move_ms > 0).then_some(self.move_ms + TELLING_MS)
+    }
+
     /// Returns the VMs, by lasting name, that are to be emptied and kept empty.
     pub fn cordoned(&self) -> impl Iterator<Item = &str> {
         self.work.iter().map(|w| w.vm.as_str())
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -26,8 +26,9 @@
     /// How full VMs are to be, in percent: tasks differ in size, and the last of a VM's room is
     /// hard to use.
     pub fill_percent: u64,
-    /// By how much waiting tasks count: as many again come while VMs are on their way.
-    pub waiting_weight: u64,
+    /// How far ahead the need is worked out while no move was measured, in milliseconds: the
+    /// users' moves take 1.5 s, and it takes half a second to tell, to order and to begin.
+    pub lead_ms: Ms,
     /// Arrivals of a queue that its rate is taken from; 0 takes no account of what comes. With
     /// eight the rate is off by a third or so; fewer would call VMs for chance, more would tell a
     /// change later.
@@ -78,7 +79,7 @@
 
 impl Default for NeedPolicy {
     fn default() -> Self {
-        Self { fill_percent: 80, waiting_weight: 3, arrivals: 8, floor_vms: 4 }
+        Self { fill_percent: 80, lead_ms: 2_000, arrivals: 8, floor_vms: 4 }
     }
 }
 
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -10,6 +10,7 @@
 mod estimate;
 mod evacuate;
 mod job;
+mod need;
 mod order;
 mod pace;
 mod place;
@@ -37,6 +38,7 @@
 use arrivals::Arrivals;
 use estimate::Estimates;
 use job::Job;
+pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 use vms::Vm;
 pub use vms::VmSummary;
@@ -69,9 +71,6 @@
     pub used_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
-    /// Processor that jobs would keep busy if they went on coming as they came of late, in
-    /// thousandths of a core.
-    pub coming_cpu: u64,
     /// VMs that take work.
     pub vms: u32,
     /// VMs that lasting tasks need, which may not share one.
@@ -174,7 +173,7 @@
 
     /// Counts what waits and what is in use.
     pub fn load(&self, now: Now) -> Load {
-        let mut load = Load { coming_cpu: self.arrivals.coming_cpu(now.steady), ..Load::default() };
+        let mut load = Load::default();
         for vm in self.vms.values().filter(|vm| vm.takes_work()) {
             load.vms += 1;
             load.cpu += u64::from(vm.room().cpu);
--- /dev/null
+++ b/crates/schedule/src/pool/need.rs
@@ -0,0 +1,110 @@
+//! How much of its VMs a pool will use when VMs that are ordered now have come.
+//!
+//! A VM takes about two seconds to come, and load turns within as many. What runs now says little
+//! about then: much of it has ended, and what has begun to come has only begun to wait.
+
+use std::collections::HashMap;
+
+use super::job::{Job, TimeRun};
+use super::{JobKey, Ms, Now, Pool};
+use crate::id::{JobId, TaskId};
+use crate::progress::Phase;
+
+/// Processor that a pool will use at a time to come, in thousandths of a core, by what makes it up.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Demand {
+    /// Tasks that run now, on VMs that take work, and will not have ended.
+    pub staying: u64,
+    /// Tasks whose turn has come and that wait, of jobs that can still be of use.
+    pub waiting: u64,
+    /// Tasks whose turn comes when what runs now has ended.
+    pub following: u64,
+    /// Tasks of jobs that have not come yet, if they go on coming as they came of late.
+    pub arriving: u64,
+}
+
+impl Demand {
+    /// Returns the whole, in thousandths of a core.
+    pub const fn total(&self) -> u64 {
+        self.staying + self.waiting + self.following + self.arriving
+    }
+}
+
+/// Steps that run now, with the time until the last of their tasks ends.
+type Ending = HashMap<(JobId, u32, usize), Ms>;
+
+impl Pool {
+    /// Returns what the pool will use in `lead` milliseconds.
+    pub fn demand(&self, lead: Ms, now: Now) -> Demand {
+        let mut demand =
+            Demand { arriving: self.arrivals.arriving(lead, now.steady), ..Demand::default() };
+        let mut ending = Ending::new();
+        for vm in self.vms.values() {
+            for (&task, run) in vm.runs.iter().filter(|(_, run)| !run.lasting) {
+                let left = self.time_left(task, run, now.steady);
+                let end = ending.entry(step_of(task)).or_default();
+                *end = left.max(*end);
+                if left > lead && vm.takes_work() {
+                    demand.staying += u64::from(run.demand.cpu);
+                }
+            }
+            if vm.takes_work() {
+                let lasting = vm.runs.values().filter(|run| run.lasting);
+                demand.staying += lasting.map(|run| u64::from(run.demand.cpu)).sum::<u64>();
+            }
+        }
+        for (key, job) in self.jobs.iter().filter(|(_, job)| job.phase == Phase::Open) {
+            self.add_waiting(key, job, lead, &ending, now, &mut demand);
+        }
+        demand
+    }
+
+    fn add_waiting(
+        &self,
+        key: JobKey,
+        job: &Job,
+        lead: Ms,
+        ending: &Ending,
+        now: Now,
+        demand: &mut Demand,
+    ) {
+        let ready: Vec<(u32, usize)> =
+            job.ready_steps().map(|(time, step, _)| (time, step)).collect();
+        let of_use = ready.is_empty() || !self.rank(job, now.steady).is_too_late();
+        for (&time, run) in &job.times {
+            for (i, step) in run.steps.iter().enumerate().filter(|(_, step)| step.waiting > 0) {
+                let cpu = u64::from(job.spec.steps[i].room().cpu) * u64::from(step.waiting);
+                if ready.contains(&(time, i)) {
+                    if of_use && self.fits_somewhere(job.spec.steps[i].room()) {
+                        demand.waiting += cpu;
+                    }
+                } else if self.turn_comes(key, time, run, i, lead, ending) {
+                    demand.following += cpu;
+                }
+            }
+        }
+    }
+
+    /// Returns whether all that a step waits for is done or ends within `lead`.
+    fn turn_comes(
+        &self,
+        key: JobKey,
+        time: u32,
+        run: &TimeRun,
+        step: usize,
+        lead: Ms,
+        ending: &Ending,
+    ) -> bool {
+        let job = &self.jobs[key];
+        job.spec.steps[step].depends_on.iter().all(|&on| {
+            let on = usize::from(on);
+            let before = &run.steps[on];
+            let ends = ending.get(&(job.id, time, on)).is_some_and(|&left| left <= lead);
+            before.is_done() || before.waiting == 0 && ends
+        })
+    }
+}
+
+fn step_of(task: TaskId) -> (JobId, u32, usize) {
+    (task.job, task.time, usize::from(task.step))
+}
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -118,10 +118,10 @@
         match event {
             Event::Report(pool, report) => {
                 log::info!(
-                    "report pool={pool} waiting_cpu={} used_cpu={} coming_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
+                    "report pool={pool} waiting_cpu={} used_cpu={} soon_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
                     report.waiting_cpu,
                     report.used_cpu,
-                    report.coming_cpu,
+                    report.soon_cpu,
                     report.cpu,
                     report.vms,
                     report.spread,
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -15,6 +15,9 @@
 /// How often a report goes out at most, in milliseconds, unless a VM has become empty.
 const EVERY_MS: Ms = 250;
 
+/// What changes by less is no news, in thousandths of a core.
+const CORE: u64 = 1_000;
+
 /// What was reported last.
 #[derive(Debug, Default)]
 pub(super) struct Reporter {
@@ -33,11 +36,14 @@
             return;
         }
         let load = self.pool.load(now());
+        let lead =
+            self.node.fleet.borrow().lead_ms().unwrap_or(self.node.settings.policy.need.lead_ms);
+        let demand = self.pool.demand(lead, now());
         let text = |s: Arc<str>| s.as_ref().to_owned();
         let report = PoolReport {
             waiting_cpu: load.waiting_cpu,
             used_cpu: load.used_cpu,
-            coming_cpu: load.coming_cpu,
+            soon_cpu: demand.total().next_multiple_of(CORE),
             cpu: load.cpu,
             vms: load.vms,
             spread: load.spread,
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -105,7 +105,7 @@
 fn check_policy(policy: &Policy) -> Result<(), SettingsError> {
     let Policy { need, moves, .. } = policy;
     in_range("policy.need.fill_percent", &need.fill_percent, &10, &100)?;
-    in_range("policy.need.waiting_weight", &need.waiting_weight, &1, &20)?;
+    in_range("policy.need.lead_ms", &need.lead_ms, &0, &600_000)?;
     in_range("policy.need.floor_vms", &need.floor_vms, &1, &1_000)?;
     in_range("policy.moves.margin_percent", &moves.margin_percent, &0, &100)?;
     in_range("policy.moves.at_once_percent", &moves.at_once_percent, &1, &100)?;
