--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -40,6 +40,7 @@
 use job::Job;
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
+pub use pace::Watch;
 use vms::Vm;
 pub use vms::VmSummary;
 
--- a/crates/schedule/src/pool/pace.rs
+++ b/crates/schedule/src/pool/pace.rs
@@ -21,6 +21,17 @@
 /// Pause between two changes: the figures are of the last half second.
 const CHANGE_EVERY_MS: Ms = 500;
 
+/// What a VM is looked at for, and so how often.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Watch {
+    /// The figures of serving and filling tasks that run side by side.
+    Figures,
+    /// The ends of tasks that end by themselves.
+    Ends,
+    /// The lease of what it runs, or may be told to run.
+    Lease,
+}
+
 /// How the serving tasks of a VM are doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Tail {
@@ -30,12 +41,18 @@
 }
 
 impl Pool {
-    /// Returns whether a VM runs serving and filling tasks, so that it is to be looked at often.
-    pub fn is_mixed(&self, vm: &VmId) -> bool {
+    /// Returns what a VM is looked at for.
+    pub fn watch(&self, vm: &VmId) -> Watch {
         let vm = self.vm_keys.get(vm).and_then(|&key| self.vms.get(key));
-        vm.is_some_and(|vm| {
-            vm.runs.values().any(|r| r.fills) && vm.runs.values().any(|r| r.tail_target_ms > 0)
-        })
+        let Some(vm) = vm else { return Watch::Lease };
+        let any = |is: fn(&Run) -> bool| vm.runs.values().any(is);
+        if any(|run| run.fills) && any(|run| run.tail_target_ms > 0) {
+            Watch::Figures
+        } else if any(|run| !run.lasting) {
+            Watch::Ends
+        } else {
+            Watch::Lease
+        }
     }
 
     /// Paces the filling tasks of a VM by what its serving tasks have just reported.
--- a/crates/schedule/tests/policies.rs
+++ b/crates/schedule/tests/policies.rs
@@ -95,7 +95,7 @@
 fn filling_tasks_are_slowed_fast_and_let_go_slowly() {
     let (mut pool, rows) = mixed();
     let vm = common::vm("a", 1).id.clone();
-    expect_that!(pool.is_mixed(&vm), eq(true));
+    expect_that!(pool.watch(&vm), eq(thistle_schedule::pool::Watch::Figures));
     pool.report(&vm, &report(1_000, with_tail(&rows, 95, 100), vec![]), at(1_000));
     expect_that!(paces(&pool.plan(at(1_000))), eq(&vec![25]));
     pool.report(&vm, &report(1_600, with_tail(&rows, 120, 25), vec![]), at(1_600));
--- a/crates/scheduler/src/owner/link.rs
+++ b/crates/scheduler/src/owner/link.rs
@@ -1,13 +1,13 @@
 //! The link to one VM incarnation: renewing its lease, hearing what ends, giving orders.
 
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use metrics::counter;
 use thistle_platform::worker::{Hold, Start};
 use thistle_platform::{OrderError, StartAnswer, WorkerClient};
-use thistle_schedule::pool::{StartOrder, StartResult};
+use thistle_schedule::pool::{StartOrder, StartResult, Watch};
 use thistle_schedule::{RunId, TaskLease, VmFacts, VmId};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, watch};
@@ -16,8 +16,12 @@
 use super::Event;
 use crate::node::{Node, lock, steady_ms};
 
-/// How long a call waits for an end. Longer costs fewer calls; the lease is renewed at each.
+/// How long a call waits for an end where none is expected. Longer costs fewer calls; the lease is
+/// renewed at each.
 const WAIT: Duration = Duration::from_millis(1_500);
+/// How long a call waits where tasks run that end by themselves. A call that is left unanswered
+/// makes the owner deaf to their ends for so long.
+const WAIT_FOR_ENDS: Duration = Duration::from_millis(500);
 /// How long a call waits where serving and filling tasks run side by side, whose figures are of the
 /// last half second.
 const WAIT_CLOSELY: Duration = Duration::from_millis(400);
@@ -43,8 +47,8 @@
     lease: Mutex<TaskLease>,
     acked: watch::Sender<u64>,
     closed: AtomicBool,
-    /// Serving and filling tasks run side by side: it is looked at often.
-    closely: AtomicBool,
+    /// How long a call may wait for an end, in milliseconds.
+    wait_ms: AtomicU64,
     /// Counts how often the lease ran out: a start from before must not be repeated after it.
     lapses: AtomicU32,
     starts: Semaphore,
@@ -76,7 +80,7 @@
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
-            closely: AtomicBool::new(false),
+            wait_ms: AtomicU64::new(millis(WAIT)),
             lapses: AtomicU32::new(0),
             starts: Semaphore::new(ORDERS_AT_ONCE),
             stops: Semaphore::new(ORDERS_AT_ONCE),
@@ -95,9 +99,14 @@
         });
     }
 
-    /// Sets whether the VM is looked at often, or mostly when something ends.
-    pub fn watch_closely(&self, closely: bool) {
-        self.shared.closely.store(closely, Ordering::Relaxed);
+    /// Sets how often the VM is looked at beside when something ends.
+    pub fn watch(&self, watch: Watch) {
+        let wait = match watch {
+            Watch::Figures => WAIT_CLOSELY,
+            Watch::Ends => WAIT_FOR_ENDS,
+            Watch::Lease => WAIT,
+        };
+        self.shared.wait_ms.store(millis(wait), Ordering::Relaxed);
     }
 
     /// Gives a start order.
@@ -205,8 +214,7 @@
                 // The first answer brings the clock; leases can be given from the next call on.
                 wait = match deadline_ms {
                     None => Duration::ZERO,
-                    Some(_) if link.closely.load(Ordering::Relaxed) => WAIT_CLOSELY,
-                    Some(_) => WAIT,
+                    Some(_) => Duration::from_millis(link.wait_ms.load(Ordering::Relaxed)),
                 };
                 (reachable, lost) = (true, false);
                 let last = held.report.ended.iter().map(|e| e.sequence).max();
@@ -220,6 +228,12 @@
                 }
             }
             Err(e) if link.is_over_with(&e) => return,
+            Err(e) if reachable && !wait.is_zero() => {
+                // One answer may have been lost: whether the VM answers at all is soon known.
+                log::info!("vm step=asked-again vm={} error=\"{e}\"", link.vm);
+                lock(&link.lease).set_silent();
+                wait = Duration::ZERO;
+            }
             Err(e) => {
                 if reachable {
                     log::info!("vm step=no-answer vm={} error=\"{e}\"", link.vm);
@@ -302,6 +316,11 @@
     }
 }
 
+const fn millis(duration: Duration) -> u64 {
+    // The waits above are far below 2^64 ms.
+    duration.as_millis() as u64
+}
+
 /// Waits before an order that failed is sent again.
 async fn pause_after(sent_at: Instant) {
     if sent_at.elapsed() < FAILED_AT_ONCE {
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -233,7 +233,7 @@
         }
         self.drop_links();
         for (vm, link) in &self.links {
-            link.watch_closely(self.pool.is_mixed(vm));
+            link.watch(self.pool.watch(vm));
         }
         self.tell_load();
         self.report();
