Nodes read what they need, and pools report when there is something to tell

Ruled out: progress appends (each tells ends or starts). Change: the fleet's record is followed closely by owners only; other nodes read pools' partitions every 4 s in place of 1 s; the list of VMs is read every 400 ms while none is on its way; a report goes out 50 ms after the last if the need has jumped or a VM is empty, 250 ms if idle VMs or the need differ, 1 s otherwise.

--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -25,7 +25,7 @@
 /// Follows the fleet's record, so that pools on this node know which VMs to empty.
 pub async fn follow_record(node: Arc<Node>) {
     let cx = node.clone();
-    follow(&node, Tail::new(TOPIC, RECORD), Pace::AtOnce, move |news, _| {
+    follow(&node, Tail::new(TOPIC, RECORD), Pace::AtOnceForOwners, move |news, _| {
         let records = match news {
             News::Reloaded(records) | News::Records(records) => records,
         };
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -78,6 +78,8 @@
 pub enum Pace {
     /// At once.
     AtOnce,
+    /// At once while this node owns something, seldom otherwise.
+    AtOnceForOwners,
     /// After a pause, so that records are read together; seldom while this node owns nothing.
     Bundled,
 }
@@ -85,6 +87,8 @@
 /// Pause of an owner between two reads of bundled records: each VM sends a heartbeat every second
 /// or two, and reading them one by one made half of all calls to the store.
 const OWNER_PAUSE: Duration = Duration::from_millis(150);
+/// The same while no VM is on its way to another pool or back from maintenance, so that none is waited for.
+const CALM_OWNER_PAUSE: Duration = Duration::from_millis(400);
 /// Pause of a node that owns nothing; it reads at once when it comes to own something.
 const IDLE_PAUSE: Duration = Duration::from_millis(2_000);
 
@@ -94,7 +98,10 @@
     }
     let mut owning = node.owning.subscribe();
     if *owning.borrow_and_update() {
-        tokio::time::sleep(OWNER_PAUSE).await;
+        if pace == Pace::Bundled {
+            let calm = node.fleet.borrow().work.is_empty();
+            tokio::time::sleep(if calm { CALM_OWNER_PAUSE } else { OWNER_PAUSE }).await;
+        }
         return;
     }
     // Either way it is time to read on.
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -12,9 +12,15 @@
 use crate::fleet_owner::{REPORTS, pool_key};
 use crate::node::{now, steady_ms};
 
-/// How often a report goes out at most, in milliseconds, unless a VM has become empty.
+/// How often a report goes out at most, in milliseconds, if a VM has become empty or the pool needs
+/// many more.
+const AT_ONCE_MS: Ms = 50;
+/// How often otherwise, if VMs have become idle or busy, or the need is another.
 const EVERY_MS: Ms = 250;
-
+/// How often if nothing but the work on its VMs has changed.
+const SELDOM_MS: Ms = 1_000;
+/// A need that has grown by this part is told at once: one of so many.
+const JUMP_PART: u64 = 8;
 /// What changes by less is no news, in thousandths of a core.
 const CORE: u64 = 1_000;
 
@@ -30,28 +36,11 @@
     /// Reports how the pool is doing, if that has changed.
     pub(super) fn report(&mut self) {
         let waited = steady_ms().saturating_sub(self.reporter.at);
-        let emptied = self.pool.emptied();
-        let news = emptied.len() != self.reporter.last.emptied.len();
-        if (!news && waited < EVERY_MS) || self.reporter.under_way.load(Ordering::Relaxed) {
+        if waited < AT_ONCE_MS || self.reporter.under_way.load(Ordering::Relaxed) {
             return;
         }
-        let load = self.pool.load(now());
-        let lead =
-            self.node.fleet.borrow().lead_ms().unwrap_or(self.node.settings.policy.need.lead_ms);
-        let demand = self.pool.demand(lead, now());
-        let text = |s: Arc<str>| s.as_ref().to_owned();
-        let report = PoolReport {
-            waiting_cpu: load.waiting_cpu,
-            used_cpu: load.used_cpu,
-            soon_cpu: demand.total().next_multiple_of(CORE),
-            cpu: load.cpu,
-            vms: load.vms,
-            spread: load.spread,
-            emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
-            idle: self.pool.idle().into_iter().map(text).collect(),
-            light: self.pool.light(now()).into_iter().map(text).collect(),
-        };
-        if report == self.reporter.last {
+        let report = self.make_report();
+        if waited < pause_before(&self.reporter.last, &report) {
             return;
         }
         self.reporter.at = steady_ms();
@@ -70,4 +59,43 @@
             under_way.store(false, Ordering::Relaxed);
         });
     }
+
+    fn make_report(&self) -> PoolReport {
+        let load = self.pool.load(now());
+        let usual = self.node.settings.policy.need.lead_ms;
+        let lead = self.node.fleet.borrow().lead_ms().unwrap_or(usual);
+        let demand = self.pool.demand(lead, now());
+        let text = |s: Arc<str>| s.as_ref().to_owned();
+        let emptied = self.pool.emptied();
+        PoolReport {
+            waiting_cpu: load.waiting_cpu,
+            used_cpu: load.used_cpu,
+            soon_cpu: demand.total().next_multiple_of(CORE),
+            cpu: load.cpu,
+            vms: load.vms,
+            spread: load.spread,
+            emptied: emptied.into_iter().map(|(name, id)| (text(name), text(id))).collect(),
+            idle: self.pool.idle().into_iter().map(text).collect(),
+            light: self.pool.light(now()).into_iter().map(text).collect(),
+        }
+    }
+}
+
+/// Returns how long after a report the next one is due, by how they differ.
+fn pause_before(last: &PoolReport, next: &PoolReport) -> Ms {
+    let jumped = next.soon_cpu > last.soon_cpu + (last.soon_cpu / JUMP_PART).max(vm_cpu(next));
+    if jumped || next.emptied != last.emptied {
+        AT_ONCE_MS
+    } else if next.idle != last.idle || next.vms != last.vms || next.soon_cpu != last.soon_cpu {
+        EVERY_MS
+    } else if next == last {
+        Ms::MAX
+    } else {
+        SELDOM_MS
+    }
+}
+
+/// Returns the processor of one of the pool's VMs, in thousandths of a core.
+fn vm_cpu(report: &PoolReport) -> u64 {
+    report.cpu / u64::from(report.vms.max(1))
 }
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -10,9 +10,9 @@
 use super::{Cursor, PROGRESS, PoolLog, SPARE, SPARE_PROGRESS, SUBMISSIONS};
 use crate::node::{Node, steady_ms};
 
-/// How often a node that does not own a pool reads on, on a small site; what callers ask for is read
-/// when they ask.
-const READ_EVERY: Duration = Duration::from_millis(1_000);
+/// How often a node that does not own a pool reads on, on a small site, so that it has little to
+/// read when it comes to own it; what callers ask for is read when they ask.
+const READ_EVERY: Duration = Duration::from_millis(4_000);
 /// How long the owner's read waits for submissions: the longest delay of a job whose append was
 /// under way when the read arrived, and so does not wake it.
 const WAIT: Duration = Duration::from_millis(250);
