An owner does not sleep on over its takeover; a wave keeps to the pace it needs; a rise is not held down by old spans

Cause: the task that reads a pool's submissions pauses between two reads while another node owns the pool; it slept on after the takeover. Ruled out: the store (no call failed in those seconds), the cancel's partition (the first).

While a pool is short it now works on as many as must be for it to end in time.

--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -41,6 +41,16 @@
         let needed = VM_TIME_MS * Ms::try_from(rounds).unwrap_or(Ms::MAX) + SPARE_TIME_MS;
         now + needed < asked_at + self.request.duration_ms
     }
+
+    /// Returns how many VMs must be worked on at once for the wave to be done in time.
+    fn pace(&self, left: usize, now: Ms) -> usize {
+        let all = self.request.cap.max(1) + AHEAD;
+        let Some(asked_at) = self.request.asked_at else { return all };
+        let end = (asked_at + self.request.duration_ms).saturating_sub(SPARE_TIME_MS);
+        let time = usize::try_from(end.saturating_sub(now)).unwrap_or(usize::MAX);
+        let vm_time = usize::try_from(VM_TIME_MS).unwrap_or(usize::MAX);
+        (left * vm_time).checked_div(time).map_or(all, |pace| (pace + 1).min(all))
+    }
 }
 
 impl Fleet {
@@ -70,8 +80,8 @@
         }
     }
 
-    /// Begins to empty VMs of waves, as many as may be down and a few more. Those of pools that are
-    /// short of VMs wait while the wave has time.
+    /// Begins to empty VMs of waves, as many as may be down and a few more; while a pool is short of
+    /// VMs no more than must be for the wave to be in time, and none of that pool while it has time.
     pub(super) fn begin_maintenance(&mut self, now: Ms) {
         let mut by_pool: HashMap<Arc<str>, usize> = HashMap::new();
         for work in &self.record.work {
@@ -85,9 +95,11 @@
             let Some(wave) = self.waves.get(&record.wave) else { continue };
             let cap = wave.request.cap.max(1);
             let has_time = wave.has_time(record.left.len(), now);
+            let paced = self.policy.waves.pace && self.is_any_short();
+            let most = if paced { wave.pace(record.left.len(), now) } else { cap + AHEAD };
             let mut at_work = self.work_of(record.wave).count();
             for name in self.order_of(&record) {
-                if at_work >= cap + AHEAD {
+                if at_work >= most {
                     break;
                 }
                 if self.policy.waves.wait_for_pools && has_time && self.is_short(&name) {
@@ -107,6 +119,10 @@
         pool.is_some_and(|pool| self.size(pool) < self.needs.now(pool))
     }
 
+    fn is_any_short(&self) -> bool {
+        self.working_pools.iter().any(|pool| self.size(pool) < self.needs.now(pool))
+    }
+
     fn begin_vm(&mut self, wave: u64, name: &str, by_pool: &mut HashMap<Arc<str>, usize>) -> bool {
         let Some(vm) = self.vms.get(name).filter(|vm| vm.state == VmState::Up) else {
             return false;
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -60,6 +60,8 @@
 pub struct WavePolicy {
     /// VMs of pools that are short of them wait while the wave has time.
     pub wait_for_pools: bool,
+    /// While a pool is short of VMs, no more are worked on than must be for the wave to be in time.
+    pub pace: bool,
 }
 
 /// How tasks are ordered and placed.
@@ -97,7 +99,7 @@
 
 impl Default for WavePolicy {
     fn default() -> Self {
-        Self { wait_for_pools: true }
+        Self { wait_for_pools: true, pace: true }
     }
 }
 
--- a/crates/schedule/src/pool/arrivals.rs
+++ b/crates/schedule/src/pool/arrivals.rs
@@ -20,6 +20,9 @@
 /// this were expected, at the same odds.
 const NONE_SEEN: f64 = 1.5;
 
+/// The newest arrivals, after which a time without others tells that fewer come.
+const NEWEST: usize = 3;
+
 /// What came to each queue of late.
 #[derive(Clone, Debug)]
 pub(super) struct Arrivals {
@@ -93,8 +96,10 @@
         let mut rate = 0.0;
         for (before, &at) in self.at.iter().enumerate() {
             let passed = now.saturating_sub(at);
-            // Since just after this one, `before` have come; since just before it, one more.
-            high = high.min(most_expected(before) / passed.max(1) as f64);
+            // Older spans say nothing against a rise.
+            if before <= NEWEST {
+                high = high.min(most_expected(before) / passed.max(1) as f64);
+            }
             let span = passed.max(LEAST_SPAN_MS) as f64;
             let came = before + 1;
             low = low.max(least_expected(came) / span);
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -267,7 +267,7 @@
     }
     keep_in_step(node, running, &FLEET.into(), None);
     let owning = !running.is_empty();
-    node.owning.send_if_modified(|was| std::mem::replace(was, owning) != owning);
+    node.owning.set(owning);
 }
 
 /// Starts or ends the owner of a pool, or of the fleet if there is no log.
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -96,16 +96,14 @@
     if pace == Pace::AtOnce {
         return;
     }
-    let mut owning = node.owning.subscribe();
-    if *owning.borrow_and_update() {
+    if node.owning.get() {
         if pace == Pace::Bundled {
             let calm = node.fleet.borrow().work.is_empty();
             tokio::time::sleep(if calm { CALM_OWNER_PAUSE } else { OWNER_PAUSE }).await;
         }
         return;
     }
-    // Either way it is time to read on.
-    let _ = tokio::time::timeout(IDLE_PAUSE, owning.wait_for(|&owns| owns)).await;
+    node.owning.wait_unless_owned(IDLE_PAUSE).await;
 }
 
 /// Follows a partition until the task is dropped, handing on what is read with the next offset.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -14,6 +14,7 @@
 mod listing;
 mod node;
 mod overview;
+pub mod owned;
 mod owner;
 mod pool_log;
 mod readiness;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -13,6 +13,7 @@
 use thistle_settings::SchedulerSettings;
 use tokio::sync::watch;
 
+use crate::owned::Owned;
 use crate::pool_log::PoolLog;
 
 /// How long a node counts as in touch with the store after a call that it answered: more than the
@@ -77,7 +78,7 @@
     store_failed: AtomicU64,
     store_lost: AtomicBool,
     /// It owns a pool or the fleet.
-    pub owning: watch::Sender<bool>,
+    pub owning: Owned,
     /// This node is about to stop: it takes no new connections and owns nothing.
     pub stopping: watch::Sender<bool>,
     /// Connections are closed once the request under way on each is answered.
@@ -103,7 +104,7 @@
             store_answered: AtomicU64::new(0),
             store_failed: AtomicU64::new(0),
             store_lost: AtomicBool::new(false),
-            owning: watch::Sender::new(false),
+            owning: Owned::default(),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
         }
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -14,6 +14,7 @@
 
 use crate::journal::Place;
 use crate::node::{Node, lock, steady_ms};
+use crate::owned::Owned;
 use crate::owner::Event;
 use crate::submit::{Submission, start_submitter};
 use lanes::Lane;
@@ -60,7 +61,7 @@
     spilled: Mutex<BTreeSet<JobId>>,
     /// Where the owner on this node takes in changes.
     owner: Mutex<Option<UnboundedSender<Event>>>,
-    owned: AtomicBool,
+    owned: Owned,
     loaded: AtomicBool,
     lanes: [Lane; LANES.len()],
     /// The owner's last read of submissions failed.
@@ -81,7 +82,7 @@
             cursors: Default::default(),
             spilled: Mutex::default(),
             owner: Mutex::default(),
-            owned: AtomicBool::new(false),
+            owned: Owned::default(),
             loaded: AtomicBool::new(false),
             lanes: Default::default(),
             in_trouble: AtomicBool::new(false),
@@ -106,7 +107,7 @@
 
     /// Returns whether an owner runs on this node, so that its progress is known at once.
     pub fn is_owned(&self) -> bool {
-        self.owned.load(Ordering::Relaxed)
+        self.owned.get()
     }
 
     /// Hands a submission or a cancel to the task that appends.
@@ -221,7 +222,7 @@
     /// owner takes in what is there before anything new is handed to it.
     pub fn connect_owner(&self, tx: Option<UnboundedSender<Event>>) -> MutexGuard<'_, JobLog> {
         let jobs = self.jobs();
-        self.owned.store(tx.is_some(), Ordering::Relaxed);
+        self.owned.set(tx.is_some());
         *lock(&self.owner) = tx;
         jobs
     }
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -126,7 +126,7 @@
             Ok(()) if log.is_owned() => node.note_store(true),
             Ok(()) => {
                 log.loaded.store(true, Ordering::Relaxed);
-                tokio::time::sleep(READ_EVERY * node.crowd()).await;
+                log.owned.wait_unless_owned(READ_EVERY * node.crowd()).await;
             }
             Err(e) => {
                 node.note_store(false);
