Owners run on nodes that compute fast, and a step of a large pool costs less; the fleet's next owner acts at once

At each step an owner looked at each run of each VM for how often it is looked at, made a list of all VMs, and worked out its load. Change: a node measures at its start how fast it computes, tells it in its heartbeats, and one that is less than half as fast as the fastest counts as owning three pools more; what need not be known at each step is looked at every 100 ms.

Change of the hold-off: a new owner of the fleet waited 1.4 s before any order, as the record did not tell which VMs its predecessor had ordered of late. It does now; others are ordered at once. Change of the shares: work that can no longer be in time gets the VMs that work in time leaves.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -41,10 +41,13 @@
     pub waiting_cpu: u64,
     /// Processor in use, in thousandths of a core.
     pub used_cpu: u64,
-    /// Processor that will be in use when VMs that are ordered now have come, in thousandths of a
-    /// core; see [`crate::pool::Demand`].
+    /// Processor that jobs which can be in time will use when VMs that are ordered now have come,
+    /// in thousandths of a core; see [`crate::pool::Demand`].
     #[serde(default)]
     pub soon_cpu: u64,
+    /// The same of jobs that will be late.
+    #[serde(default)]
+    pub late_cpu: u64,
     /// Processor of VMs that take work, in thousandths of a core.
     pub cpu: u64,
     /// VMs that take work.
@@ -97,12 +100,12 @@
     Impossible,
 }
 
-/// Until when a new owner gives no orders. Orders about one VM from different nodes are to lie a
-/// while apart.
+/// The distance that orders about one VM from different nodes are to keep.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct HoldOff {
-    /// About VMs that the predecessor may have given an order about, by its record.
-    pub ordered: Ms,
-    /// About others: an order that was carried out lies a move's time back at least.
-    pub others: Ms,
+    /// Until when a new owner gives no orders about VMs that its predecessor may just have given one
+    /// about, by its record.
+    pub until: Ms,
+    /// For how long after an order a VM stands in the record as one about which an order was given.
+    pub gap: Ms,
 }
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -26,6 +26,9 @@
 const DONE_BEFORE_MS: Ms = 6_000;
 /// Moves over which their time is averaged.
 const MOVES_MEASURED: Ms = 16;
+/// The least time between an order and its being finished in the record, in milliseconds: the
+/// shortest move.
+const CARRIED_OUT_MS: Ms = 1_500;
 /// Pause before an order is given again.
 const AGAIN_MS: Ms = 400;
 
@@ -63,8 +66,11 @@
     idle_since: HashMap<String, Ms>,
     /// Since when VMs of waves are missing from the list.
     missing_since: HashMap<String, Ms>,
-    /// Before these times no order is given, as a predecessor may just have given one.
     hold_off: HoldOff,
+    /// VMs about which a predecessor may just have given an order, and until when none is given.
+    kept_off: HashMap<String, Ms>,
+    /// VMs whose work is done, and until when they count as ordered of late.
+    ordered_lately: HashMap<String, Ms>,
 }
 
 impl Fleet {
@@ -76,14 +82,14 @@
     /// Takes over from a record, with other parameters of decisions than the usual ones.
     pub fn with_policy(record: FleetRecord, hold_off: HoldOff, policy: Policy) -> Self {
         // The predecessor wrote that a VM was ordered before it gave the order.
-        let given = |work: &VmWork| {
-            let again_at = match work.stage {
-                Stage::Emptying => hold_off.others,
-                Stage::Ordered { .. } => hold_off.ordered,
-            };
-            (work.vm.clone(), Given { again_at, ..Given::default() })
-        };
-        let given = record.work.iter().map(given).collect();
+        let ordered = record.work.iter().filter(|w| w.stage != Stage::Emptying);
+        let ordered = ordered.map(|w| (w.vm.clone(), hold_off.until));
+        let moved = hold_off.until.saturating_sub(CARRIED_OUT_MS);
+        let lately = record.ordered_lately.iter().map(|vm| (vm.clone(), moved));
+        let kept_off: HashMap<String, Ms> = ordered.chain(lately).collect();
+        let given =
+            |(vm, &again_at): (&String, &Ms)| (vm.clone(), Given { again_at, ..Given::default() });
+        let given = kept_off.iter().map(given).collect();
         Self {
             policy,
             vms: BTreeMap::new(),
@@ -100,6 +106,8 @@
             idle_since: HashMap::new(),
             missing_since: HashMap::new(),
             hold_off,
+            ordered_lately: kept_off.clone(),
+            kept_off,
         }
     }
 
@@ -157,9 +165,9 @@
     /// Decides what to do next. The record is to be written before the orders are given.
     pub fn plan(&mut self, now: Ms) -> Vec<FleetOrder> {
         self.finish_work(now);
-        if now < self.hold_off.others {
-            return Vec::new();
-        }
+        self.kept_off.retain(|_, until| now < *until);
+        self.ordered_lately.retain(|_, until| now < *until);
+        self.record.ordered_lately = self.ordered_lately.keys().cloned().collect();
         self.unsettled.retain(|_, until| now < *until);
         self.begin_maintenance(now);
         self.begin_moves(now);
@@ -209,6 +217,10 @@
             self.record.work.iter().filter(|w| self.is_carried_out(w, now)).cloned().collect();
         for work in done {
             let given = self.given.remove(&work.vm);
+            // One whose time is not known was ordered by a predecessor, and stands there already.
+            if let Some(ordered_at) = given.and_then(|g| g.ordered_at) {
+                self.ordered_lately.insert(work.vm.clone(), ordered_at + self.hold_off.gap);
+            }
             self.record.work.retain(|w| w.vm != work.vm);
             match work.purpose {
                 Purpose::Maintain { wave } => self.mark_maintained(wave, &work.vm),
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -26,6 +26,8 @@
 struct Need {
     /// VMs needed by each report of the last seconds.
     recent: VecDeque<(Ms, usize)>,
+    /// VMs needed for work that can be in time, by the newest report.
+    in_time: usize,
     vm_cpu: u64,
 }
 
@@ -40,10 +42,14 @@
             need.vm_cpu = report.cpu / u64::from(report.vms);
         }
         let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { USUAL_VM_CPU };
-        let vms = (report.soon_cpu * 100).div_ceil(vm_cpu * self.policy.need.fill_percent);
-        let vms = usize::try_from(vms).unwrap_or(usize::MAX);
+        let fill_percent = self.policy.need.fill_percent;
         let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
-        need.recent.push_back((now, vms.max(spread)));
+        let vms_for = |cpu: u64| {
+            let vms = (cpu * 100).div_ceil(vm_cpu * fill_percent);
+            usize::try_from(vms).unwrap_or(usize::MAX).max(spread)
+        };
+        need.in_time = vms_for(report.soon_cpu);
+        need.recent.push_back((now, vms_for(report.soon_cpu + report.late_cpu)));
         need.forget(self.policy.moves.keep_ms, now);
     }
 
@@ -53,6 +59,12 @@
         newest.map_or(0, |(_, vms)| *vms).max(self.policy.need.floor_vms)
     }
 
+    /// Returns how many VMs a pool needs for work that can be in time, by its newest report.
+    fn in_time(&self, pool: &str) -> usize {
+        let in_time = self.pools.get(pool).map_or(0, |need| need.in_time);
+        in_time.max(self.policy.need.floor_vms)
+    }
+
     /// Returns how many VMs a pool needed at most over the last seconds; none before it has
     /// reported for as long.
     fn lately(&mut self, pool: &str, now: Ms) -> Option<usize> {
@@ -78,6 +90,27 @@
     size: usize,
 }
 
+/// How many VMs there are for how many that are wanted.
+#[derive(Clone, Copy, Debug)]
+struct Split {
+    there: usize,
+    wanted: usize,
+}
+
+impl Split {
+    fn new(there: usize, wanted: usize) -> Self {
+        Self { there, wanted }
+    }
+
+    /// Returns what one gets who wants some.
+    fn part(self, wanted: usize) -> usize {
+        match self.wanted <= self.there {
+            true => wanted,
+            false => wanted * self.there / self.wanted,
+        }
+    }
+}
+
 impl Fleet {
     /// Begins the moves that the pools' needs ask for.
     pub(super) fn begin_moves(&mut self, now: Ms) {
@@ -101,27 +134,29 @@
         self.switch_off_idle(free, now);
     }
 
-    /// Divides the VMs among the pools: what each needs, or a fair part of what there is.
+    /// Divides the VMs among the pools: what each needs, or a fair part of what there is. Work that
+    /// will be late gets what work in time leaves.
     fn shares(&self, off: usize) -> HashMap<Arc<str>, Share> {
         let sizes: Vec<(Arc<str>, usize)> =
             self.working_pools.iter().map(|p| (p.clone(), self.size(p))).collect();
         let total = off + sizes.iter().map(|(_, size)| size).sum::<usize>();
         let floor = self.policy.need.floor_vms;
-        let floors = floor * sizes.len();
-        let beyond = |pool: &str| self.needs.now(pool) - floor;
-        let wanted: usize = sizes.iter().map(|(pool, _)| beyond(pool)).sum();
-        let there = total.saturating_sub(floors);
-        let target = |pool: &str| {
-            if wanted <= there {
-                return self.needs.now(pool);
-            }
-            floor + beyond(pool) * there / wanted
+        let first = |pool: &str| match self.policy.need.late_last {
+            true => self.needs.in_time(pool) - floor,
+            false => self.needs.now(pool) - floor,
+        };
+        let last = |pool: &str| self.needs.now(pool) - floor - first(pool);
+        let sum = |need: &dyn Fn(&str) -> usize| -> usize {
+            sizes.iter().map(|(pool, _)| need(pool)).sum()
         };
+        let there = total.saturating_sub(floor * sizes.len());
+        let firsts = Split::new(there, sum(&first));
+        let lasts = Split::new(there.saturating_sub(firsts.wanted), sum(&last));
         let share = |(pool, size): (Arc<str>, usize)| {
-            let target = target(&pool);
+            let target = floor + firsts.part(first(&pool)) + lasts.part(last(&pool));
             (pool, Share { target, size })
         };
-        sizes.into_iter().map(share).collect()
+        sizes.iter().cloned().map(share).collect()
     }
 
     /// Switches off VMs that their pools have not needed lately.
@@ -201,6 +236,7 @@
         self.vms.get(name).is_some_and(up)
             && self.record.work_on(name).is_none()
             && !self.unsettled.contains_key(name)
+            && !self.kept_off.contains_key(name)
     }
 
     fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
--- a/crates/schedule/src/fleet/record.rs
+++ b/crates/schedule/src/fleet/record.rs
@@ -68,6 +68,9 @@
     pub owner: String,
     /// VMs that are worked on; they take no new tasks.
     pub work: Vec<VmWork>,
+    /// VMs whose work is done and about which an order was given of late.
+    #[serde(default)]
+    pub ordered_lately: Vec<String>,
     /// The waves.
     pub waves: Vec<WaveRecord>,
     /// How long a move takes, as measured, in milliseconds; 0 before the first.
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -151,7 +151,9 @@
             (!off, !idle, load)
         };
         let is_free = |name: &&String| {
-            self.record.work_on(name).is_none() && !self.unsettled.contains_key(*name)
+            self.record.work_on(name).is_none()
+                && !self.unsettled.contains_key(*name)
+                && !self.kept_off.contains_key(*name)
         };
         let mut names: Vec<String> = record.left.iter().filter(is_free).cloned().collect();
         names.sort_by_key(rank);
--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -30,6 +30,9 @@
 /// How long the second-best node waits before it takes a pool that the best has not, and each
 /// further one as much longer.
 const RANK_STEP_MS: Ms = 400;
+/// As how many pools more it counts that a node computes less than half as fast as the fastest: an
+/// owner of 100 VMs and more keeps an eighth of a core busy, which is all that some nodes have.
+const SLOW_COUNTS_AS: usize = 3;
 /// How long a new node listens before it takes pools that nobody had, so that others are known.
 const LISTEN_MS: Ms = 800;
 
@@ -63,10 +66,14 @@
     /// Where it passes calls to the store on for others, if it does.
     #[serde(default)]
     pub relay: Option<SocketAddr>,
+    /// How fast it computes, as it measured at its start, in any unit; 0 if it has not.
+    #[serde(default)]
+    pub speed: u32,
 }
 
 #[derive(Clone, Debug)]
 struct Member {
+    speed: u32,
     relay: Option<SocketAddr>,
     life: u64,
     sequence: u64,
@@ -105,8 +112,8 @@
 
     /// Takes in a heartbeat that was read.
     pub fn heard(&mut self, name: &str, beat: &Heartbeat, now: Ms) {
-        let Heartbeat { life, sequence, leaving, relay } = *beat;
-        let news = Member { relay, life, sequence, leaving, heard_at: now };
+        let Heartbeat { life, sequence, leaving, relay, speed } = *beat;
+        let news = Member { speed, relay, life, sequence, leaving, heard_at: now };
         match self.members.get_mut(name) {
             Some(m) if m.life == life && m.sequence >= sequence => m.leaving |= leaving,
             Some(m) => *m = news,
@@ -277,13 +284,19 @@
             self.claims.values().filter(|o| !o.claim.released && o.claim.owner.name == name).count()
         };
         let weight = |name: &str| weight(format!("{pool}/{name}").as_bytes(), 0);
-        let mine = (owned(&self.me.name) + wanted.len(), weight(&self.me.name));
+        let fastest = self.members.values().map(|m| m.speed).max().unwrap_or(0);
+        let slow = |name: &str| {
+            let speed = self.members.get(name).map_or(0, |m| m.speed);
+            usize::from(speed > 0 && speed < fastest / 2) * SLOW_COUNTS_AS
+        };
+        let me = &self.me.name;
+        let mine = (owned(me) + wanted.len() + slow(me), weight(me));
         let lately = |m: &&Member| !m.leaving && now.saturating_sub(m.heard_at) < ALIVE_MS;
         let before = self
             .members
             .iter()
             .filter(|(name, m)| **name != self.me.name && lately(m))
-            .filter(|(name, _)| (owned(name), weight(name)) < mine)
+            .filter(|(name, _)| (owned(name) + slow(name), weight(name)) < mine)
             .count();
         RANK_STEP_MS * u64::try_from(before).unwrap_or(u64::MAX)
     }
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -33,6 +33,8 @@
     /// eight the rate is off by a third or so; fewer would call VMs for chance, more would tell a
     /// change later.
     pub arrivals: usize,
+    /// Work that will be late gets the VMs that work in time leaves, in place of an equal claim.
+    pub late_last: bool,
     /// VMs that a pool keeps at least, so that the first jobs of a turn start at once.
     pub floor_vms: usize,
 }
@@ -81,7 +83,7 @@
 
 impl Default for NeedPolicy {
     fn default() -> Self {
-        Self { fill_percent: 80, lead_ms: 2_000, arrivals: 8, floor_vms: 4 }
+        Self { fill_percent: 80, lead_ms: 2_000, arrivals: 8, late_last: true, floor_vms: 4 }
     }
 }
 
--- a/crates/schedule/src/pool/need.rs
+++ b/crates/schedule/src/pool/need.rs
@@ -3,7 +3,7 @@
 //! A VM takes about two seconds to come, and load turns within as many. What runs now says little
 //! about then: much of it has ended, and what has begun to come has only begun to wait.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use super::job::{Job, TimeRun};
 use super::{JobKey, Ms, Now, Pool};
@@ -21,11 +21,13 @@
     pub following: u64,
     /// Tasks of jobs that have not come yet, if they go on coming as they came of late.
     pub arriving: u64,
+    /// What of all this is of jobs that can no longer be in time; it is not in the other figures.
+    pub late: u64,
 }
 
 impl Demand {
-    /// Returns the whole, in thousandths of a core.
-    pub const fn total(&self) -> u64 {
+    /// Returns what is of jobs that can be in time, in thousandths of a core.
+    pub const fn in_time(&self) -> u64 {
         self.staying + self.waiting + self.following + self.arriving
     }
 }
@@ -38,6 +40,7 @@
     pub fn demand(&self, lead: Ms, now: Now) -> Demand {
         let mut demand =
             Demand { arriving: self.arrivals.arriving(lead, now.steady), ..Demand::default() };
+        let late = self.late_jobs(now.steady);
         let mut ending = Ending::new();
         for vm in self.vms.values() {
             for (&task, run) in vm.runs.iter().filter(|(_, run)| !run.lasting) {
@@ -45,7 +48,9 @@
                 let end = ending.entry(step_of(task)).or_default();
                 *end = left.max(*end);
                 if left > lead && vm.takes_work() {
-                    demand.staying += u64::from(run.demand.cpu);
+                    let is_late = late.contains(&task.job);
+                    *(if is_late { &mut demand.late } else { &mut demand.staying }) +=
+                        u64::from(run.demand.cpu);
                 }
             }
             if vm.takes_work() {
@@ -54,11 +59,24 @@
             }
         }
         for (key, job) in self.jobs.iter().filter(|(_, job)| job.phase == Phase::Open) {
-            self.add_waiting(key, job, lead, &ending, now, &mut demand);
+            let mut waiting = Demand::default();
+            self.add_waiting(key, job, lead, &ending, now, &mut waiting);
+            if late.contains(&job.id) {
+                demand.late += waiting.in_time();
+            } else {
+                demand.waiting += waiting.waiting;
+                demand.following += waiting.following;
+            }
         }
         demand
     }
 
+    /// Returns the jobs that can no longer be in time.
+    fn late_jobs(&self, now: Ms) -> HashSet<JobId> {
+        let open = self.jobs.values().filter(|job| job.phase == Phase::Open);
+        open.filter(|job| self.rank(job, now).is_late()).map(|job| job.id).collect()
+    }
+
     fn add_waiting(
         &self,
         key: JobKey,
--- a/crates/schedule/src/pool/rank.rs
+++ b/crates/schedule/src/pool/rank.rs
@@ -11,13 +11,18 @@
     /// Lasting tasks first: they earn by the second, for as long as they run.
     not_lasting: bool,
     priority: u32,
-    /// 0: can finish in time; 1: late, but still of use; 2: too late.
+    /// 1: can finish in time; 0: late, and must begin now to be of use; 2: late, but still of use; 3: too late.
     lateness: u8,
     /// When it is due, or how much work it has left if it is late.
     then: u64,
 }
 
 impl Rank {
+    /// Returns whether the job can no longer be in time.
+    pub const fn is_late(&self) -> bool {
+        self.not_lasting && self.lateness != 1
+    }
+
     /// Returns whether the job can no longer earn anything by its time.
     pub const fn is_too_late(&self) -> bool {
         self.not_lasting && self.lateness > 2
--- a/crates/scheduler/src/control.rs
+++ b/crates/scheduler/src/control.rs
@@ -126,7 +126,8 @@
     let sent_at = steady_ms();
     let leaving = *node.stopping.borrow();
     let relay = node.settings.relay_listen;
-    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay };
+    let speed = node.speed;
+    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed };
     let key = format!("{MEMBER_PREFIX}{}", node.me.name);
     let record = KeyedRecord::new(key, to_json(&beat));
     match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -74,10 +74,10 @@
     let hold_off = hold_off(&node, record.as_ref());
     let written = record.unwrap_or_default();
     log::info!(
-        "fleet step=took-over token={token} work={} wait_ms={} wait_ordered_ms={}",
+        "fleet step=took-over token={token} work={} ordered_lately={} wait_ordered_ms={}",
         written.work.len(),
-        hold_off.others.saturating_sub(steady_ms()),
-        hold_off.ordered.saturating_sub(steady_ms()),
+        written.ordered_lately.len(),
+        hold_off.until.saturating_sub(steady_ms()),
     );
     let mut owner = FleetOwner {
         fleet: Fleet::with_policy(written.clone(), hold_off, node.settings.policy),
@@ -118,10 +118,11 @@
         match event {
             Event::Report(pool, report) => {
                 log::info!(
-                    "report pool={pool} waiting_cpu={} used_cpu={} soon_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
+                    "report pool={pool} waiting_cpu={} used_cpu={} soon_cpu={} late_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
                     report.waiting_cpu,
                     report.used_cpu,
                     report.soon_cpu,
+                    report.late_cpu,
                     report.cpu,
                     report.vms,
                     report.spread,
--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -18,10 +18,6 @@
 /// Added to the least time between orders of different nodes, in milliseconds.
 const GAP_MARGIN_MS: Ms = 300;
 
-/// The least time between an order and its being finished in the record, in milliseconds: the
-/// shortest move.
-const CARRIED_OUT_MS: Ms = 1_500;
-
 /// Follows the fleet's record, so that pools on this node know which VMs to empty.
 pub async fn follow_record(node: Arc<Node>) {
     let cx = node.clone();
@@ -44,19 +40,15 @@
 
 /// Returns until when the predecessor's orders are to be kept a distance from.
 pub(super) fn hold_off(node: &Node, record: Option<&FleetRecord>) -> HoldOff {
+    let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
+    let gap = gap + GAP_MARGIN_MS;
     // Without a record nobody has given an order yet; this node's own orders need no distance, and
     // a predecessor that gave the fleet up had its last order answered before.
-    let Some(record) = record.filter(|r| r.owner != node.me.name) else {
-        return HoldOff::default();
-    };
-    if lock(&node.ownership).was_given_up(FLEET) {
-        return HoldOff::default();
+    let other = record.is_some_and(|record| record.owner != node.me.name);
+    if !other || lock(&node.ownership).was_given_up(FLEET) {
+        return HoldOff { until: 0, gap };
     }
-    log::debug!("fleet step=hold-off predecessor={}", record.owner);
-    let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
-    let now = steady_ms();
-    let gap = (gap + GAP_MARGIN_MS).saturating_sub(SILENT_SINCE_MS);
-    HoldOff { ordered: now + gap, others: now + gap.saturating_sub(CARRIED_OUT_MS) }
+    HoldOff { until: steady_ms() + gap.saturating_sub(SILENT_SINCE_MS), gap }
 }
 
 /// Returns the record as it is now that nobody else can write it; `None` for the outer if the
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod relay;
 mod reply;
 mod run;
+mod speed;
 mod stats;
 mod submit;
 
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -55,6 +55,8 @@
     pub settings: SchedulerSettings,
     /// Its name and this life of it.
     pub me: NodeLife,
+    /// How fast it computes; see [`crate::speed`].
+    pub speed: u32,
     /// The platform's store.
     pub store: Store,
     /// The configuration in force.
@@ -90,6 +92,7 @@
     pub fn new(settings: SchedulerSettings) -> Self {
         let me = NodeLife { name: settings.name.clone(), life: rand::random() };
         Self {
+            speed: crate::speed::measure(),
             store: Store::new(settings.store),
             ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
             settings,
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -26,6 +26,9 @@
 
 /// How often the schedule is looked at when nothing happens.
 const TICK: Duration = Duration::from_millis(100);
+/// How often all VMs are looked at, in milliseconds: at each step it was most of what a step of a
+/// large pool costs.
+const LOOK_EVERY_MS: Ms = 100;
 /// What an owner takes in.
 #[derive(Debug)]
 pub enum Event {
@@ -65,6 +68,8 @@
     purged_at: Ms,
     reporter: Reporter,
     advisor: Advisor,
+    /// When what changes slowly was last looked at.
+    looked_at: Ms,
 }
 
 /// Owns a pool until another node does, or the task is aborted.
@@ -101,6 +106,7 @@
         purged_at: steady_ms(),
         reporter: Reporter::default(),
         advisor,
+        looked_at: 0,
     };
     owner.adopt();
     let load = owner.pool.load(now());
@@ -231,13 +237,23 @@
         for order in orders {
             self.dispatch(order);
         }
+        self.look_at_vms();
+        self.report();
+        self.purge().await
+    }
+
+    /// Looks at all VMs, for what need not be known at each step.
+    fn look_at_vms(&mut self) {
+        let now = steady_ms();
+        if now.saturating_sub(self.looked_at) < LOOK_EVERY_MS {
+            return;
+        }
+        self.looked_at = now;
         self.drop_links();
         for (vm, link) in &self.links {
             link.watch(self.pool.watch(vm));
         }
         self.tell_load();
-        self.report();
-        self.purge().await
     }
 
     fn dispatch(&mut self, order: Order) {
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -70,7 +70,8 @@
         PoolReport {
             waiting_cpu: load.waiting_cpu,
             used_cpu: load.used_cpu,
-            soon_cpu: demand.total().next_multiple_of(CORE),
+            soon_cpu: demand.in_time().next_multiple_of(CORE),
+            late_cpu: demand.late.next_multiple_of(CORE),
             cpu: load.cpu,
             vms: load.vms,
             spread: load.spread,
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -37,10 +37,11 @@
     };
     let node = Arc::new(Node::new(settings));
     log::info!(
-        "node name={} life={:016x} hall={} step=start version={}",
+        "node name={} life={:016x} hall={} step=start speed={} version={}",
         node.me.name,
         node.me.life,
         node.settings.hall,
+        node.speed,
         env!("CARGO_PKG_VERSION"),
     );
     let mut terminate = signal(SignalKind::terminate())?;
