Submissions are handed to the pool's owner while the store is slow

Ruled out: the spare partition (it is another queue of the same length), refusing sooner (what could be kept would be turned away). Test: while_the_store_is_slow_nodes_hand_submissions_to_the_owner, red with the hand-over taken out.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -191,6 +191,15 @@
         self.claims.get(pool).map(|o| (&o.claim.owner, o.token, o.claim.released))
     }
 
+    /// Returns where a pool's owner, if it is another node and was heard in this life of it, takes what
+    /// nodes hand to each other.
+    pub fn relay_of_owner(&self, pool: &str) -> Option<SocketAddr> {
+        let claim = self.claims.get(pool).map(|o| &o.claim).filter(|claim| !claim.released)?;
+        let member = self.members.get(&claim.owner.name)?;
+        let other = claim.owner != self.me && member.life == claim.owner.life && !member.leaving;
+        member.relay.filter(|_| other)
+    }
+
     /// Returns whether the present owner's predecessor gave the pool up by itself.
     pub fn was_given_up(&self, pool: &str) -> bool {
         self.claims.get(pool).is_some_and(|o| o.was_given_up)
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -195,7 +195,7 @@
 
 async fn write(log: &PoolLog, record: KeyedRecord) -> Written {
     let (done, told) = oneshot::channel();
-    log.submit(Submission { record, at: steady_ms(), done });
+    log.submit(Submission { record, at: steady_ms(), handed_over: false, done });
     // Without an answer the append may be under way.
     told.await.unwrap_or(Written::Unknown)
 }
--- /dev/null
+++ b/crates/scheduler/src/hand_over.rs
@@ -0,0 +1,78 @@
+//! Handing submissions to the pool's owner while the store is slow.
+//!
+//! A partition does one append after the other. When each takes a quarter of a second, appends of
+//! many nodes wait for each other for longer than callers do; the owner appends what all have in one.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use metrics::counter;
+use thistle_platform::http::Call;
+use thistle_platform::{CallError, HttpClient, KeyedRecord};
+use tokio::sync::oneshot;
+
+use crate::node::{Node, lock, steady_ms};
+use crate::pool_log::PoolLog;
+use crate::submit::{Submission, Written};
+
+/// What the path of a hand-over starts with; the pool's name follows.
+pub const PATH: &str = "/submissions/";
+/// How long the owner may take: it appends at once what has come while its last append was under
+/// way, so two appends of the slowest store, and as much again.
+const TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Hands records to the pool's owner and returns what became of each; none if nothing was handed
+/// over.
+pub async fn to_owner(node: &Node, log: &PoolLog, records: &[KeyedRecord]) -> Option<Vec<Written>> {
+    let addr = lock(&node.ownership).relay_of_owner(&log.pool)?;
+    let sent: Vec<(&str, &[u8])> = records.iter().map(|r| (&*r.key, &*r.value)).collect();
+    let body = match postcard::to_stdvec(&sent) {
+        Ok(body) => body,
+        Err(e) => {
+            log::error!("submit step=not-encoded pool={} error=\"{e}\"", log.pool);
+            return None;
+        }
+    };
+    let call = Call::new(Method::POST, format!("{PATH}{}", log.pool), TIMEOUT);
+    let answer = HttpClient::new(addr, 0).call(call.with_bytes(body.into())).await;
+    let count = records.len();
+    match answer {
+        // It has taken nothing.
+        Ok(answer) if answer.status != StatusCode::OK.as_u16() => None,
+        Ok(answer) => {
+            let written = postcard::from_bytes::<Vec<Written>>(&answer.body).unwrap_or_default();
+            counter!("thistle_handed_over").increment(count as u64);
+            log::info!("submit step=handed-over pool={} count={count} to={addr}", log.pool);
+            // What it has not told of may be written.
+            Some(if written.len() == count { written } else { vec![Written::Unknown; count] })
+        }
+        Err(CallError::NotSent(..)) => None,
+        Err(e @ CallError::Unanswered(..)) => {
+            log::info!(
+                "submit step=hand-over-unanswered pool={} count={count} error=\"{e}\"",
+                log.pool
+            );
+            Some(vec![Written::Unknown; count])
+        }
+    }
+}
+
+/// Appends what another node hands over, and returns what became of each record.
+pub async fn take(node: &Arc<Node>, pool: &str, body: &Bytes) -> Option<Vec<u8>> {
+    let records: Vec<(String, Vec<u8>)> = postcard::from_bytes(body).ok()?;
+    let log = node.pool_logs().into_iter().find(|log| &*log.pool == pool)?;
+    let mut waiting = Vec::with_capacity(records.len());
+    for (key, value) in records {
+        let (done, told) = oneshot::channel();
+        let record = KeyedRecord::new(key, value);
+        log.submit(Submission { record, at: steady_ms(), handed_over: true, done });
+        waiting.push(told);
+    }
+    let mut written = Vec::with_capacity(waiting.len());
+    for told in waiting {
+        written.push(told.await.unwrap_or(Written::Unknown));
+    }
+    postcard::to_stdvec(&written).ok()
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod control;
 mod fleet_owner;
 mod follow;
+mod hand_over;
 mod journal;
 mod listing;
 mod node;
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -1,5 +1,5 @@
-//! Passing calls to the store on for nodes that it turns away, and watching whether it turns this one
-//! away.
+//! Passing calls to the store on for nodes that it turns away, taking submissions that they hand over,
+//! and watching whether it turns this one away.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -16,6 +16,7 @@
 use tokio::net::TcpListener;
 
 use crate::control::{HEARTBEATS, TOPIC};
+use crate::hand_over;
 use crate::node::Node;
 
 /// How often the store is asked itself while calls go through another node.
@@ -40,13 +41,20 @@
     .await;
 }
 
-async fn pass_on(node: &Node, req: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn pass_on(node: &Arc<Node>, req: Request<Incoming>) -> Response<Full<Bytes>> {
     let method = req.method().clone();
     let path = req.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
     let body = Limited::new(req.into_body(), node.settings.max_append_bytes).collect().await;
     let (status, body) = match body {
         // A body that cannot be read is not passed on.
         Err(_) => (NOT_PASSED_ON, Bytes::new()),
+        Ok(body) if path.starts_with(hand_over::PATH) => {
+            let pool = &path[hand_over::PATH.len()..];
+            match hand_over::take(node, pool, &body.to_bytes()).await {
+                Some(written) => (StatusCode::OK.as_u16(), written.into()),
+                None => (NOT_PASSED_ON, Bytes::new()),
+            }
+        }
         Ok(body) => {
             let call = PassedOn { method, path, body: body.to_bytes() };
             match node.store.pass_on(call).await {
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use metrics::counter;
+use serde::{Deserialize, Serialize};
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::{Semaphore, oneshot};
 
-use crate::node::{Node, steady_ms};
+use crate::hand_over;
+use crate::node::{Node, lock, steady_ms};
 use crate::pool_log::{LANES, PoolLog, SPARE};
 
 /// Pause between two tries.
@@ -24,7 +26,7 @@
 const APPENDS_AT_ONCE: u32 = 4;
 
 /// What became of a submission or a cancel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Written {
     /// The store has it.
     Kept,
@@ -41,6 +43,8 @@
     pub record: KeyedRecord,
     /// When it arrived, by the steady clock.
     pub at: Ms,
+    /// Another node has handed it over, so that it is appended here.
+    pub handed_over: bool,
     /// Who is told.
     pub done: oneshot::Sender<Written>,
 }
@@ -54,8 +58,11 @@
     let mut held_back: Option<Submission> = None;
     let appends = Arc::new(Semaphore::new(APPENDS_AT_ONCE as usize));
     loop {
-        // A slow store gets one append at a time from here, with all that has come meanwhile.
-        let permits = if node.store.is_slow() { APPENDS_AT_ONCE } else { 1 };
+        // A slow store gets one append at a time from here, with all that has come meanwhile. What
+        // is handed to the pool's owner waits for others there.
+        let alone =
+            node.store.is_slow() && lock(&node.ownership).relay_of_owner(&log.pool).is_none();
+        let permits = if alone { APPENDS_AT_ONCE } else { 1 };
         let Ok(permit) = appends.clone().acquire_many_owned(permits).await else { return };
         let first = match held_back.take() {
             Some(submission) => submission,
@@ -83,8 +90,18 @@
 }
 
 async fn write(node: &Node, log: &PoolLog, batch: Vec<Submission>) {
+    let handed_over = batch.iter().any(|s| s.handed_over);
     let (records, waiting): (Vec<KeyedRecord>, Vec<_>) =
         batch.into_iter().map(|s| (s.record, (s.at, s.done))).unzip();
+    if node.store.is_slow() && !handed_over {
+        if let Some(written) = hand_over::to_owner(node, log, &records).await {
+            for ((_, done), written) in waiting.into_iter().zip(written) {
+                // A caller that has gone away is not told.
+                let _ = done.send(written);
+            }
+            return;
+        }
+    }
     let oldest = waiting.iter().map(|(at, _)| *at).min().unwrap_or_default();
     let written = append(node, log, &records, oldest).await;
     for (_, done) in waiting {
--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -178,6 +178,30 @@
     }
 }
 
+/// Meskel Deskworks grown, trouble-2, 9 to 14 s: while each append took a quarter of a second, those of
+/// 32 nodes waited for each other, and 327 requests got no answer in time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn while_the_store_is_slow_nodes_hand_submissions_to_the_owner() {
+    let system = System::start(45, 1, 2).await;
+    let owner = until_owned(&system).await;
+    // The nodes hear of each other.
+    tokio::time::sleep(std::time::Duration::from_secs(3)).await;
+    system.platform.store.set_fault(Fault::Slow);
+    // The nodes notice.
+    tokio::time::sleep(std::time::Duration::from_secs(1)).await;
+    let other = &system.nodes[1 - owner];
+    for i in 0..6 {
+        let answer = submit(other, &format!("{i:016x}"), &job(1, 10)).await;
+        expect_that!(answer.status, eq(200));
+    }
+    expect_that!(other.metrics().await, contains_substring("thistle_handed_over"));
+    system.platform.store.set_fault(Fault::None);
+    for i in 0..6 {
+        until_state(other, &format!("{i:016x}"), "completed").await;
+    }
+}
+
 /// Budnet, sweep at 300 machines (LOST): a node that could not read on said that there was no such
 /// job, as its other calls to the store went through.
 #[gtest]
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -69,6 +69,14 @@
         HttpClient::new(SocketAddr::from((self.ip, 8_080)), 4)
     }
 
+    /// Returns its metrics as text.
+    pub async fn metrics(&self) -> String {
+        let client = HttpClient::new(SocketAddr::from((self.ip, 9_464)), 1);
+        let call = Call::new(Method::GET, "/metrics", CALL_TIMEOUT);
+        let answer = client.call(call).await.expect("the node answers");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
     pub async fn is_ready(&self) -> bool {
         let client = HttpClient::new(SocketAddr::from((self.ip, 8_081)), 1);
         let call = Call::new(Method::GET, thistle_platform::READINESS_PATH, CALL_TIMEOUT);
