A submission waits a second for its turn at most; a job is not looked for past a failed read for long

Four appends that are not answered take a second each before the next has its turn; a job that is not known is looked for in eight partitions, 0.8 s each. Change: what has had no turn within a second is refused, as it was never sent; once a read of the job's own pool has failed, others are read only while 0.8 s have not passed.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -275,6 +275,10 @@
     node.pool_logs().into_iter().find(has)
 }
 
+/// How long a job is looked for once a read has failed, in milliseconds: one read that is not
+/// answered. With a silent store and eight partitions to read it was 6 s, past callers' deadlines.
+const LOOK_UP_MS: Ms = 800;
+
 /// Where a job is.
 enum Found {
     /// In this pool's log.
@@ -295,8 +299,13 @@
     let mut logs = node.pool_logs();
     logs.sort_by_key(|log| log.pool != queue.pool);
     let mut all_read = true;
-    for (part, age) in [(SUBMISSIONS, 0), (SPARE, SPARE_AGE_MS)] {
-        for log in &logs {
+    for (i, log) in logs.iter().enumerate() {
+        // Each read that is not answered takes its time, and what was not read is not known. The job may
+        // be in either partition of its own pool.
+        if i > 0 && !all_read && steady_ms().saturating_sub(since) >= LOOK_UP_MS {
+            return Found::NotRead;
+        }
+        for (part, age) in [(SUBMISSIONS, 0), (SPARE, SPARE_AGE_MS)] {
             if let Err(e) = log.catch_up(node, part, since.saturating_sub(age)).await {
                 log::debug!("state id={id} step=read-failed pool={} error=\"{e}\"", log.pool);
                 all_read = false;
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -25,6 +25,7 @@
 mod speed;
 mod stats;
 mod submit;
+pub mod turns;
 
 pub use overview::{Overview, overview};
 pub use run::run;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -8,11 +8,12 @@
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 
 use crate::hand_over;
 use crate::node::{Node, lock, steady_ms};
 use crate::pool_log::{LANES, PoolLog, SPARE};
+use crate::turns::Turns;
 
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -22,6 +23,9 @@
 /// How long a submission that the store may have taken is tried again, in milliseconds: sending it
 /// once more is harmless and may tell what became of it.
 const ASK_FOR_MS: Ms = 1_000;
+/// How long a submission waits for its turn at most, in milliseconds: while the store is silent those before
+/// it take a second each, and a caller that is told sooner can still come back.
+const TURN_WITHIN_MS: Ms = 1_000;
 /// Appends under way at once: one that waits for the store does not hold up the next.
 const APPENDS_AT_ONCE: u32 = 4;
 
@@ -56,14 +60,8 @@
     mut rx: UnboundedReceiver<Submission>,
 ) {
     let mut held_back: Option<Submission> = None;
-    let appends = Arc::new(Semaphore::new(APPENDS_AT_ONCE as usize));
+    let turns = Turns::new(APPENDS_AT_ONCE);
     loop {
-        // A slow store gets one append at a time from here, with all that has come meanwhile. What
-        // is handed to the pool's owner waits for others there.
-        let alone =
-            node.store.is_slow() && lock(&node.ownership).relay_of_owner(&log.pool).is_none();
-        let permits = if alone { APPENDS_AT_ONCE } else { 1 };
-        let Ok(permit) = appends.clone().acquire_many_owned(permits).await else { return };
         let first = match held_back.take() {
             Some(submission) => submission,
             None => match rx.recv().await {
@@ -71,6 +69,18 @@
                 None => return,
             },
         };
+        // A slow store gets one append at a time from here, with all that has come meanwhile. What
+        // is handed to the pool's owner waits for others there.
+        let alone =
+            node.store.is_slow() && lock(&node.ownership).relay_of_owner(&log.pool).is_none();
+        let waited = steady_ms().saturating_sub(first.at);
+        let most = Duration::from_millis(TURN_WITHIN_MS.saturating_sub(waited));
+        let Some(turn) = turns.take(alone, most).await else {
+            log::info!("submit step=no-turn pool={} waited_ms={TURN_WITHIN_MS}", log.pool);
+            // It was never sent, and a caller that has gone away is not told.
+            let _ = first.done.send(Written::NotKept);
+            continue;
+        };
         let mut size = first.record.framed_len();
         let mut batch = vec![first];
         while let Ok(more) = rx.try_recv() {
@@ -84,7 +94,7 @@
         let (node, log) = (node.clone(), log.clone());
         tokio::spawn(async move {
             write(&node, &log, batch).await;
-            drop(permit);
+            drop(turn);
         });
     }
 }
