The answer to a repeated move is none to the maintenance after it

Cause: a new owner of the fleet orders again what its predecessor had ordered; since a move is over when the VM is seen in its pool, the VM was taken for a wave before the answer to that order came, and the answer counted for the maintenance, which was never ordered. Mend: a move is not over while this owner waits for an answer about it, and an answer that nothing waits for says nothing. Test: the_answer_to_a_repeated_move_is_none_to_the_maintenance_after_it, red before.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -177,15 +177,16 @@
 
     /// Takes in what came of an order.
     pub fn order_result(&mut self, vm: &str, outcome: OrderOutcome, now: Ms) {
-        let given = self.given.entry(vm.to_owned()).or_default();
+        if outcome == OrderOutcome::Unknown {
+            self.unsettled.insert(vm.to_owned(), now + LATE_ORDER_MS);
+        }
+        // An answer that nothing waits for says nothing of what is done with the VM now.
+        let Some(given) = self.given.get_mut(vm).filter(|given| given.under_way) else { return };
         given.under_way = false;
         given.again_at = now + AGAIN_MS;
         match outcome {
             OrderOutcome::Done => given.done_at = Some(now),
-            OrderOutcome::NotDone => (),
-            OrderOutcome::Unknown => {
-                self.unsettled.insert(vm.to_owned(), now + LATE_ORDER_MS);
-            }
+            OrderOutcome::NotDone | OrderOutcome::Unknown => (),
             OrderOutcome::Impossible => self.abandon(vm),
         }
     }
@@ -266,9 +267,13 @@
     }
 
     /// Returns whether a VM that was to move is up in its pool in another incarnation, whoever's order
-    /// brought it there. The order may still be repeated or carried out late: it is done already.
+    /// brought it there. While this owner waits for an answer the VM is not free for anything else: the
+    /// order may yet be carried out.
     fn has_come(&self, work: &VmWork, incarnation: Option<&str>) -> bool {
         let Purpose::Move { to } = &work.purpose else { return false };
+        if self.given.get(&work.vm).is_some_and(|given| given.under_way) {
+            return false;
+        }
         let come = |vm: &FleetVm| {
             vm.state == VmState::Up
                 && &*vm.pool == to.as_str()
--- a/crates/schedule/tests/fleet_succession.rs
+++ b/crates/schedule/tests/fleet_succession.rs
@@ -5,7 +5,7 @@
 use fleet_common::{busy, emptied, fleet, up, vm, vms_of, wave};
 use googletest::prelude::*;
 use thistle_schedule::fleet::{
-    Fleet, FleetRecord, HoldOff, OrderOutcome, Purpose, Stage, VmState, VmWork,
+    Fleet, FleetRecord, HoldOff, OrderOutcome, PoolReport, Purpose, Stage, VmState, VmWork,
 };
 
 #[gtest]
@@ -121,3 +121,29 @@
     fleet.plan(30);
     expect_that!(fleet.record().work, is_empty());
 }
+
+/// Meskel Deskworks trouble-2, seeds 812604458654 and 1029120962118 (MIXED): the answer to a repeated move came when the
+/// VM was already to be maintained, and was taken for the maintenance's.
+#[gtest]
+fn the_answer_to_a_repeated_move_is_none_to_the_maintenance_after_it() {
+    let ordered = Stage::Ordered { incarnation: Some("o-1".to_owned()) };
+    let purpose = Purpose::Move { to: "desk".to_owned() };
+    let work = vec![VmWork { vm: "o".to_owned(), purpose, stage: ordered }];
+    let record = FleetRecord { work, ..FleetRecord::default() };
+    let mut fleet = Fleet::new(record, HoldOff::default());
+    fleet.set_pools(["desk".into()].into(), None);
+    fleet.set_wave(wave(&["o"], 1));
+    fleet.set_vms(vec![vm("o", "off", 1, VmState::Up)], 0);
+    expect_that!(vms_of(&fleet.plan(10)), eq(&vec!["o"]), "the move is ordered again");
+    fleet.set_vms(vec![vm("o", "desk", 2, VmState::Up)], 20);
+    fleet.plan(30);
+    fleet.order_result("o", OrderOutcome::Done, 40);
+    fleet.plan(50);
+    let report = emptied(&["o"]);
+    let emptied = vec![("o".to_owned(), "o-2".to_owned())];
+    fleet.set_report(&"desk".into(), PoolReport { emptied, ..report }, 60);
+    let orders = fleet.plan(70);
+    expect_that!(vms_of(&orders), eq(&vec!["o"]));
+    expect_that!(orders[0].purpose, eq(&Purpose::Maintain { wave: 1 }));
+    expect_that!(fleet.to_complete(), is_empty());
+}
