The log's thread takes a bounded number of lines off its queue at once

Cause: the thread that writes took lines off the queue for as long as more came, before its first write; while others log as fast, what it holds has no bound. Not a matter of the test's time: the bound was wrong. Now 256 lines at once. Test: what_is_taken_off_the_queue_at_once_is_bounded, red without it.

--- a/crates/settings/src/stdout_writer.rs
+++ b/crates/settings/src/stdout_writer.rs
@@ -16,6 +16,9 @@
 
 /// Lines that wait for the reader at most: two seconds' worth of a busy node.
 const QUEUE: usize = 4_096;
+/// Lines that are written in one go at most: without a bound the thread takes lines off the queue for as
+/// long as they come, and holds them all.
+const MOST_AT_ONCE: usize = 256;
 /// Lines of one kind in a second at most: about four times a busy node's most frequent kind.
 const BUDGET: u32 = 500;
 const BUDGET_TIME: Duration = Duration::from_secs(1);
@@ -81,7 +84,7 @@
 
 fn write_lines<W: Write>(rx: &Receiver<Vec<u8>>, mut output: W) {
     while let Ok(mut lines) = rx.recv() {
-        while let Ok(more) = rx.try_recv() {
+        for more in rx.try_iter().take(MOST_AT_ONCE) {
             lines.extend_from_slice(&more);
         }
         // Where nobody reads there is nobody to tell.
--- a/crates/settings/tests/stdout_writer.rs
+++ b/crates/settings/tests/stdout_writer.rs
@@ -45,13 +45,17 @@
     assert!(result.is_ok());
 }
 
-/// Waits until the thread has written all and ended, which drops its side of the buffer.
-fn until_ended(written: &Arc<Mutex<Vec<u8>>>) {
-    while Arc::strong_count(written) > 1 {
+fn until(holds: impl Fn() -> bool) {
+    while !holds() {
         std::thread::sleep(std::time::Duration::from_millis(5));
     }
 }
 
+/// Waits until the thread has written all and ended, which drops its side of the buffer.
+fn until_ended(written: &Arc<Mutex<Vec<u8>>>) {
+    until(|| Arc::strong_count(written) == 1);
+}
+
 fn lines(written: &Mutex<Vec<u8>>) -> Vec<String> {
     let written = written.lock().expect("no panic while it is held");
     String::from_utf8_lossy(&written).lines().map(str::to_owned).collect()
@@ -78,6 +82,26 @@
     expect_that!(lines.last().map(String::as_str), some(eq("kind0 n=last")));
 }
 
+/// CI beside plays, once: the thread took lines off the queue for as long as more came, so that what it held for
+/// the reader had no bound.
+#[gtest]
+fn what_is_taken_off_the_queue_at_once_is_bounded() {
+    let (writer, gate, written) = gated();
+    for kind in 0..3_000 {
+        write_line(&writer, &format!("kind{kind} n=0"));
+    }
+    // All wait by now behind the first write, which is let through with one more.
+    for _ in 0..2 {
+        expect_that!(gate.send(()), ok(anything()));
+    }
+    drop(writer);
+    until(|| !lines(&written).is_empty());
+    expect_that!(lines(&written).len(), le(1_000));
+    drop(gate);
+    until_ended(&written);
+    expect_that!(lines(&written), len(eq(3_000)));
+}
+
 #[gtest]
 fn one_kind_that_floods_leaves_the_others_their_lines() {
     let (writer, gate, written) = gated();
