--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use metrics::counter;
 use thistle_platform::{ReadError, Store, StoreError, Stored};
+use thistle_schedule::Ms;
 
-use crate::node::Node;
+use crate::node::{Node, steady_ms};
 
 /// How long a read waits for records. Longer costs fewer calls; while a link is cut silently, the
 /// node is deaf for this long after it has healed.
@@ -106,6 +108,43 @@
     node.owning.wait_unless_owned(IDLE_PAUSE).await;
 }
 
+/// Failed reads in a row. The first is told, and how many there were once a read is answered: a
+/// partition that one node cannot read shows in no other line.
+#[derive(Debug, Default)]
+struct Failures {
+    count: u32,
+    since: Ms,
+}
+
+impl Failures {
+    fn add(&mut self, tail: &Tail, e: &StoreError) {
+        let (topic, part) = (&tail.topic, tail.part);
+        counter!("thistle_failed_reads", "topic" => topic.clone()).increment(1);
+        if self.count == 0 {
+            self.since = steady_ms();
+            log::info!(
+                "tail topic={topic} part={part} step=failing from={:?} error=\"{e}\"",
+                tail.next
+            );
+        }
+        self.count += 1;
+    }
+
+    fn end(&mut self, tail: &Tail) {
+        if self.count == 0 {
+            return;
+        }
+        let failing_ms = steady_ms().saturating_sub(self.since);
+        log::info!(
+            "tail topic={} part={} step=reading-again failures={} failing_ms={failing_ms}",
+            tail.topic,
+            tail.part,
+            self.count,
+        );
+        self.count = 0;
+    }
+}
+
 /// Follows a partition until the task is dropped, handing on what is read with the next offset.
 /// `pace` tells how soon it reads on.
 pub async fn follow(
@@ -115,10 +154,12 @@
     mut apply: impl FnMut(News, Option<u64>),
 ) {
     let mut wait = Duration::ZERO;
+    let mut failures = Failures::default();
     loop {
         match tail.read(&node.store, wait).await {
             Ok(news) => {
                 node.note_store(true);
+                failures.end(&tail);
                 wait = if news.is_empty() { WAIT } else { WAIT_AFTER_NEWS };
                 let next = tail.next_offset();
                 apply(news, next);
@@ -126,11 +167,7 @@
             }
             Err(e) => {
                 node.note_store(false);
-                log::debug!(
-                    "tail topic={} part={} step=failed error=\"{e}\"",
-                    tail.topic,
-                    tail.part
-                );
+                failures.add(&tail, &e);
                 tokio::time::sleep(PAUSE).await;
                 wait = Duration::ZERO;
             }
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -42,9 +42,10 @@
         return;
     }
     log::info!(
-        "config step=in-force version={} before={known} offset={} queues={} pools={}",
+        "config step=in-force version={} before={known} offset={} bytes={} queues={} pools={}",
         catalog.version,
         stored.offset,
+        value.len(),
         catalog.queues().len(),
         catalog.pools.len(),
     );
