Tests that fail: the same cause on the way to the store and through another node

Looked for where else a fixed time stands against any amount: an append of 400 KB over 2 Mbit/s is given up after 600 ms; a node that passes a call on reads the answer whole before it goes on, so that the other one waits in vain (not in force within 60 s).

--- a/crates/scheduler/tests/slow_links.rs
+++ b/crates/scheduler/tests/slow_links.rs
@@ -2,6 +2,9 @@
 
 mod system;
 
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
 use googletest::prelude::*;
 use hyper::Method;
 use system::{System, job, send, submit, until, until_state};
@@ -37,6 +40,26 @@
     until_in_force(&system, 0).await;
 }
 
+/// The same for a node that the store turns away: what another node passes on comes as slowly, and must not be read
+/// whole by that node before the first of it goes on.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_large_configuration_comes_into_force_through_another_node() {
+    let mut system = System::start(51, 1, 1).await;
+    let door = system.platform.open_door(Ipv4Addr::new(127, 20, 51, 2)).await;
+    let door = door.expect("the door opens");
+    system.add_node_at(Ipv4Addr::new(127, 20, 51, 11), door.addr);
+    until("the second node is ready", || system.nodes[1].is_ready()).await;
+    // The nodes hear of each other.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    door.set_fault(Fault::Busy);
+    // Reads that came by the door before are answered.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    system.platform.store.set_fault(Fault::SlowLinks);
+    put_large_config(&system, 2);
+    until_in_force(&system, 1).await;
+}
+
 /// The same cause, found by reading: an append could take 0.6 s however much there was to send, and one without an answer is
 /// sent again as it was.
 #[gtest]
