--- /dev/null
+++ b/crates/scheduler/tests/silence.rs
@@ -0,0 +1,92 @@
+//! Nodes whose open connections go silent without a reset while new ones work.
+
+mod system;
+
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use hyper::Method;
+use system::{System, job, send, submit, until, until_state};
+use thistle_platform::standin::{Path, Silence};
+
+/// Where ways begin.
+const PORT: u16 = 7_101;
+
+/// Starts a system of two nodes, of which the first owns the pool and comes to the store by a way of its own, over
+/// which it has many connections open.
+async fn owner_on_a_way(net: u8) -> (System, Path) {
+    let mut system = System::start(net, 2, 0).await;
+    let from = (Ipv4Addr::new(127, 20, net, 2), PORT).into();
+    let path = Path::open(from, system.platform.store_addr()).await.expect("it opens");
+    system.add_node_at(Ipv4Addr::new(127, 20, net, 10), path.addr);
+    until("the first node owns the pool", async || system.owner() == Some(0)).await;
+    system.add_node(Ipv4Addr::new(127, 20, net, 11));
+    for node in &system.nodes {
+        until("a node is ready", || node.is_ready()).await;
+    }
+    submit_all(&system, 0, 40).await;
+    (system, path)
+}
+
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+/// Submits jobs at once to the first node, and returns the statuses.
+async fn submit_all(system: &System, from: u64, count: u64) -> Vec<u16> {
+    let submitted = (from..from + count).map(|i| async move {
+        let answer = submit(&system.nodes[0], &id(i), &job(1, 50)).await;
+        answer.status
+    });
+    futures::future::join_all(submitted).await
+}
+
+/// Symptom: an owner loses its pool, and callers are told 504, while the store works. Sequence and cause: see the
+/// platform's crate (`silence.rs`): its heartbeats wait on one silent connection after the other until its lease is over.
+async fn owner_goes_on(net: u8, silence: Silence) {
+    let (system, path) = owner_on_a_way(net).await;
+    for round in 1..=2_u64 {
+        path.silence(silence);
+        // What was under way as the silence began may be told as unknown.
+        for status in submit_all(&system, round * 100, 10).await {
+            expect_that!(status, any![eq(200), eq(504)]);
+        }
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        expect_that!(system.owner(), some(eq(0)), "it keeps its pool");
+        let statuses = submit_all(&system, round * 100 + 50, 10).await;
+        expect_that!(statuses, each(eq(&200)), "all is well again");
+        for i in 0..10 {
+            until_state(&system.nodes[1], &id(round * 100 + 50 + i), "completed").await;
+        }
+    }
+    let claims = system.platform.store.offset_of("control", 0, "owner/desk");
+    expect_that!(claims, some(eq(0)), "it was claimed once");
+    for i in 0..40 {
+        until_state(&system.nodes[1], &id(i), "completed").await;
+        expect_that!(system.starts_of(&id(i)).values().all(|&n| n == 1), eq(true));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_keeps_its_pool_when_its_connections_to_the_store_go_silent() {
+    owner_goes_on(60, Silence::BothWays).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_keeps_its_pool_when_no_answers_of_the_store_arrive() {
+    owner_goes_on(61, Silence::Answers).await;
+}
+
+/// A configuration that is written right as the connections go silent is in force all the same.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_configuration_arrives_over_new_connections() {
+    let (system, path) = owner_on_a_way(62).await;
+    path.silence(Silence::BothWays);
+    system.put_config(2, &["/quotes/", "/plans/"]);
+    let status = async || send(&system.nodes[0], Method::GET, "/plans/").await.status;
+    until("the new queue is there", async || status().await == 200).await;
+}
