--- a/crates/scheduler/tests/silence.rs
+++ b/crates/scheduler/tests/silence.rs
@@ -2,13 +2,15 @@
 
 mod system;
 
-use std::net::Ipv4Addr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use googletest::prelude::*;
 use hyper::Method;
 use system::{System, job, send, submit, until, until_state};
 use thistle_platform::standin::{Path, Silence};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Where ways begin.
 const PORT: u16 = 7_101;
@@ -90,3 +92,53 @@
     let status = async || send(&system.nodes[0], Method::GET, "/plans/").await.status;
     until("the new queue is there", async || status().await == 200).await;
 }
+
+/// Connections of silent callers at once.
+const CALLERS: usize = 400;
+
+/// Opens connections, sends the same on each, and says no more.
+async fn fall_silent(addr: SocketAddr, said: &str) -> Vec<TcpStream> {
+    let mut open = Vec::new();
+    for _ in 0..CALLERS {
+        let mut stream = TcpStream::connect(addr).await.expect("it connects");
+        stream.write_all(said.as_bytes()).await.expect("it sends");
+        open.push(stream);
+    }
+    open
+}
+
+/// Symptom: a node runs out of descriptors though few callers are there. Sequence: callers send the head of a request and part of
+/// its body and fall silent. Cause: only heads had a time limit, bodies none. What settled it: 400 such connections
+/// were held for as long as the test waited.
+async fn silent_connections_are_closed(net: u8, addr: impl Fn(&System) -> SocketAddr, said: &str) {
+    let system = System::start(net, 1, 1).await;
+    let before = system.nodes[0].descriptors();
+    let open = fall_silent(addr(&system), said).await;
+    let node = &system.nodes[0];
+    until("they are held", async || node.descriptors() >= before + CALLERS / 2).await;
+    // Others are served meanwhile.
+    expect_that!(submit(node, &id(1), &job(1, 10)).await.status, eq(200));
+    until("they are closed", async || node.descriptors() < before + CALLERS / 10).await;
+    until_state(node, &id(1), "completed").await;
+    drop(open);
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_fall_silent_amid_a_body_hold_nothing_for_long() {
+    let head = "POST /quotes/00000000000000ff HTTP/1.1\r\nhost: jobs.example\r\ncontent-length: 900\r\n\r\n{";
+    silent_connections_are_closed(63, |s| s.nodes[0].callers_addr(), head).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn callers_that_say_nothing_hold_nothing_for_long() {
+    silent_connections_are_closed(64, |s| s.nodes[0].callers_addr(), "GET /quo").await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn nodes_that_fall_silent_hold_nothing_for_long() {
+    let head = "POST /submissions/desk HTTP/1.1\r\nhost: x\r\ncontent-length: 900\r\n\r\n{";
+    silent_connections_are_closed(65, |s| s.nodes[0].relay_addr(), head).await;
+}
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -65,8 +65,22 @@
         child.wait().is_ok_and(|status| status.success())
     }
 
+    pub const fn callers_addr(&self) -> SocketAddr {
+        SocketAddr::new(std::net::IpAddr::V4(self.ip), 8_080)
+    }
+
+    pub const fn relay_addr(&self) -> SocketAddr {
+        SocketAddr::new(std::net::IpAddr::V4(self.ip), 7_060)
+    }
+
+    /// Returns how many descriptors its process holds.
+    pub fn descriptors(&self) -> usize {
+        let id = self.child.as_ref().expect("it runs").id();
+        std::fs::read_dir(format!("/proc/{id}/fd")).map_or(0, Iterator::count)
+    }
+
     pub fn callers(&self) -> HttpClient {
-        HttpClient::new(SocketAddr::from((self.ip, 8_080)), 4)
+        HttpClient::new(self.callers_addr(), 4)
     }
 
     /// Returns its metrics as text.
