Bodies have a time limit for each part; idle connections of nodes, balancers and scrapers are closed

Cause: only the heads of callers' requests had a limit. 400 silent callers amid a body, and 400 silent nodes, held 400 descriptors for as long as the test waited (60 s); now for 3 s. A caller that falls silent is told 408 and nothing was taken.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -4,8 +4,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::service::service_fn;
@@ -16,16 +14,16 @@
 use thistle_platform::{KeyedRecord, body};
 use thistle_schedule::job_log::{JobEntry, cancel_key, encode, submit_key};
 use thistle_schedule::{Catalog, JobId, JobSpec, Ms, Queue};
+use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
 use crate::node::{Node, steady_ms};
 use crate::pool_log::{PROGRESS, PoolLog, SPARE, SPARE_AGE_MS, SUBMISSIONS};
 use crate::reply::{self, Reply};
+use crate::request_body::{self, BodyError};
 use crate::submit::{Submission, Written};
 
-/// Time for headers before a configuration says otherwise.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest headers before a configuration says otherwise, in bytes.
 const HEADER_BYTES: usize = 16 * 1024;
 /// How old the count of a queue's jobs may be, in milliseconds: callers may be told one that is two
@@ -137,10 +135,13 @@
     req: Request<Incoming>,
 ) -> Reply {
     let limit = catalog.limits.body_bytes;
-    let body: Bytes = match Limited::new(req.into_body(), limit).collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(e) if e.is::<http_body_util::LengthLimitError>() => return reply::too_large(limit),
-        Err(e) => return reply::bad_request(&format!("the body cannot be read: {e}")),
+    let body = match request_body::read(req.into_body(), limit).await {
+        Ok(body) => body,
+        Err(BodyError::TooLarge) => return reply::too_large(limit),
+        Err(BodyError::Silent(within)) => return reply::too_slow(within),
+        Err(BodyError::Broken(e)) => {
+            return reply::bad_request(&format!("the body cannot be read: {e}"));
+        }
     };
     let mut spec: JobSpec = match body::decode_job(&body) {
         Ok(spec) => spec,
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -21,6 +21,7 @@
 mod readiness;
 mod relay;
 mod reply;
+mod request_body;
 mod run;
 mod speed;
 mod stats;
--- a/crates/scheduler/src/readiness.rs
+++ b/crates/scheduler/src/readiness.rs
@@ -24,9 +24,9 @@
                 *reply.status_mut() = status;
                 async move { Ok::<_, Infallible>(reply) }
             });
-            let conn = hyper::server::conn::http1::Builder::new();
             // A balancer that goes away asks again.
-            let _ = conn.serve_connection(TokioIo::new(stream), service).await;
+            let _ =
+                thistle_wire::serve::http().serve_connection(TokioIo::new(stream), service).await;
         });
     })
     .await;
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Either, Full, Limited};
+use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper::{Request, Response, StatusCode};
@@ -18,6 +18,7 @@
 use crate::control::{HEARTBEATS, TOPIC};
 use crate::hand_over;
 use crate::node::Node;
+use crate::request_body;
 
 /// How often the store is asked itself while calls go through another node.
 const ASK_EVERY: Duration = Duration::from_millis(250);
@@ -33,9 +34,9 @@
                 let node = node.clone();
                 async move { Ok::<_, Infallible>(pass_on(&node, req).await) }
             });
-            let conn = hyper::server::conn::http1::Builder::new();
             // A node that goes away asks another.
-            let _ = conn.serve_connection(TokioIo::new(stream), respond).await;
+            let _ =
+                thistle_wire::serve::http().serve_connection(TokioIo::new(stream), respond).await;
         });
     })
     .await;
@@ -48,21 +49,21 @@
 async fn pass_on(node: &Arc<Node>, req: Request<Incoming>) -> Passed {
     let method = req.method().clone();
     let path = req.uri().path_and_query().map(ToString::to_string).unwrap_or_default();
-    let body = Limited::new(req.into_body(), node.settings.max_append_bytes).collect().await;
+    let body = request_body::read(req.into_body(), node.settings.max_append_bytes).await;
     let reply = match body {
         Err(e) => {
-            log::info!("relay step=not-passed-on path={path} reason=unreadable error=\"{e}\"");
+            log::info!("relay step=not-passed-on path={path} reason=\"{e:?}\"");
             not_passed_on()
         }
         Ok(body) if path.starts_with(hand_over::PATH) => {
             let pool = &path[hand_over::PATH.len()..];
-            match hand_over::take(node, pool, &body.to_bytes()).await {
+            match hand_over::take(node, pool, &body).await {
                 Some(written) => reply(StatusCode::OK.as_u16(), Either::Left(written.into())),
                 None => not_passed_on(),
             }
         }
         Ok(body) => {
-            let call = PassedOn { method, path, body: body.to_bytes() };
+            let call = PassedOn { method, path, body };
             match node.store.pass_on(call).await {
                 Ok(Some(answer)) => reply(answer.status, Either::Right(answer.into_body())),
                 Ok(None) | Err(CallError::NotSent(..)) => not_passed_on(),
--- a/crates/scheduler/src/reply.rs
+++ b/crates/scheduler/src/reply.rs
@@ -1,5 +1,7 @@
 //! Answers to callers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
@@ -49,6 +51,12 @@
     error(StatusCode::PAYLOAD_TOO_LARGE, &format!("send at most {limit} bytes"))
 }
 
+/// The body has stopped coming; nothing was taken.
+pub fn too_slow(within: Duration) -> Reply {
+    let remedy = format!("send each part of the body within {} ms", within.as_millis());
+    error(StatusCode::REQUEST_TIMEOUT, &remedy)
+}
+
 /// The method is not known.
 pub fn wrong_method() -> Reply {
     error(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
--- a/crates/wire/src/metrics_http.rs
+++ b/crates/wire/src/metrics_http.rs
@@ -23,9 +23,8 @@
                 let body = Full::new(Bytes::from(render()));
                 async move { Ok::<_, Infallible>(Response::new(body)) }
             });
-            let conn = hyper::server::conn::http1::Builder::new();
             // A scraper that goes away is no fault.
-            let _ = conn.serve_connection(TokioIo::new(stream), service).await;
+            let _ = crate::serve::http().serve_connection(TokioIo::new(stream), service).await;
         });
     })
     .await;
