--- a/crates/scheduler/tests/silence.rs
+++ b/crates/scheduler/tests/silence.rs
@@ -82,6 +82,38 @@
     owner_goes_on(61, Silence::Answers).await;
 }
 
+/// Orders to VMs and what they tell of ends, while connections to them go silent again and again: nothing is lost and
+/// nothing is done twice.
+async fn orders_go_on(net: u8, silence: Silence) {
+    let system = System::start(net, 3, 1).await;
+    let node = &system.nodes[0];
+    for round in 0..6 {
+        submit(node, &id(round), &job(6, 700)).await;
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        for vm in system.platform.machines.vms() {
+            vm.silence_connections(silence);
+        }
+    }
+    for round in 0..6 {
+        until_state(node, &id(round), "completed").await;
+        let starts = system.starts_of(&id(round));
+        expect_that!(starts.len(), eq(6));
+        expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_to_vms_are_neither_lost_nor_done_twice_when_connections_go_silent() {
+    orders_go_on(66, Silence::BothWays).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn orders_to_vms_are_neither_lost_nor_done_twice_when_answers_stop() {
+    orders_go_on(67, Silence::Answers).await;
+}
+
 /// A configuration that is written right as the connections go silent is in force all the same.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
