--- a/crates/scheduler/tests/faults.rs
+++ b/crates/scheduler/tests/faults.rs
@@ -133,7 +133,7 @@
     submit(&system.nodes[0], ID, &job(4, 1_500)).await;
     until("all tasks were started", async || system.starts_of(ID).len() == 4).await;
     let busy = system.platform.machines.vms().into_iter().find(|vm| !vm.running().is_empty());
-    busy.expect("one runs them").fall_silent();
+    busy.expect("one runs them").set_silent(true);
     until_state(&system.nodes[0], ID, "completed").await;
 }
 
