--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -39,7 +39,7 @@
         let vm = &mut self.vms[key];
         vm.reachable = true;
         vm.held |= complete;
-        vm.strays.retain(|run| listed.contains(run));
+        vm.strays.retain(|run, _| listed.contains(run));
         self.forget_vm_if_empty(key);
     }
 
@@ -65,7 +65,9 @@
             }
             return;
         }
-        if vm.strays.insert(row.run) {
+        let told_at = vm.strays.entry(row.run).or_insert(0);
+        if *told_at == 0 || now.steady >= *told_at + STOP_AGAIN_MS {
+            *told_at = now.steady;
             self.order_stop(key, task, row.run.attempt);
         }
     }
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -1,6 +1,6 @@
 //! VMs within a pool's schedule.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
 
 use super::run::Run;
@@ -33,8 +33,9 @@
     pub cordoned: bool,
     pub used: Room,
     pub runs: BTreeMap<TaskId, Run>,
-    /// Runs that are not ours; nothing is started beside them, since their room is unknown.
-    pub strays: HashSet<RunId>,
+    /// Runs that are not ours, with when they were last told to stop; nothing is started beside them, since their
+    /// room is unknown.
+    pub strays: HashMap<RunId, Ms>,
     strikes: Vec<JobId>,
     pub aside_until: Ms,
 }
@@ -65,7 +66,7 @@
             cordoned: false,
             used: Room::default(),
             runs: BTreeMap::new(),
-            strays: HashSet::new(),
+            strays: HashMap::new(),
             strikes: Vec::new(),
             aside_until: 0,
         }
