A hand-over's errors leave log lines, and what is not told is unknown

Found by reading: if what became of handed-over records could not be encoded, the sender would have taken them for not taken. The outcome of submissions and how nodes tell it each other stand in a file of their own.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -22,7 +22,8 @@
 use crate::pool_log::{PROGRESS, PoolLog, SPARE, SPARE_AGE_MS, SUBMISSIONS};
 use crate::reply::{self, Reply};
 use crate::request_body::{self, BodyError};
-use crate::submit::{Submission, Written};
+use crate::submit::Submission;
+use crate::written::Written;
 
 /// Largest headers before a configuration says otherwise, in bytes.
 const HEADER_BYTES: usize = 16 * 1024;
--- a/crates/scheduler/src/hand_over.rs
+++ b/crates/scheduler/src/hand_over.rs
@@ -17,7 +17,8 @@
 
 use crate::node::{Node, lock, steady_ms};
 use crate::pool_log::PoolLog;
-use crate::submit::{Submission, Written};
+use crate::submit::Submission;
+use crate::written::{Written, encode_outcomes, read_outcomes};
 
 /// What the path of a hand-over starts with; the pool's name follows.
 pub const PATH: &str = "/submissions/";
@@ -45,11 +46,9 @@
         // It has taken nothing.
         Ok(answer) if answer.status != StatusCode::OK.as_u16() => None,
         Ok(answer) => {
-            let written = postcard::from_bytes::<Vec<Written>>(&answer.body).unwrap_or_default();
             counter!("thistle_handed_over").increment(count as u64);
             log::info!("submit step=handed-over pool={} count={count} to={addr}", log.pool);
-            // What it has not told of may be written.
-            Some(if written.len() == count { written } else { vec![Written::Unknown; count] })
+            Some(read_outcomes(&answer.body, count))
         }
         Err(CallError::NotSent(..)) => None,
         Err(e @ CallError::Unanswered(..)) => {
@@ -62,10 +61,16 @@
     }
 }
 
-/// Appends what another node hands over, and returns what became of each record.
+/// Appends what another node hands over, and returns what became of each record; none if nothing was
+/// taken.
 pub async fn take(node: &Arc<Node>, pool: &str, body: &Bytes) -> Option<Vec<u8>> {
-    let records: Vec<(String, Vec<u8>)> = postcard::from_bytes(body).ok()?;
-    let log = node.pool_logs().into_iter().find(|log| &*log.pool == pool)?;
+    let records: Vec<(String, Vec<u8>)> = postcard::from_bytes(body)
+        .inspect_err(|e| log::error!("submit step=not-taken pool={pool} error=\"{e}\""))
+        .ok()?;
+    let Some(log) = node.pool_logs().into_iter().find(|log| &*log.pool == pool) else {
+        log::info!("submit step=not-taken pool={pool} reason=unknown-pool");
+        return None;
+    };
     let mut waiting = Vec::with_capacity(records.len());
     for (key, value) in records {
         let (done, told) = oneshot::channel();
@@ -77,5 +82,5 @@
     for told in waiting {
         written.push(told.await.unwrap_or(Written::Unknown));
     }
-    postcard::to_stdvec(&written).ok()
+    Some(encode_outcomes(&written))
 }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -27,6 +27,7 @@
 mod stats;
 mod submit;
 pub mod turns;
+pub mod written;
 
 pub use overview::{Overview, overview};
 pub use run::run;
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use metrics::counter;
-use serde::{Deserialize, Serialize};
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -14,6 +13,7 @@
 use crate::node::{Node, lock, steady_ms};
 use crate::pool_log::{LANES, PoolLog, SPARE};
 use crate::turns::Turns;
+use crate::written::Written;
 
 /// Pause between two tries.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -29,17 +29,6 @@
 /// Appends under way at once: one that waits for the store does not hold up the next.
 const APPENDS_AT_ONCE: u32 = 4;
 
-/// What became of a submission or a cancel.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Written {
-    /// The store has it.
-    Kept,
-    /// The store surely does not have it and will not get it.
-    NotKept,
-    /// The store may have it.
-    Unknown,
-}
-
 /// A record to write, and who is told.
 #[derive(Debug)]
 pub struct Submission {
