A randomized soak of real nodes: one seed, one schedule of faults, promises checked from what callers and VMs see

Nodes killed, told to stop, paused and started again; their ways to the store silenced both ways or one way, closed, cut; a store that is busy, silent, slow, loses answers, does appends late, is behind slow links, drops its history; VMs that fall silent, carry orders out late, crash; configurations.

--- /dev/null
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -0,0 +1,261 @@
+//! Faults from outside, in series and overlapping, by one seed.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use hyper::Method;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thistle_platform::standin::{Fault, Path, Silence};
+
+use super::callers::{Job, Told};
+use super::system::{System, send, state, until};
+
+const VMS: u8 = 6;
+const NODES: u8 = 3;
+/// Where a node's own way to the store begins.
+const WAY_PORT: u16 = 7_101;
+
+/// A system under faults.
+pub struct Soak {
+    pub system: System,
+    /// The faults so far, for whoever reads a failure.
+    pub faults: Vec<String>,
+    rng: StdRng,
+    ways: Vec<Path>,
+    /// Nodes that are paused by a signal.
+    paused: Vec<usize>,
+    /// Nodes that are down, to be started again.
+    down: Vec<usize>,
+    version: u64,
+    /// The newest version that each node has shown in this life of it.
+    seen: Vec<u64>,
+}
+
+impl Soak {
+    pub async fn start(seed: u64, net: u8) -> Self {
+        let mut system = System::start(net, VMS, 0).await;
+        let mut ways = Vec::new();
+        for i in 0..NODES {
+            let from = (Ipv4Addr::new(127, 20, net, 50 + i), WAY_PORT).into();
+            let way = Path::open(from, system.platform.store_addr()).await.expect("it opens");
+            system.add_node_at(Ipv4Addr::new(127, 20, net, 10 + i), way.addr);
+            ways.push(way);
+        }
+        for node in &system.nodes {
+            until("a node is ready", || node.is_ready()).await;
+        }
+        let seen = vec![0; ways.len()];
+        let rng = StdRng::seed_from_u64(seed);
+        let (faults, paused, down) = (Vec::new(), Vec::new(), Vec::new());
+        Self { system, faults, rng, ways, paused, down, version: 1, seen }
+    }
+
+    pub fn addrs(&self) -> Vec<SocketAddr> {
+        self.system.nodes.iter().map(super::system::Node::callers_addr).collect()
+    }
+
+    /// Brings one fault about, or mends one, and waits a moment.
+    pub async fn fault(&mut self) {
+        let node = self.rng.random_range(0..self.ways.len());
+        let what = match self.rng.random_range(0..100) {
+            0..8 => self.kill(node),
+            8..13 => self.terminate(node),
+            13..21 => self.pause(node),
+            21..45 => self.mend_some().await,
+            45..65 => self.way(node),
+            65..78 => self.store(),
+            78..92 => self.vm().await,
+            _ => self.config(),
+        };
+        self.faults.push(what);
+        let pause = self.rng.random_range(20..700);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
+    fn is_up(&self, node: usize) -> bool {
+        !self.down.contains(&node) && !self.paused.contains(&node)
+    }
+
+    fn kill(&mut self, node: usize) -> String {
+        self.paused.retain(|&n| n != node);
+        self.system.nodes[node].kill();
+        if !self.down.contains(&node) {
+            self.down.push(node);
+        }
+        format!("kill {node}")
+    }
+
+    fn terminate(&mut self, node: usize) -> String {
+        if !self.is_up(node) {
+            return format!("terminate {node}: it is not up");
+        }
+        self.system.nodes[node].signal("TERM");
+        self.down.push(node);
+        format!("terminate {node}")
+    }
+
+    fn pause(&mut self, node: usize) -> String {
+        if !self.is_up(node) {
+            return format!("pause {node}: it is not up");
+        }
+        self.system.nodes[node].signal("STOP");
+        self.paused.push(node);
+        format!("pause {node}")
+    }
+
+    fn way(&mut self, node: usize) -> String {
+        let way = &self.ways[node];
+        match self.rng.random_range(0..4) {
+            0 => way.silence(Silence::BothWays),
+            1 => way.silence(Silence::Answers),
+            2 => way.silence(Silence::Closed),
+            _ => way.cut(true),
+        }
+        format!("way of {node}")
+    }
+
+    fn store(&mut self) -> String {
+        let faults = [
+            Fault::Busy,
+            Fault::Silent,
+            Fault::Slow,
+            Fault::LosesAnswers,
+            Fault::Late,
+            Fault::SlowLinks,
+        ];
+        let fault = faults[self.rng.random_range(0..faults.len())];
+        self.system.platform.store.set_fault(fault);
+        if self.rng.random_bool(0.2) {
+            self.system.platform.store.drop_history("op");
+            self.system.platform.store.drop_history("jobs.desk");
+        }
+        format!("store {fault:?}")
+    }
+
+    async fn vm(&mut self) -> String {
+        let vms = self.system.platform.machines.vms();
+        let Some(vm) = vms.get(self.rng.random_range(0..vms.len().max(1))) else {
+            return "no VM is up".to_owned();
+        };
+        match self.rng.random_range(0..5) {
+            0 => vm.set_silent(true),
+            1 => vm.carry_out_late(true),
+            2 => vm.silence_connections(Silence::BothWays),
+            3 => vm.silence_connections(Silence::Answers),
+            _ => {
+                let name = vm.place.name.clone();
+                self.system.platform.machines.crash(&name).await.expect("it comes up again");
+                return format!("crash {name}");
+            }
+        }
+        format!("vm {}", vm.id)
+    }
+
+    fn config(&mut self) -> String {
+        self.version += 1;
+        let added = (2..=self.version).map(path_of).collect::<Vec<_>>();
+        let mut paths = vec!["/quotes/"];
+        paths.extend(added.iter().map(String::as_str));
+        self.system.put_config(self.version, &paths);
+        format!("version {}", self.version)
+    }
+
+    /// Asks a node for the newest queue that it has shown: it must show it for as long as it lives.
+    pub async fn probe_config(&mut self) {
+        let node = self.rng.random_range(0..self.ways.len());
+        if !self.is_up(node) || self.version == 1 {
+            return;
+        }
+        let version = self.version;
+        let asked = if self.seen[node] > 1 { self.seen[node] } else { version };
+        let callers = self.system.nodes[node].callers();
+        let call = super::system::request(Method::GET, &path_of(asked));
+        let Ok(answer) = callers.call(call).await else { return };
+        assert!(
+            answer.status != 404 || self.seen[node] < asked,
+            "node {node} went back behind version {asked}\nfaults: {:#?}",
+            self.faults
+        );
+        if answer.status != 404 {
+            self.seen[node] = asked;
+        }
+    }
+
+    async fn mend_some(&mut self) -> String {
+        match self.rng.random_range(0..4) {
+            0 => {
+                self.system.platform.store.set_fault(Fault::None);
+                "store mended".to_owned()
+            }
+            1 => {
+                self.ways.iter().for_each(|way| way.cut(false));
+                "ways mended".to_owned()
+            }
+            2 => {
+                self.mend_vms();
+                "VMs mended".to_owned()
+            }
+            _ => {
+                self.bring_up().await;
+                "nodes up".to_owned()
+            }
+        }
+    }
+
+    fn mend_vms(&self) {
+        for vm in self.system.platform.machines.vms() {
+            vm.set_silent(false);
+            vm.carry_out_late(false);
+        }
+    }
+
+    async fn bring_up(&mut self) {
+        for node in std::mem::take(&mut self.paused) {
+            self.system.nodes[node].signal("CONT");
+        }
+        for node in std::mem::take(&mut self.down) {
+            // One that was told to stop ends by itself, or is ended.
+            self.system.nodes[node].kill();
+            self.system.nodes[node].start();
+            self.seen[node] = 0;
+        }
+    }
+
+    /// Mends everything and waits until all nodes are ready.
+    pub async fn mend_all(&mut self) {
+        self.system.platform.store.set_fault(Fault::None);
+        self.ways.iter().for_each(|way| way.cut(false));
+        self.mend_vms();
+        self.bring_up().await;
+        for node in &self.system.nodes {
+            until("a node is ready again", || node.is_ready()).await;
+        }
+    }
+
+    /// Waits until every accepted job is settled and nothing runs.
+    pub async fn until_settled(&self, jobs: &[Job]) {
+        let node = &self.system.nodes[0];
+        for job in jobs.iter().filter(|job| job.told == Told::Accepted) {
+            let wanted = async || {
+                let state = state(node, &job.id).await;
+                state == "completed" || job.cancelled && state == "cancelled"
+            };
+            until(&format!("{} is settled", job.id), wanted).await;
+        }
+        let vms = || self.system.platform.machines.vms();
+        until("nothing runs", async || vms().iter().all(|vm| vm.running().is_empty())).await;
+        // The configuration is in force everywhere.
+        if self.version > 1 {
+            for node in &self.system.nodes {
+                let path = path_of(self.version);
+                let known = async || send(node, Method::GET, &path).await.status == 200;
+                until("the newest version is in force", known).await;
+            }
+        }
+    }
+}
+
+fn path_of(version: u64) -> String {
+    format!("/queue-{version}/")
+}
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -1,9 +1,10 @@
 //! Real nodes as processes on loopback addresses, against a fake of the platform.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -26,11 +27,14 @@
 }
 
 impl Node {
+    /// Starts the process; its log goes to a file beside its settings, which a failed test leaves.
     pub fn start(&mut self) {
+        let log = self.settings.with_extension("log");
+        let log = File::options().create(true).append(true).open(log).expect("the log opens");
         let child = Command::new(env!("CARGO_BIN_EXE_thistle-scheduler"))
             .arg("run")
             .arg(&self.settings)
-            .stdout(Stdio::null())
+            .stdout(log)
             .spawn()
             .expect("the program starts");
         self.child = Some(child);
@@ -113,6 +117,10 @@
 
 impl Drop for System {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("logs of the nodes: {}", self.dir.display());
+            return;
+        }
         // What is left in the folder for temporary files does no harm.
         let _ = std::fs::remove_dir_all(&self.dir);
     }
@@ -193,6 +201,11 @@
     call_host(node, call).await
 }
 
+/// Returns a call to the callers' address.
+pub fn request(method: Method, path: &str) -> Call {
+    Call::new(method, path, CALL_TIMEOUT).with_header("host", bodies::HOST)
+}
+
 pub async fn send(node: &Node, method: Method, path: &str) -> Answer {
     call_host(node, Call::new(method, path, CALL_TIMEOUT)).await
 }
