--- a/crates/wire/src/http_client.rs
+++ b/crates/wire/src/http_client.rs
@@ -4,14 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use hyper::header::{ETAG, HOST, HeaderValue, IF_NONE_MATCH};
-use hyper::{Method, Request};
+use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
+use tokio::time::timeout;
 
 /// The largest answer that is read, in bytes.
 pub const MAX_ANSWER: usize = 16 * 1024 * 1024;
@@ -61,16 +63,19 @@
     pub tag: Option<HeaderValue>,
 }
 
+type Sender = SendRequest<Full<Bytes>>;
+
 /// A client with one connection, used by one call at a time.
 #[derive(Debug)]
 pub struct HttpClient {
     addr: SocketAddr,
     timeout: Duration,
-    conn: Mutex<Option<SendRequest<Full<Bytes>>>>,
+    conn: Mutex<Option<Sender>>,
 }
 
 impl HttpClient {
-    /// Makes a client whose calls may take `timeout`.
+    /// Makes a client whose answers must begin, and go on coming, within `timeout`. A fixed time for the whole would never
+    /// let a snapshot through that takes longer over a slow link.
     pub fn new(addr: SocketAddr, timeout: Duration) -> Self {
         Self { addr, timeout, conn: Mutex::new(None) }
     }
@@ -114,29 +119,52 @@
         if let Some(tag) = tag {
             req.headers_mut().insert(IF_NONE_MATCH, tag.clone());
         }
-        let result = tokio::time::timeout(self.timeout, self.exchange(req)).await;
-        result.unwrap_or(Err(HttpError::Timeout(self.addr)))
+        let late = |_| HttpError::Timeout(self.addr);
+        // The connection is taken out, so that a call given up never leaves a half-used one.
+        let mut slot = timeout(self.timeout, self.conn.lock()).await.map_err(late)?;
+        let kept = slot.take().filter(SendRequest::is_ready);
+        let begun = timeout(self.timeout, self.begin(kept, req)).await.map_err(late)?;
+        let (answer, sender) = begun?;
+        let (status, tag) = (answer.status(), answer.headers().get(ETAG).cloned());
+        let body = self.collect(answer.into_body()).await?;
+        *slot = Some(sender);
+        if !status.is_success() {
+            return Err(HttpError::Status(self.addr, status.as_u16()));
+        }
+        Ok(Tagged { body, tag })
     }
 
-    async fn exchange(&self, req: Request<Full<Bytes>>) -> Result<Tagged, HttpError> {
-        // The connection is taken out, so that a call given up never leaves a half-used one.
-        let mut slot = self.conn.lock().await;
-        let mut sender = match slot.take().filter(SendRequest::is_ready) {
+    /// Sends a request and returns its answer as soon as it begins.
+    async fn begin(
+        &self,
+        kept: Option<Sender>,
+        req: Request<Full<Bytes>>,
+    ) -> Result<(Response<Incoming>, Sender), HttpError> {
+        let mut sender = match kept {
             Some(sender) => sender,
             None => self.connect().await?,
         };
         let answer = sender.send_request(req).await.map_err(|e| self.io(&e))?;
-        let (status, tag) = (answer.status(), answer.headers().get(ETAG).cloned());
-        let body = Limited::new(answer.into_body(), MAX_ANSWER);
-        let body = body.collect().await.map_err(|e| HttpError::Io(self.addr, e.to_string()))?;
-        *slot = Some(sender);
-        if !status.is_success() {
-            return Err(HttpError::Status(self.addr, status.as_u16()));
+        Ok((answer, sender))
+    }
+
+    async fn collect(&self, body: Incoming) -> Result<Bytes, HttpError> {
+        let mut incoming = Limited::new(body, MAX_ANSWER);
+        let mut body = BytesMut::new();
+        loop {
+            let next = timeout(self.timeout, incoming.frame()).await;
+            let Some(frame) = next.map_err(|_| HttpError::Timeout(self.addr))? else {
+                return Ok(body.freeze());
+            };
+            let frame = frame.map_err(|e| HttpError::Io(self.addr, e.to_string()))?;
+            // Trailers say nothing that is of use here.
+            if let Ok(data) = frame.into_data() {
+                body.extend_from_slice(&data);
+            }
         }
-        Ok(Tagged { body: body.to_bytes(), tag })
     }
 
-    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, HttpError> {
+    async fn connect(&self) -> Result<Sender, HttpError> {
         let stream = TcpStream::connect(self.addr)
             .await
             .map_err(|e| HttpError::Io(self.addr, e.to_string()))?;
