--- /dev/null
+++ b/crates/scheduler/src/control/beat.rs
@@ -0,0 +1,137 @@
+//! Sending heartbeats and hearing those of other nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use thistle_platform::{Appended, Guard, KeyedRecord, Stored};
+use thistle_schedule::Ms;
+use thistle_schedule::ownership::Heartbeat;
+
+use super::{TOPIC, to_json};
+use crate::follow::{News, Tail};
+use crate::node::{Node, lock, steady_ms};
+
+/// The partition of heartbeats.
+pub const HEARTBEATS: u32 = 1;
+/// The partition of heartbeats that the first one does not take.
+const SPARE_HEARTBEATS: u32 = 4;
+/// What the keys of heartbeats start with.
+const MEMBER_PREFIX: &str = "member/";
+/// How often a node sends a heartbeat: four of them fit in an owner's lease.
+const HEARTBEAT_EVERY: Duration = Duration::from_millis(450);
+/// After how many heartbeats the first partition is tried first again.
+const FIRST_AGAIN_EVERY: u64 = 8;
+/// How often a node that owns nothing sends one, in milliseconds.
+const IDLE_HEARTBEAT_MS: Ms = 2_500;
+
+/// Sends heartbeats and reads those of others.
+pub async fn run(node: Arc<Node>) {
+    let mut tail = Tail::new(TOPIC, HEARTBEATS);
+    let mut aside = Tail::new(TOPIC, SPARE_HEARTBEATS);
+    let mut lanes = [HEARTBEATS, SPARE_HEARTBEATS];
+    let mut sequence = 0;
+    loop {
+        let sent_at = steady_ms();
+        sequence += 1;
+        if sequence % FIRST_AGAIN_EVERY == 0 {
+            lanes = [HEARTBEATS, SPARE_HEARTBEATS];
+        }
+        for i in 0..lanes.len() {
+            if send_beat(&node, lanes[i], sequence).await {
+                // The one that took it is tried first next time.
+                lanes.swap(0, i);
+                break;
+            }
+        }
+        listen(&node, &mut tail, &mut aside).await;
+        until_next_beat(&node, &mut tail, &mut aside, sent_at).await;
+    }
+}
+
+/// Sends one heartbeat and returns whether the store took it.
+async fn send_beat(node: &Node, part: u32, sequence: u64) -> bool {
+    let sent_at = steady_ms();
+    let leaving = *node.stopping.borrow();
+    let relay = node.settings.relay_listen;
+    let speed = node.speed;
+    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed };
+    let key = format!("{MEMBER_PREFIX}{}", node.me.name);
+    let record = KeyedRecord::new(key, to_json(&beat));
+    match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
+        Ok(Appended::Done { .. }) => {
+            node.note_store(true);
+            if !leaving {
+                node.renew_lease(sent_at);
+            }
+            return true;
+        }
+        Ok(other) => log::error!("heartbeat step=refused part={part} answer={other:?}"),
+        Err(e) => {
+            node.note_store(false);
+            log::info!("heartbeat step=failed part={part} error=\"{e}\"");
+        }
+    }
+    false
+}
+
+/// Reads the heartbeats of others; where the first partition may not have taken them, it looks only if
+/// an owner has not been heard for a while.
+async fn listen(node: &Node, tail: &mut Tail, aside: &mut Tail) {
+    if let Ok(news) = tail.read(&node.store, Duration::ZERO).await {
+        take_beats(node, news);
+    }
+    if !lock(&node.ownership).has_quiet_owner(steady_ms()) {
+        return;
+    }
+    match aside.read(&node.store, Duration::ZERO).await {
+        Ok(news) => {
+            let now = steady_ms();
+            let mut ownership = lock(&node.ownership);
+            for_each_beat(news, |name, beat| ownership.heard_aside(name, beat, now));
+        }
+        Err(e) => {
+            log::info!("heartbeat step=not-read part={SPARE_HEARTBEATS} error=\"{e}\"");
+            lock(&node.ownership).forgive_silence(steady_ms());
+        }
+    }
+}
+
+/// Waits until the next heartbeat is due, listening to others meanwhile. A node that owns nothing
+/// sends few: heartbeats share one partition, which takes one after the other.
+async fn until_next_beat(node: &Node, tail: &mut Tail, aside: &mut Tail, sent_at: Ms) {
+    loop {
+        tokio::time::sleep(HEARTBEAT_EVERY).await;
+        let waited = steady_ms().saturating_sub(sent_at);
+        if lock(&node.ownership).owns_any() || waited >= IDLE_HEARTBEAT_MS {
+            return;
+        }
+        listen(node, tail, aside).await;
+    }
+}
+
+fn take_beats(node: &Node, news: News) {
+    let now = steady_ms();
+    let mut ownership = lock(&node.ownership);
+    if ownership.listen(now) {
+        log::info!("heartbeat step=listening-again");
+    }
+    let any = !news.is_empty();
+    for_each_beat(news, |name, beat| ownership.heard(name, beat, now));
+    if any {
+        node.store.set_peers(ownership.relays(now));
+    }
+}
+
+fn for_each_beat(news: News, mut apply: impl FnMut(&str, &Heartbeat)) {
+    let records = match news {
+        News::Reloaded(records) | News::Records(records) => records,
+    };
+    for Stored { record, offset } in records {
+        let Some(name) = record.key.strip_prefix(MEMBER_PREFIX) else { continue };
+        let Some(value) = record.value() else { continue };
+        match serde_json::from_slice::<Heartbeat>(value) {
+            Ok(beat) => apply(name, &beat),
+            Err(e) => log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\""),
+        }
+    }
+}
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -13,6 +13,7 @@
 mod hand_over;
 mod journal;
 mod listing;
+mod look_up;
 mod node;
 mod overview;
 pub mod owned;
