--- a/crates/scheduler/tests/jobs.rs
+++ b/crates/scheduler/tests/jobs.rs
@@ -2,9 +2,12 @@
 
 mod system;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use hyper::Method;
 use system::{System, job, send, state, submit, until, until_state};
+use thistle_platform::CallError;
 use thistle_platform::standin::bodies;
 
 const ID: &str = "5c0e7a21d94b36f8";
@@ -121,3 +124,32 @@
     let json = system.nodes[0].show(&["--json"]);
     expect_that!(json, contains_substring("\"version\": 1"));
 }
+
+/// Symptom: callers that connect to a node which is about to end get no answer, though it could give one. Sequence: SIGTERM; 2.5 s later
+/// connections are closed as they fall idle; a caller opens a new one and sends a request. Cause: the HTTP library closes a
+/// connection on which it has read nothing when it is told to shut it down, and new ones were told so at once. What settled
+/// it: `connection closed before message completed`, 4 times in this test's last 1.5 s, 20 times in 12 s of planned work.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_is_about_to_end_answers_on_new_connections() {
+    let mut system = System::start(8, 1, 1).await;
+    let node = &mut system.nodes[0];
+    node.signal("TERM");
+    let (mut answered, mut unanswered) = (0, 0);
+    for number in 0_u64.. {
+        if node.has_ended() {
+            break;
+        }
+        // A client of its own: a new connection.
+        let call = system::request(Method::GET, &format!("/quotes/{number:016x}"));
+        match node.callers().call(call).await {
+            Ok(_) => answered += 1,
+            Err(CallError::NotSent(..)) => (),
+            Err(CallError::Unanswered(..)) => unanswered += 1,
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    expect_that!(answered, gt(0));
+    // One may arrive as the process ends.
+    expect_that!(unanswered, le(1));
+}
--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -19,6 +19,7 @@
 
 /// Seeds of a short run.
 const SEEDS: Range<u64> = 1..4;
+const PLANNED_SEEDS: Range<u64> = 50..52;
 /// Seeds that failed once, played in each short run.
 ///
 /// 100: two runs of a task at once, by the fake alone: it carried a late start out on a VM that had crashed meanwhile
@@ -39,6 +40,14 @@
     (from..to.parse().expect("TO is a number")).collect()
 }
 
+/// Returns the seeds of planned work: a few of their own, or those that are asked for.
+fn planned_seeds() -> Vec<u64> {
+    match std::env::var("THISTLE_SOAK_SEEDS") {
+        Ok(_) => seeds(),
+        Err(_) => PLANNED_SEEDS.collect(),
+    }
+}
+
 fn seconds() -> u64 {
     let Ok(text) = std::env::var("THISTLE_SOAK_SECONDS") else { return SECONDS };
     text.parse().expect("THISTLE_SOAK_SECONDS is a number")
@@ -47,23 +56,52 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn promises_hold_whatever_fails() {
     for seed in seeds() {
-        play(seed, Duration::from_secs(seconds())).await;
+        play(seed, Kind::Faults).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn planned_work_cuts_no_request() {
+    for seed in planned_seeds() {
+        play(seed, Kind::PlannedWork).await;
     }
 }
 
-async fn play(seed: u64, length: Duration) {
+/// What happens while callers call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Anything.
+    Faults,
+    /// Nodes told to stop and started again, settings reloaded, configurations.
+    PlannedWork,
+}
+
+async fn play(seed: u64, kind: Kind) {
+    let length = Duration::from_secs(seconds());
     let net = FIRST_NET + u8::try_from(seed % NETS).unwrap_or(0);
     let mut soak = Soak::start(seed, net).await;
     let callers = Callers::start(seed, soak.addrs());
     let began = Instant::now();
     while began.elapsed() < length {
-        soak.fault().await;
+        match kind {
+            Kind::Faults => soak.fault().await,
+            Kind::PlannedWork => soak.planned_work().await,
+        }
         soak.probe_config().await;
     }
     soak.mend_all().await;
     let jobs = callers.stop().await;
     soak.until_settled(&jobs).await;
-    let broken = checks::broken_promises(&soak.system, &jobs);
-    println!("seed {seed}: {} jobs, {} faults, broken: {broken:?}", jobs.len(), soak.faults.len());
+    let mut broken = checks::broken_promises(&soak.system, &jobs);
+    if kind == Kind::PlannedWork {
+        broken.extend(checks::cut_requests(&soak.system, &jobs));
+    }
+    let tries = jobs.iter().flat_map(|job| &job.tries);
+    let unanswered = tries.filter(|(_, answered)| !answered).count();
+    println!(
+        "{kind:?} seed {seed}: {} jobs, {unanswered} submissions unanswered, {} faults, broken: {broken:?}",
+        jobs.len(),
+        soak.faults.len(),
+    );
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}\nfaults: {:#?}", soak.faults);
 }
--- a/crates/scheduler/tests/soak/callers.rs
+++ b/crates/scheduler/tests/soak/callers.rs
@@ -44,6 +44,8 @@
     pub cancelled: bool,
     /// A node that answered did not know it long after its acceptance.
     pub denied: bool,
+    /// Nodes to which it was sent, one for each try, and whether they answered.
+    pub tries: Vec<(usize, bool)>,
 }
 
 /// Callers that run until they are stopped.
@@ -60,6 +62,7 @@
                 rng: StdRng::seed_from_u64(seed * 100 + number),
                 nodes: addrs.iter().map(|&addr| HttpClient::new(addr, 4)).collect(),
                 number,
+                asked: 0,
                 jobs: Vec::new(),
                 accepted: Vec::new(),
             };
@@ -82,6 +85,8 @@
     rng: StdRng,
     nodes: Vec<HttpClient>,
     number: u64,
+    /// The node that was called last.
+    asked: usize,
     jobs: Vec<Job>,
     accepted: Vec<(usize, Instant)>,
 }
@@ -96,9 +101,10 @@
         self.jobs
     }
 
-    /// Makes a call to some node; none if there was no answer.
+    /// Makes a call to some node.
     async fn call(&mut self, method: Method, id: &str, body: Option<&serde_json::Value>) -> Heard {
         let node = self.rng.random_range(0..self.nodes.len());
+        self.asked = node;
         let call = Call::new(method, format!("/quotes/{id}"), PATIENCE);
         let call = call.with_header("host", bodies::HOST);
         let call = match body {
@@ -122,8 +128,13 @@
         };
         let body = job(tasks, lasts);
         let mut told = Told::Refused;
+        let mut tries = Vec::new();
         for _ in 0..TRIES {
-            match self.call(Method::POST, &id, Some(&body)).await {
+            let heard = self.call(Method::POST, &id, Some(&body)).await;
+            if heard != Heard::NotSent {
+                tries.push((self.asked, heard != Heard::Nothing));
+            }
+            match heard {
                 Heard::Status(200) => told = Told::Accepted,
                 Heard::Status(429 | 503) | Heard::NotSent => {
                     tokio::time::sleep(Duration::from_millis(100)).await;
@@ -137,7 +148,7 @@
             break;
         }
         let tasks = usize::try_from(tasks).unwrap_or(0);
-        let mut job = Job { id, told, tasks, cancelled: false, denied: false };
+        let mut job = Job { id, told, tasks, cancelled: false, denied: false, tries };
         if told == Told::Accepted && self.rng.random_bool(0.15) {
             let pause = Duration::from_millis(self.rng.random_range(0..400));
             tokio::time::sleep(pause).await;
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -24,6 +24,8 @@
     Unasked { task: String },
     /// Tasks of a job that is completed were never run.
     NotRun { job: String },
+    /// A node took a request in and did not answer it, with nothing but planned work about.
+    Cut { job: String, node: usize },
 }
 
 /// One run on one VM.
@@ -60,6 +62,23 @@
     broken
 }
 
+/// Returns the requests that a node took in, by its log, and did not answer. One that a node never read, since it closed an idle
+/// connection at the same moment, is not among them.
+pub fn cut_requests(system: &System, jobs: &[Job]) -> Vec<Broken> {
+    let logs: Vec<String> = system.nodes.iter().map(super::system::Node::log).collect();
+    let mut cut = Vec::new();
+    for job in jobs {
+        let taken_in = format!("accept id={} ", job.id);
+        for (node, log) in logs.iter().enumerate() {
+            let answered = job.tries.iter().filter(|&&(n, answered)| n == node && answered).count();
+            if log.matches(&taken_in).count() > answered {
+                cut.push(Broken::Cut { job: job.id.clone(), node });
+            }
+        }
+    }
+    cut
+}
+
 fn broken_by_runs(task: &str, runs: &[Run]) -> Vec<Broken> {
     let mut broken = Vec::new();
     for (i, run) in runs.iter().enumerate() {
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -73,6 +73,31 @@
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 
+    /// Stops and restarts nodes as an operator would, in series and overlapping, and changes the configuration.
+    pub async fn planned_work(&mut self) {
+        for node in 0..self.system.nodes.len() {
+            if self.down.contains(&node) && self.system.nodes[node].has_ended() {
+                self.down.retain(|&n| n != node);
+                self.system.nodes[node].start();
+                self.seen[node] = 0;
+            }
+        }
+        let node = self.rng.random_range(0..self.ways.len());
+        let what = match self.rng.random_range(0..4) {
+            // One is always left.
+            0 if self.down.len() + 1 < self.ways.len() => self.terminate(node),
+            1 if self.is_up(node) => {
+                self.system.nodes[node].signal("HUP");
+                format!("reload {node}")
+            }
+            2 => self.config(),
+            _ => "nothing".to_owned(),
+        };
+        self.faults.push(what);
+        let pause = self.rng.random_range(50..600);
+        tokio::time::sleep(Duration::from_millis(pause)).await;
+    }
+
     fn is_up(&self, node: usize) -> bool {
         !self.down.contains(&node) && !self.paused.contains(&node)
     }
@@ -225,8 +250,12 @@
         }
     }
 
-    /// Mends everything and waits until all nodes are ready.
+    /// Mends everything and waits until all nodes are ready. Nodes that were told to stop may end first.
     pub async fn mend_all(&mut self) {
+        for &node in &self.down {
+            let node = &mut self.system.nodes[node];
+            until("it has ended", || std::future::ready(node.has_ended())).await;
+        }
         self.system.platform.store.set_fault(Fault::None);
         self.ways.iter().for_each(|way| way.cut(false));
         self.mend_vms();
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -63,6 +63,18 @@
         assert!(sent.is_ok_and(|s| s.success()));
     }
 
+    /// Returns whether its process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let Some(child) = &mut self.child else { return true };
+        child.try_wait().is_ok_and(|status| status.is_some())
+    }
+
+    /// Returns what its process has logged, in all its lives.
+    pub fn log(&self) -> String {
+        let log = std::fs::read(self.settings.with_extension("log")).unwrap_or_default();
+        String::from_utf8_lossy(&log).into_owned()
+    }
+
     /// Waits until the process has ended by itself and returns whether it ended well.
     pub fn wait(&mut self) -> bool {
         let mut child = self.child.take().expect("it runs");
