--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -52,13 +52,22 @@
         let node = node.clone();
         async move { Ok::<_, Infallible>(respond(&node, req).await) }
     });
+    let mut closing = node.closing.subscribe();
+    // Told to shut down, the library closes a connection on which it has read nothing. A caller that comes
+    // late gets an answer on it all the same, and then it is closed.
+    let comes_late = *closing.borrow_and_update();
     let conn = hyper::server::conn::http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_BUFFER))
+        .keep_alive(!comes_late)
         .serve_connection(TokioIo::new(stream), respond);
     tokio::pin!(conn);
-    let mut closing = node.closing.subscribe();
+    if comes_late {
+        // A caller that goes away is no fault.
+        let _ = conn.await;
+        return;
+    }
     // A caller that goes away is no fault.
     tokio::select! {
         _ = &mut conn => return,
