--- a/crates/scheduler/tests/silence.rs
+++ b/crates/scheduler/tests/silence.rs
@@ -126,7 +126,7 @@
 }
 
 /// Connections of silent callers at once.
-const CALLERS: usize = 400;
+const CALLERS: usize = 2_000;
 
 /// Opens connections, sends the same on each, and says no more.
 async fn fall_silent(addr: SocketAddr, said: &str) -> Vec<TcpStream> {
