Owners tell why a VM counts as lost, and which runs went with it

What was logged could not tell whether losses are not counted or ends of failed runs are lost: a lost VM left one line without a reason, and nothing on its runs. Now a line for each VM with the reason (its lease is over, or another incarnation is there), a line for each run, and a metric by pool and reason. No decision is changed.

--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -22,7 +22,7 @@
 pub use pool::Pool;
 pub use progress::{JobState, Phase, Progress};
 pub use spec::{JobSpec, Objective, Repeats, SpecError, Step};
-pub use vm::{EndKind, Room, RunEnd, RunRow, VmFacts, VmReport};
+pub use vm::{EndKind, Room, RunEnd, RunRow, VmFacts, VmLoss, VmReport};
 
 /// Milliseconds of a steady clock.
 pub type Ms = u64;
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -42,7 +42,7 @@
 pub use order::{Order, StartOrder, StartResult};
 pub use pace::Watch;
 use vms::Vm;
-pub use vms::VmSummary;
+pub use vms::{LostRun, VmSummary};
 
 new_key_type! {
     /// A job in a pool's arena.
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -7,7 +7,7 @@
 use super::{Now, Pool, VmKey};
 use crate::Ms;
 use crate::id::{JobId, RunId, TaskId, VmId};
-use crate::vm::{Room, VmFacts};
+use crate::vm::{Room, VmFacts, VmLoss};
 
 /// Failures of different jobs in a row after which a VM is set aside. One job that can never be
 /// done fails anywhere; two may meet by chance at today's share of such jobs (3%).
@@ -55,6 +55,15 @@
     pub takes_work: bool,
 }
 
+/// A run that went with its VM.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostRun {
+    /// Which run.
+    pub run: RunId,
+    /// How long ago its VM answered its start, or it was ordered, in milliseconds.
+    pub age: Ms,
+}
+
 impl Vm {
     pub fn new(id: VmId) -> Self {
         Self {
@@ -210,20 +219,23 @@
         }
     }
 
-    /// Takes in that nothing runs on a VM incarnation any more: its lease is over, or another
-    /// incarnation has taken its place.
-    pub fn vm_lost(&mut self, id: &VmId, now: Now) {
-        let Some(&key) = self.vm_keys.get(id) else { return };
+    /// Takes in that nothing runs on a VM incarnation any more, and returns what went with it.
+    pub fn vm_lost(&mut self, id: &VmId, _loss: VmLoss, now: Now) -> Vec<LostRun> {
+        let Some(&key) = self.vm_keys.get(id) else { return Vec::new() };
         let vm = &mut self.vms[key];
         vm.held = false;
         vm.reachable = false;
         vm.strays.clear();
-        let run = |(&task, r): (&TaskId, &Run)| RunId { task, attempt: r.attempt };
-        let runs: Vec<RunId> = vm.runs.iter().map(run).collect();
-        for run in runs {
-            self.release(key, run, now);
+        let lost = |(&task, r): (&TaskId, &Run)| LostRun {
+            run: RunId { task, attempt: r.attempt },
+            age: now.steady.saturating_sub(r.started),
+        };
+        let lost: Vec<LostRun> = vm.runs.iter().map(lost).collect();
+        for lost in &lost {
+            self.release(key, lost.run, now);
         }
         self.forget_vm_if_empty(key);
+        lost
     }
 
     /// Returns the VMs that still have runs or strays although the platform does not list them.
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -94,6 +94,15 @@
     pub figure: Option<u64>,
 }
 
+/// Why nothing runs on a VM incarnation any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VmLoss {
+    /// Another incarnation of the VM is there.
+    Replaced,
+    /// It was silent until its lease was over: it may be dead or only out of reach.
+    LeaseOver,
+}
+
 /// How a run ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndKind {
--- a/crates/schedule/tests/pool.rs
+++ b/crates/schedule/tests/pool.rs
@@ -8,7 +8,7 @@
 };
 use googletest::prelude::*;
 use thistle_schedule::pool::StartResult;
-use thistle_schedule::{EndKind, JobId, Phase, Repeats, Step, VmReport};
+use thistle_schedule::{EndKind, JobId, Phase, Repeats, Step, VmLoss, VmReport};
 
 #[gtest]
 fn a_step_waits_until_all_it_depends_on_is_done() {
@@ -316,7 +316,7 @@
     let mut running = row(started[0].run, 100);
     running.checkpoint = "half".to_owned();
     pool.report(&started[0].vm, &report(20, vec![running], vec![]), at(30));
-    pool.vm_lost(&started[0].vm, at(7_000));
+    pool.vm_lost(&started[0].vm, VmLoss::LeaseOver, at(7_000));
     let again = plan_and_start(&mut pool, 7_010);
     expect_that!(again[0].checkpoint, eq("half"));
 }
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -10,7 +10,7 @@
     JobEntry, Version, cancel_key, encode, encode_progress, progress_key, submit_key,
 };
 use thistle_schedule::progress::JobState;
-use thistle_schedule::{EndKind, JobId, JobLog, LogChange, Phase, Pool, VmReport};
+use thistle_schedule::{EndKind, JobId, JobLog, LogChange, Phase, Pool, VmLoss, VmReport};
 
 fn entry_of(pool: &mut Pool, spec: &std::sync::Arc<thistle_schedule::JobSpec>) -> JobEntry {
     let records = pool.take_records();
@@ -131,7 +131,7 @@
     after.report(&vm("b", 1).id, &VmReport::default(), at(110));
     expect_that!(starts(&after.plan(at(120))), is_empty());
     expect_that!(after.unlisted_with_runs(), eq(&vec![vm("a", 1).id.clone()]));
-    after.vm_lost(&vm("a", 1).id, at(7_000));
+    after.vm_lost(&vm("a", 1).id, VmLoss::LeaseOver, at(7_000));
     expect_that!(starts(&after.plan(at(7_010))), len(eq(1)));
 }
 
--- a/crates/schedule/tests/world/mod.rs
+++ b/crates/schedule/tests/world/mod.rs
@@ -13,7 +13,8 @@
 };
 use thistle_schedule::pool::{Order, StartOrder, StartResult};
 use thistle_schedule::{
-    EndKind, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId, VmReport,
+    EndKind, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmId, VmLoss,
+    VmReport,
 };
 
 use self::vm::{Run, SimVm};
@@ -334,7 +335,7 @@
             .map(|(id, _)| id.clone())
             .collect();
         for id in gone {
-            self.pool.vm_lost(&id, at(self.now));
+            self.pool.vm_lost(&id, VmLoss::LeaseOver, at(self.now));
             self.lost.insert(id);
         }
     }
@@ -373,7 +374,7 @@
                     SimVm { life: sim.life + 1, next_end: 1, lease_until: now, ..SimVm::default() };
                 self.pool.unlist_vm(&old);
                 self.pool.list_vm(vm_facts(&name, sim.life));
-                self.pool.vm_lost(&old, at(now));
+                self.pool.vm_lost(&old, VmLoss::Replaced, at(now));
                 self.last_answer.remove(&old);
             }
             5..8 => self.replace_owner(),
--- a/crates/scheduler/src/owner/link/hold.rs
+++ b/crates/scheduler/src/owner/link/hold.rs
@@ -6,6 +6,7 @@
 
 use metrics::counter;
 use thistle_platform::worker::Hold;
+use thistle_schedule::VmLoss;
 
 use super::super::Event;
 use super::{NO_LEASE, RETRY, Shared};
@@ -74,7 +75,7 @@
                 let over = lock(&link.lease).is_over(steady_ms());
                 if over && !lost {
                     lost = true;
-                    link.lost();
+                    link.lost(VmLoss::LeaseOver);
                 }
                 tokio::time::sleep(RETRY).await;
             }
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -9,7 +9,7 @@
 
 use thistle_platform::{OrderError, WorkerClient};
 use thistle_schedule::pool::{StartOrder, Watch};
-use thistle_schedule::{RunId, TaskLease, VmFacts, VmId};
+use thistle_schedule::{RunId, TaskLease, VmFacts, VmId, VmLoss};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Semaphore, watch};
 use tokio::task::AbortHandle;
@@ -176,7 +176,7 @@
     /// Returns whether an error ends all dealings with this incarnation, and tells the owner so.
     fn is_over_with(&self, e: &OrderError) -> bool {
         match e {
-            OrderError::Gone => self.lost(),
+            OrderError::Gone => self.lost(VmLoss::Replaced),
             OrderError::Fenced => self.tell(Event::Fenced(self.vm.clone())),
             OrderError::NotSent(_)
             | OrderError::Unanswered(_)
@@ -186,9 +186,9 @@
         true
     }
 
-    fn lost(&self) {
+    fn lost(&self, loss: VmLoss) {
         self.lapses.fetch_add(1, Ordering::Relaxed);
-        self.tell(Event::Lost(self.vm.clone()));
+        self.tell(Event::Lost(self.vm.clone(), loss));
     }
 }
 
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -13,7 +13,7 @@
 
 use metrics::{counter, gauge};
 use thistle_schedule::pool::{Load, Order, StartResult, StepId};
-use thistle_schedule::{LogChange, Ms, Pool, RunId, VmId, VmReport};
+use thistle_schedule::{LogChange, Ms, Pool, RunId, VmId, VmLoss, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::clock::{now, steady_ms};
@@ -46,7 +46,7 @@
     /// A VM answers, or does not.
     Reachable(VmId, bool),
     /// Nothing runs on a VM any more.
-    Lost(VmId),
+    Lost(VmId, VmLoss),
     /// A VM has seen a higher token.
     Fenced(VmId),
     /// A question about a step was answered, or not.
@@ -205,10 +205,7 @@
                 log::info!("vm step=reachable vm={vm} reachable={reachable}");
                 self.pool.set_reachable(&vm, reachable);
             }
-            Event::Lost(vm) => {
-                log::info!("vm step=lost vm={vm}");
-                self.pool.vm_lost(&vm, now);
-            }
+            Event::Lost(vm, loss) => self.lose_vm(&vm, loss),
             Event::Advised(step, answer) => {
                 let good = answer.as_ref().map(|(tickets, _)| tickets.len());
                 log::info!(
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -2,7 +2,9 @@
 
 use std::collections::HashSet;
 
-use thistle_schedule::{Ms, TaskLease, VmFacts, VmId};
+use metrics::counter;
+use thistle_schedule::pool::LostRun;
+use thistle_schedule::{Ms, TaskLease, VmFacts, VmId, VmLoss};
 
 use super::link::Link;
 use super::{Event, Owner};
@@ -33,7 +35,7 @@
             // Another incarnation of the VM has come up: this one is gone.
             let reborn = |f: &&std::sync::Arc<_>| is_reborn(f, &vm);
             if table.values().any(|f| reborn(&f)) {
-                let _ = self.tx.send(Event::Lost(vm.id));
+                let _ = self.tx.send(Event::Lost(vm.id, VmLoss::Replaced));
             }
         }
         self.watch_orphans();
@@ -59,9 +61,24 @@
             .map(|(vm, _)| vm.clone())
             .collect();
         for vm in over {
-            log::info!("vm step=lost vm={vm} reason=lease-over-and-not-listed");
             self.orphans.remove(&vm);
-            self.pool.vm_lost(&vm, now);
+            self.lose_vm(&vm, VmLoss::LeaseOver);
+        }
+    }
+
+    /// Gives up what ran on a VM incarnation that is gone.
+    pub(super) fn lose_vm(&mut self, vm: &VmId, loss: VmLoss) {
+        let lost = self.pool.vm_lost(vm, loss, now());
+        if lost.is_empty() {
+            // It is told again for as long as a link to it is open.
+            log::debug!("vm step=lost vm={vm} reason={loss:?} runs=0");
+            return;
+        }
+        let pool = self.log.pool.to_string();
+        counter!("thistle_vms_lost", "pool" => pool, "reason" => format!("{loss:?}")).increment(1);
+        log::info!("vm step=lost vm={vm} reason={loss:?} runs={}", lost.len());
+        for LostRun { run, age } in lost {
+            log::info!("run step=lost run={run} vm={vm} reason={loss:?} age_ms={age}");
         }
     }
 
