A task under which VMs crash is counted, kept apart and given up

Cause: a run that went with its VM was put back among those that wait as if nothing had happened. Only ends that a VM lists as failed counted, and a VM that has crashed lists nothing. Class: a retry without a bound that lasts, and none on the harm that it does to others.

What counts is a pure decision (crates/schedule/src/harm.rs): only a crash (another incarnation is there, and the VM was not leaving); a VM that fell silent counts once it is known to have crashed. A task with a crash right after its start, or two at any time, is a suspect: it starts with nothing of other jobs beside it, after a pause that doubles, and suspects hold one VM of four at most. Two crashes alone right after the start, or four (five if fewer than two came right after the start), and its job has failed. The count stands in the job's record, behind what older programs read of it.

Ruled out: that ends of failed runs are lost (no such end in any log), and that the count is lost with the owner (one owner over all starts; the next one knows it all the same, by test).

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -60,7 +60,21 @@
 
 /// Encodes how far a job is.
 pub fn encode_progress(version: Version, progress: &Progress) -> Vec<u8> {
-    encode(&(version, progress))
+    let mut record = encode(&(version, progress));
+    if !progress.harms.is_empty() {
+        record.extend(encode(&progress.harms));
+    }
+    record
+}
+
+/// Decodes how far a job is; a record may end before what speaks against its tasks.
+fn decode_progress(value: &[u8]) -> Result<(Version, Progress), postcard::Error> {
+    let ((version, mut progress), rest): ((Version, Progress), _) =
+        postcard::take_from_bytes(value)?;
+    if !rest.is_empty() {
+        progress.harms = postcard::from_bytes(rest)?;
+    }
+    Ok((version, progress))
 }
 
 /// A record that cannot be read.
@@ -179,7 +193,7 @@
                 Ok(news.then_some(LogChange::Cancelled(id)))
             }
             PROGRESS => {
-                let (version, progress) = postcard::from_bytes(value).map_err(|_| bad())?;
+                let (version, progress) = decode_progress(value).map_err(|_| bad())?;
                 self.jobs.entry(id).or_default().take_progress(version, progress);
                 Ok(None)
             }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod fleet;
+pub mod harm;
 pub mod id;
 pub mod job_log;
 pub mod lease;
@@ -15,6 +16,7 @@
 pub mod vm;
 
 pub use catalog::{Catalog, Limits, PoolConfig, Queue};
+pub use harm::{Harm, Verdict};
 pub use id::{JobId, RunId, TaskId, VmId};
 pub use job_log::{JobLog, LogChange};
 pub use lease::TaskLease;
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -79,6 +79,8 @@
     pub rescue_ms: Ms,
     /// Filling tasks are slowed down while a serving task beside them is near its target.
     pub pacing: bool,
+    /// Tasks under which VMs crashed are started with nothing of other jobs beside them.
+    pub keep_suspects_apart: bool,
     /// How long a new owner moves no lasting tasks, in milliseconds: its predecessor's last stops
     /// may be under way, of which no record tells. The users' VMs take 900 ms at most to stop a
     /// run, and the next report comes within half a second.
@@ -111,6 +113,11 @@
 
 impl Default for TaskPolicy {
     fn default() -> Self {
-        Self { rescue_ms: 1_000, pacing: true, pause_after_takeover_ms: 1_500 }
+        Self {
+            rescue_ms: 1_000,
+            pacing: true,
+            keep_suspects_apart: true,
+            pause_after_takeover_ms: 1_500,
+        }
     }
 }
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -22,6 +22,7 @@
         let Some(key) = self.job_key(end.run.task) else { return };
         if end.kind == EndKind::Done {
             self.learn(key, end.run, now.steady.saturating_sub(run.started));
+            self.clear(end.run.task);
         }
         self.settle_run(key, vm_key, end, now);
     }
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -5,6 +5,7 @@
 
 use super::{Now, VmKey};
 use crate::Ms;
+use crate::harm::{Harm, HarmRecord};
 use crate::id::{JobId, TaskId, VmId};
 use crate::progress::{Phase, Place, Progress, TaskRecord};
 use crate::spec::JobSpec;
@@ -109,6 +110,10 @@
     /// When it was accepted, by the steady clock of this process.
     pub accepted: Ms,
     pub dirty: bool,
+    /// What speaks against its tasks: few tasks have any.
+    pub harm: BTreeMap<TaskId, Harm>,
+    /// When that changed last, by the steady clock.
+    pub harm_at: Ms,
 }
 
 impl Job {
@@ -125,6 +130,8 @@
             done_times: Vec::new(),
             accepted: now.steady.saturating_sub(age),
             dirty: false,
+            harm: BTreeMap::new(),
+            harm_at: now.steady,
             spec,
         }
     }
@@ -193,10 +200,17 @@
 
     /// Returns the record of how far the job is.
     pub fn progress(&self, vm_id: impl Fn(VmKey) -> Option<VmId>) -> Progress {
+        let harm = |(task, harm): (&TaskId, &Harm)| HarmRecord {
+            time: task.time,
+            step: task.step,
+            index: task.index,
+            harm: harm.clone(),
+        };
         let mut progress = Progress {
             phase: self.phase,
             begun: self.begun,
             settled_ms: self.settled_ms,
+            harms: self.harm.iter().map(harm).collect(),
             ..Progress::default()
         };
         if self.phase != Phase::Open {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -18,10 +18,11 @@
 mod remaining;
 mod report;
 mod run;
+mod suspects;
 mod takeover;
 mod vms;
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use slotmap::{SlotMap, new_key_type};
@@ -41,6 +42,7 @@
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 pub use pace::Watch;
+pub use suspects::GivenUp;
 use vms::Vm;
 pub use vms::{LostRun, VmSummary};
 
@@ -106,6 +108,11 @@
     orders: Vec<Order>,
     dirty: Vec<JobKey>,
     acks: Vec<(VmId, u64)>,
+    /// Jobs with tasks under which VMs were lost.
+    harmed: BTreeSet<JobKey>,
+    given_up: Vec<GivenUp>,
+    /// When a VM on which something ran was last found to have crashed.
+    crashed_at: Option<Ms>,
     estimates: Estimates,
     arrivals: Arrivals,
     /// What is known of the policies of steps that need advice.
@@ -143,6 +150,7 @@
     /// Decides what to order now.
     pub fn plan(&mut self, now: Now) -> Vec<Order> {
         self.begin_due_times(now);
+        self.end_silences(now);
         self.evacuate(now);
         self.place_waiting(now);
         std::mem::take(&mut self.orders)
@@ -251,6 +259,7 @@
         for id in ids {
             if let Some(key) = self.job_keys.remove(&id) {
                 self.jobs.remove(key);
+                self.harmed.remove(&key);
             }
             self.advice.retain(|step, _| step.job != id);
         }
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -2,9 +2,11 @@
 
 use super::job::Spot;
 use super::run::Run;
+use super::suspects::Care;
 use super::vms::Vm;
 use super::{JobKey, Now, Order, Pool, StartOrder, StepId, VmKey};
 use crate::Ms;
+use crate::harm::Verdict;
 use crate::id::{JobId, RunId, TaskId};
 use crate::progress::Phase;
 use crate::spec::Step;
@@ -26,7 +28,7 @@
         StepId { job: self.id, time: self.time, step }
     }
 
-    fn task(&self, index: usize) -> TaskId {
+    pub fn task(&self, index: usize) -> TaskId {
         TaskId {
             job: self.id,
             time: self.time,
@@ -95,8 +97,16 @@
     /// Places the waiting tasks of a step; returns whether there was a VM for each.
     fn place_step(&mut self, ready: ReadyStep, shape: &Step, now: Now) -> bool {
         for index in self.waiting_tasks(ready) {
-            // Tasks of a step are alike: the VM that each avoids is only its last choice.
-            let Some(vm) = self.choose_vm(ready, shape, index, None, now.steady) else {
+            let Some(mut care) = self.care(ready, index, now.steady) else { continue };
+            let suspect = self.verdict(ready.task(index)) == Verdict::Suspect;
+            if suspect && !self.may_hold_one_more(shape, care, now.steady) {
+                care = Care::BesideOwn;
+            }
+            // Tasks of a step are alike but for suspects: the VM that each avoids is only its last choice.
+            let Some(vm) = self.choose_vm(ready, shape, index, None, care, now.steady) else {
+                if suspect {
+                    continue;
+                }
                 return false;
             };
             let attempt = self.next_attempt(ready, index);
@@ -112,6 +122,7 @@
         if waiting.len() < all {
             return;
         }
+        let Some(care) = self.care_of_gang(ready, shape, &waiting, now.steady) else { return };
         let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
         if shape.rack_local {
             for vm in self.vms.values().filter_map(|vm| vm.facts.as_ref()) {
@@ -125,7 +136,8 @@
         for rack in racks {
             let mut placed = Vec::new();
             for &index in &waiting {
-                let Some(vm) = self.choose_vm(ready, shape, index, rack.as_deref(), now.steady)
+                let Some(vm) =
+                    self.choose_vm(ready, shape, index, rack.as_deref(), care, now.steady)
                 else {
                     break;
                 };
@@ -179,14 +191,17 @@
         shape: &Step,
         index: usize,
         rack: Option<&str>,
+        care: Care,
         now: Ms,
     ) -> Option<VmKey> {
         let avoid = self.avoids(ready, index);
         let needs_ticket = self.jobs[ready.job].spec.advice.is_some();
+        let crash_prone = self.is_crash_prone(now);
         let fits = |vm: &Vm| {
             vm.takes_work()
                 && vm.aside_until <= now
                 && vm.free().holds(shape.room())
+                && vm.may_share(ready.id, care, now)
                 && rack.is_none_or(|r| vm.facts.as_ref().is_some_and(|f| &*f.rack == r))
                 && has_labels(vm, shape)
                 && below_spread(vm, ready, shape)
@@ -197,6 +212,8 @@
             // A task goes back to where it failed only if there is no other place.
             // A lasting task would have to move again where maintenance is due.
             let stays = !shape.lasting || !vm.name().is_some_and(|n| self.due.contains(n));
+            // What is lost with a crash is least where nothing lasts.
+            let spares = shape.lasting || !crash_prone || vm.lasting_runs() == 0;
             // Lasting tasks share few VMs, so that others can be taken away when load is low.
             let packed = if shape.lasting { vm.lasting_runs() } else { 0 };
             // Those of one step are spread all the same: a VM that goes takes few of them.
@@ -207,7 +224,16 @@
             };
             // The fullest VM that fits: the others become empty and can serve other pools.
             let fullness = std::cmp::Reverse(vm.free().cpu);
-            (Some(*key) != avoid, !disturbs(vm, shape), stays, near, spread, packed, fullness)
+            (
+                Some(*key) != avoid,
+                !disturbs(vm, shape),
+                stays,
+                spares,
+                near,
+                spread,
+                packed,
+                fullness,
+            )
         };
         self.vms.iter().filter(|(_, vm)| fits(vm)).max_by_key(score).map(|(key, _)| key)
     }
@@ -237,7 +263,9 @@
     ) {
         let task = self.jobs[ready.job].task(ready.task(index));
         let from_start = task.is_some_and(|t| t.checkpoint.is_empty());
-        let run = Run { from_start, ..Run::new(attempt, shape, now.steady) };
+        let unproven_for = self.unproven_for(ready.task(index));
+        let run = Run::new(attempt, shape, now.steady);
+        let run = Run { ordered_here: true, from_start, unproven_for, ..run };
         self.vms[vm].add_run(ready.task(index), run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(ready.task(index)) {
             step.set(index, Spot::On(vm));
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -20,6 +20,7 @@
 impl Pool {
     /// Takes in a VM's report, asked for under this owner's token.
     pub fn report(&mut self, vm: &VmId, report: &VmReport, now: Now) {
+        self.resolve_silence(vm, false, now);
         let key = self.vm_key(vm);
         for end in &report.ended {
             self.take_end(key, end, now);
@@ -36,8 +37,11 @@
             self.drop_missing(key, report, &listed, now);
         }
         self.pace(key, now);
+        let left_the_list = self.listing_is_sound;
         let vm = &mut self.vms[key];
         vm.reachable = true;
+        vm.silent_since = None;
+        vm.left_the_list |= left_the_list && !vm.listed;
         vm.held |= complete;
         vm.strays.retain(|run, _| listed.contains(run));
         self.forget_vm_if_empty(key);
@@ -57,7 +61,14 @@
             }
             // One that was told to stop is as good as gone, though it still works.
             if !run.stopping {
+                let (lasting, started) = (run.lasting, run.started);
                 self.note_at_work(row);
+                if lasting
+                    && row.percent >= STARTED
+                    && self.is_cleared_by_work(task, started, now.steady)
+                {
+                    self.clear(task);
+                }
             } else if now.steady >= run.stop_ordered + STOP_AGAIN_MS {
                 // The order may have been given when there was no link to the VM.
                 run.stop_ordered = now.steady;
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -29,8 +29,12 @@
     pub saves: bool,
     /// It is a member of a gang, which ends whole.
     pub in_gang: bool,
+    /// It was ordered by this owner.
+    pub ordered_here: bool,
     /// It was ordered by this owner, to start at its beginning.
     pub from_start: bool,
+    /// How long it must have run to take others beside it, as VMs have crashed under its task.
+    pub unproven_for: Option<Ms>,
     /// How much of its work it has done, in percent, by its VM's newest report.
     pub progress: u32,
     /// When that report came.
@@ -60,7 +64,9 @@
             lasting: shape.lasting,
             saves: shape.checkpointing,
             in_gang: shape.gang,
+            ordered_here: false,
             from_start: false,
+            unproven_for: None,
             progress: 0,
             progress_at: now,
             pace: Some(FULL_SPEED),
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -5,6 +5,7 @@
 use super::job::{Job, Spot};
 use super::run::Run;
 use super::{Ms, Now, Pool};
+use crate::harm::HarmRecord;
 use crate::id::{JobId, TaskId, VmId};
 use crate::job_log::JobEntry;
 use crate::progress::{Phase, Place, TaskRecord};
@@ -37,8 +38,13 @@
             job.open_time(record.time);
             job.next_time = job.next_time.max(record.time + 1);
         }
+        for HarmRecord { time, step, index, harm } in &entry.progress.harms {
+            let task = TaskId { job: id, time: *time, step: *step, index: *index };
+            job.harm.insert(task, harm.clone());
+        }
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
+        self.note_harmed(key);
         for record in &entry.progress.tasks {
             self.adopt_task(id, record, now);
         }
@@ -64,7 +70,8 @@
         task.checkpoint.clone_from(&record.checkpoint);
         let Spot::On(vm) = spot else { return };
         let Some(shape) = shape else { return };
-        let run = Run { pace: None, ..Run::new(record.attempt, &shape, now.steady) };
+        let unproven_for = self.unproven_for(id);
+        let run = Run { pace: None, unproven_for, ..Run::new(record.attempt, &shape, now.steady) };
         self.vms[vm].add_run(id, run);
     }
 
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -6,6 +6,7 @@
 use super::run::Run;
 use super::{Now, Pool, VmKey};
 use crate::Ms;
+use crate::harm::UnclearLoss;
 use crate::id::{JobId, RunId, TaskId, VmId};
 use crate::vm::{Room, VmFacts, VmLoss};
 
@@ -30,6 +31,10 @@
     pub held: bool,
     /// Its last call was answered.
     pub reachable: bool,
+    /// Since when it has not answered.
+    pub silent_since: Option<Ms>,
+    /// It answered when the platform did not list it any more: it is leaving without a word.
+    pub left_the_list: bool,
     pub cordoned: bool,
     pub used: Room,
     pub runs: BTreeMap<TaskId, Run>,
@@ -72,6 +77,8 @@
             listed: false,
             held: false,
             reachable: true,
+            silent_since: None,
+            left_the_list: false,
             cordoned: false,
             used: Room::default(),
             runs: BTreeMap::new(),
@@ -155,6 +162,7 @@
         let vm = &mut self.vms[key];
         let is_news = !vm.listed || vm.draining() != facts.draining;
         vm.listed = true;
+        vm.left_the_list = false;
         vm.cordoned = cordoned;
         vm.facts = Some(facts);
         is_news
@@ -213,15 +221,23 @@
     }
 
     /// Takes in whether a VM answers.
-    pub fn set_reachable(&mut self, id: &VmId, reachable: bool) {
-        if let Some(&key) = self.vm_keys.get(id) {
-            self.vms[key].reachable = reachable;
-        }
+    pub fn set_reachable(&mut self, id: &VmId, reachable: bool, now: Now) {
+        let Some(&key) = self.vm_keys.get(id) else { return };
+        let vm = &mut self.vms[key];
+        vm.reachable = reachable;
+        vm.silent_since = match reachable {
+            true => None,
+            false => vm.silent_since.or(Some(now.steady)),
+        };
     }
 
     /// Takes in that nothing runs on a VM incarnation any more, and returns what went with it.
-    pub fn vm_lost(&mut self, id: &VmId, _loss: VmLoss, now: Now) -> Vec<LostRun> {
+    pub fn vm_lost(&mut self, id: &VmId, loss: VmLoss, now: Now) -> Vec<LostRun> {
+        if loss == VmLoss::Replaced {
+            self.resolve_silence(id, true, now);
+        }
         let Some(&key) = self.vm_keys.get(id) else { return Vec::new() };
+        let crashes = self.crashes_under(key, now);
         let vm = &mut self.vms[key];
         vm.held = false;
         vm.reachable = false;
@@ -231,9 +247,15 @@
             age: now.steady.saturating_sub(r.started),
         };
         let lost: Vec<LostRun> = vm.runs.iter().map(lost).collect();
+        let silent = UnclearLoss {
+            vm: vm.id.as_ref().to_owned(),
+            name: vm.name().map(|n| n.as_ref().to_owned()).unwrap_or_default(),
+            at_ms: now.wall,
+        };
         for lost in &lost {
             self.release(key, lost.run, now);
         }
+        self.count_loss(&silent, crashes, loss, now);
         self.forget_vm_if_empty(key);
         lost
     }
--- a/crates/schedule/src/progress.rs
+++ b/crates/schedule/src/progress.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::harm::HarmRecord;
 use crate::id::VmId;
 
 /// Whether a job is settled.
@@ -87,6 +88,10 @@
     /// Tasks that are not as they were at first, of repetitions that are not done; none once the
     /// job is settled.
     pub tasks: Vec<TaskRecord>,
+    /// What speaks against tasks under which VMs were lost, also once the job is settled. In a record it follows
+    /// all else, so that programs from before it read the rest.
+    #[serde(skip)]
+    pub harms: Vec<HarmRecord>,
 }
 
 impl Progress {
--- a/crates/schedule/tests/crashing.rs
+++ b/crates/schedule/tests/crashing.rs
@@ -15,11 +15,14 @@
 
 use std::collections::BTreeMap;
 
-use common::{JOB, at, job, pool_with, starts, step, vm};
+use common::{JOB, at, job, plan_and_start, pool_with, starts, step, vm};
 use googletest::prelude::*;
-use thistle_schedule::job_log::{JobEntry, Version, encode_progress};
+use thistle_schedule::harm::{Crash, HarmRecord, UnclearLoss};
+use thistle_schedule::job_log::{JobEntry, Version, encode_progress, progress_key};
 use thistle_schedule::pool::StartResult;
-use thistle_schedule::{JobLog, Ms, Phase, Pool, Step, VmLoss, VmReport};
+use thistle_schedule::{
+    Harm, JobId, JobLog, Ms, Phase, Pool, Progress, Step, Verdict, VmFacts, VmLoss, VmReport,
+};
 
 /// How long a VM that crashed is away.
 const AWAY_MS: Ms = 3_300;
@@ -68,12 +71,11 @@
     }
 
     /// Has another owner take over that knows the record only.
-    fn succeed(&mut self, progress: thistle_schedule::Progress) {
+    fn succeed(&mut self, progress: Progress) {
         let mut log = JobLog::default();
         let version = Version { token: self.now, number: 1 };
         let record = encode_progress(version, &progress);
-        log.apply(&thistle_schedule::job_log::progress_key(JOB), Some(&record))
-            .expect("it is read");
+        log.apply(&progress_key(JOB), Some(&record)).expect("it is read");
         let progress = log.get(JOB).expect("it is known").progress.clone();
         let spec = Some(job(vec![step(1, 500)]));
         self.pool = Pool::new();
@@ -94,7 +96,7 @@
             .iter()
             .find(|(name, life)| vm(name, **life).id == *id)
             .expect("orders go to VMs that are there");
-        self.pool.set_reachable(id, false);
+        self.pool.set_reachable(id, false, at(self.now));
         self.now += AWAY_MS;
         self.lives.insert(name, life + 1);
         let next = vm(name, life + 1);
@@ -119,3 +121,110 @@
         expect_that!(crashes.phase, eq(Phase::Failed), "{what}");
     }
 }
+
+fn harm(crashes: &[(bool, bool)]) -> Harm {
+    let mut harm = Harm::default();
+    crashes.iter().for_each(|&(at_start, alone)| harm.add(Crash { at_start, alone }));
+    harm
+}
+
+#[gtest]
+fn a_task_is_given_up_by_what_crashes_tell() {
+    let cases: &[(&[(bool, bool)], Verdict)] = &[
+        (&[], Verdict::Clear),
+        // Bad luck once, at any time: nothing follows.
+        (&[(false, false)], Verdict::Clear),
+        (&[(true, false)], Verdict::Suspect),
+        (&[(false, false); 2], Verdict::Suspect),
+        // Alone on a VM that crashes right after its start, once and twice.
+        (&[(true, true)], Verdict::Suspect),
+        (&[(true, true); 2], Verdict::GivenUp),
+        (&[(true, false); 3], Verdict::Suspect),
+        (&[(true, false); 4], Verdict::GivenUp),
+        (&[(false, true); 4], Verdict::Suspect),
+        (&[(false, true); 5], Verdict::GivenUp),
+    ];
+    for (crashes, verdict) in cases {
+        expect_that!(harm(crashes).verdict(), eq(*verdict), "{crashes:?}");
+    }
+}
+
+#[gtest]
+fn a_vm_that_fell_silent_counts_once_it_is_known_to_have_crashed() {
+    let silent = |vm: &str| UnclearLoss { vm: vm.into(), name: "m".into(), at_ms: 1_000 };
+    let mut harm = harm(&[(false, false); 3]);
+    harm.add_unclear(silent("a"));
+    harm.add_unclear(silent("a"));
+    expect_that!(harm.verdict(), eq(Verdict::Suspect));
+    harm.add_unclear(silent("b"));
+    expect_that!(harm.verdict(), eq(Verdict::Held), "both may have crashed");
+    expect_that!(harm.resolve("a", false), eq(true));
+    expect_that!(harm.resolve("a", true), eq(false));
+    expect_that!(harm.verdict(), eq(Verdict::Suspect));
+    expect_that!(harm.overdue(30_999), is_empty());
+    expect_that!(harm.overdue(31_000), elements_are![eq("b")]);
+    harm.resolve("b", true);
+    expect_that!(harm.crashes, eq(4));
+}
+
+#[gtest]
+fn what_speaks_against_a_task_is_in_the_record_and_older_records_are_read() {
+    let version = Version { token: 3, number: 1 };
+    let without = Progress { begun: true, ..Progress::default() };
+    let record = HarmRecord { time: 0, step: 1, index: 2, harm: harm(&[(true, false)]) };
+    let with = Progress { harms: vec![record], ..without.clone() };
+    for progress in [without, with] {
+        let mut log = JobLog::default();
+        let value = encode_progress(version, &progress);
+        assert!(log.apply(&progress_key(JOB), Some(&value)).is_ok());
+        expect_that!(log.get(JOB).expect("it is known").progress, eq(&progress));
+        // Programs from before read what they know of it.
+        let (read, known): (Version, Progress) = postcard::from_bytes(&value).expect("it is read");
+        expect_that!((read, known.begun), eq((version, true)));
+    }
+}
+
+#[gtest]
+fn a_suspect_shares_its_vm_with_nothing_of_other_jobs() {
+    let other = JobId(7);
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    pool.submit(other, job(vec![step(1, 500)]), at(1));
+    let started = plan_and_start(&mut pool, 10);
+    expect_that!(started[0].vm, eq(&started[1].vm), "they are packed on one");
+    pool.set_reachable(&started[0].vm, false, at(30));
+    pool.list_vm(vm(&started[0].vm.as_ref()[2..3], 2));
+    pool.vm_lost(&started[0].vm, VmLoss::Replaced, at(3_000));
+    pool.unlist_vm(&started[0].vm);
+    let reborn = vm(&started[0].vm.as_ref()[2..3], 2);
+    pool.report(&reborn.id, &VmReport::default(), at(3_010));
+    // Both began right before the crash: either may have done it. Of two VMs one may be held by a suspect.
+    expect_that!(plan_and_start(&mut pool, 3_020), is_empty(), "there is a pause first");
+    let again = plan_and_start(&mut pool, 3_300);
+    expect_that!(again, len(eq(1)));
+    let third = JobId(8);
+    pool.submit(third, job(vec![step(1, 500)]), at(3_310));
+    let beside = plan_and_start(&mut pool, 3_320);
+    expect_that!(beside, len(eq(1)));
+    expect_that!(beside[0].run.task.job, eq(third));
+    expect_that!(beside[0].vm, not(eq(&again[0].vm)));
+}
+
+#[gtest]
+fn a_vm_that_leaves_or_is_only_cut_off_speaks_against_nobody() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let first = plan_and_start(&mut pool, 10);
+    let name = first[0].vm.as_ref()[2..3].to_owned();
+    pool.list_vm(VmFacts { draining: true, ..vm(&name, 1).as_ref().clone() }.into());
+    pool.vm_lost(&first[0].vm, VmLoss::Replaced, at(100));
+    expect_that!(pool.harm_of(first[0].run.task), none());
+
+    let second = plan_and_start(&mut pool, 200);
+    pool.vm_lost(&second[0].vm, VmLoss::LeaseOver, at(7_000));
+    expect_that!(pool.silent_losses(), len(eq(1)));
+    // It answers again: it was cut off.
+    pool.report(&second[0].vm, &VmReport::default(), at(7_100));
+    expect_that!(pool.silent_losses(), is_empty());
+    expect_that!(pool.harm_of(second[0].run.task), none());
+}
--- /dev/null
+++ b/crates/schedule/tests/harm_histories.rs
@@ -0,0 +1,38 @@
+//! Random histories of a pool in which some jobs have a task that crashes its VMs, beside VMs that crash by chance, racks
+//! that go dark, VMs that are cut off and run on, VMs that leave, and owners that are replaced. No such task may be started
+//! more than twice after its third crash, and no other job may be given up.
+
+mod common;
+mod histories;
+
+use histories::{Figures, History, Setting};
+
+const HISTORIES: u64 = 30;
+
+fn play(setting: Setting) -> Figures {
+    let seeds = if std::env::var_os("THISTLE_LONG_RUN").is_some() { 1_000 } else { HISTORIES };
+    let mut sum = Figures::default();
+    for seed in 0..seeds {
+        let figures = History::new(seed, setting).play();
+        assert_eq!(figures.started_too_often, 0, "seed {seed} {setting:?}");
+        assert_eq!(figures.given_up_wrongly, 0, "seed {seed} {setting:?}");
+        sum.add(figures);
+    }
+    println!("{setting:?} {seeds} histories: {sum:?}");
+    sum
+}
+
+#[test]
+fn guilty_tasks_stop_and_innocent_jobs_go_on() {
+    for guilty_percent in [0, 3, 20] {
+        let figures = play(Setting { guilty_percent, apart: true });
+        assert!(figures.unfinished == 0, "{figures:?}");
+    }
+}
+
+#[test]
+fn keeping_suspects_apart_spares_others() {
+    let apart = play(Setting { guilty_percent: 20, apart: true });
+    let mixed = play(Setting { guilty_percent: 20, apart: false });
+    assert!(apart.lost_beside < mixed.lost_beside, "{apart:?} {mixed:?}");
+}
--- /dev/null
+++ b/crates/schedule/tests/histories/machine.rs
@@ -0,0 +1,153 @@
+//! A VM of the random histories.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use thistle_schedule::{EndKind, Ms, Room, RunEnd, RunId, RunRow, Step, TaskId, VmFacts, VmReport};
+
+use crate::common::{row, vm};
+
+/// How long the lease of what runs there is, in milliseconds.
+const LEASE: Ms = 6_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum State {
+    Up,
+    /// It is down until then.
+    Down(Ms),
+    /// It says that it leaves, and is down from then on.
+    Leaving(Ms),
+}
+
+#[derive(Debug)]
+struct Run {
+    attempt: u32,
+    started: Ms,
+    ends_at: Ms,
+    cpu: u32,
+}
+
+pub type Ended = RunEnd;
+
+#[derive(Debug)]
+pub struct Machine {
+    name: String,
+    rack: usize,
+    life: u32,
+    pub state: State,
+    pub cut_until: Ms,
+    /// It went down without closing its connections.
+    pub dark: bool,
+    /// When it last answered its owner, or that owner took over.
+    pub heard: Ms,
+    /// Its owner has given up what ran there.
+    pub given_up: bool,
+    pub crashed_by_task: bool,
+    runs: BTreeMap<TaskId, Run>,
+    pub ended: Vec<Ended>,
+    sequence: u64,
+}
+
+impl Machine {
+    pub fn new(number: usize, rack: usize) -> Self {
+        Self {
+            name: format!("m{number}"),
+            rack,
+            life: 1,
+            state: State::Up,
+            cut_until: 0,
+            dark: false,
+            heard: 0,
+            given_up: false,
+            crashed_by_task: false,
+            runs: BTreeMap::new(),
+            ended: Vec::new(),
+            sequence: 0,
+        }
+    }
+
+    pub fn facts(&self) -> Arc<VmFacts> {
+        let room = Room { cpu: 16_000, mem_mb: 32_000, gpu: 0 };
+        let draining = matches!(self.state, State::Leaving(_));
+        let rack = format!("r{}", self.rack).into();
+        Arc::new(VmFacts { room, draining, rack, ..vm(&self.name, self.life).as_ref().clone() })
+    }
+
+    /// Returns whether its entry stands, also for a while after it has gone.
+    pub fn is_listed(&self, now: Ms) -> bool {
+        self.state == State::Up || now < self.heard + 4_500
+    }
+
+    pub fn answers(&self, now: Ms) -> bool {
+        !matches!(self.state, State::Down(_)) && now >= self.cut_until
+    }
+
+    pub fn crash(&mut self, now: Ms, away: Ms, dark: bool) {
+        if !matches!(self.state, State::Down(_)) {
+            self.state = State::Down(now + away);
+            self.dark = dark;
+            self.runs.clear();
+            self.ended.clear();
+        }
+    }
+
+    pub fn leave(&mut self, now: Ms) {
+        if self.state == State::Up {
+            self.state = State::Leaving(now + 2_000);
+        }
+    }
+
+    /// Comes up as another incarnation if it is time to.
+    pub fn come_back(&mut self, now: Ms) -> bool {
+        if matches!(self.state, State::Leaving(until) if now >= until) {
+            self.crash(now, 1_500, false);
+        }
+        if !matches!(self.state, State::Down(until) if now >= until) {
+            return false;
+        }
+        self.life += 1;
+        (self.state, self.heard, self.given_up) = (State::Up, now, false);
+        (self.crashed_by_task, self.dark, self.sequence) = (false, false, 0);
+        true
+    }
+
+    pub fn start(&mut self, run: RunId, shape: &Step, now: Ms, ends_at: Ms) {
+        let cpu = shape.room().cpu;
+        self.runs.insert(run.task, Run { attempt: run.attempt, started: now, ends_at, cpu });
+        let used: u32 = self.runs.values().map(|r| r.cpu).sum();
+        assert!(used <= self.facts().room.cpu, "{} is over its room at {now}", self.name);
+    }
+
+    /// Ends what is done, and everything once the lease is over.
+    pub fn end_runs(&mut self, now: Ms) {
+        if self.cut_until > now && now >= self.heard + LEASE {
+            let lapsed: Vec<TaskId> = self.runs.keys().copied().collect();
+            lapsed.into_iter().for_each(|task| self.end(task, EndKind::Lapsed));
+        }
+        let over = self.runs.iter().filter(|(_, run)| run.ends_at <= now);
+        let over: Vec<TaskId> = over.map(|(&task, _)| task).collect();
+        over.into_iter().for_each(|task| self.end(task, EndKind::Done));
+    }
+
+    pub fn end(&mut self, task: TaskId, kind: EndKind) {
+        let Some(run) = self.runs.remove(&task) else { return };
+        self.sequence += 1;
+        let run = RunId { task, attempt: run.attempt };
+        let (sequence, checkpoint) = (self.sequence, String::new());
+        self.ended.push(RunEnd { sequence, run, kind, checkpoint });
+    }
+
+    pub fn report(&self, now: Ms) -> VmReport {
+        let row = |(&task, run): (&TaskId, &Run)| -> RunRow {
+            row(RunId { task, attempt: run.attempt }, 100)
+        };
+        let running = self.runs.iter().map(row).collect();
+        VmReport { asked_at: now, running, ended: self.ended.clone() }
+    }
+
+    /// Returns the core-milliseconds that other jobs' tasks have worked there.
+    pub fn work_of_others(&self, task: TaskId, now: Ms) -> u64 {
+        let others = self.runs.iter().filter(|(other, _)| other.job != task.job);
+        others.map(|(_, run)| (now - run.started) * u64::from(run.cpu) / 1_000).sum()
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/histories/mod.rs
@@ -0,0 +1,340 @@
+//! A pool of VMs over simulated time, and what happens to them.
+
+mod machine;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thistle_schedule::job_log::{Version, encode, encode_progress, progress_key, submit_key};
+use thistle_schedule::pool::{Order, StartOrder, StartResult};
+use thistle_schedule::{
+    EndKind, JobId, JobLog, JobSpec, LogChange, Ms, Phase, Policy, Pool, Step, TaskId, VmId, VmLoss,
+};
+
+use crate::common::{at, job, lasting, step};
+use machine::{Ended, Machine, State};
+
+/// Simulated milliseconds of one turn.
+const TURN: Ms = 50;
+/// Jobs come and things fail until then.
+const CALM_AT: Ms = 30_000;
+/// Then everything must come to an end.
+const END: Ms = 75_000;
+const VMS: usize = 12;
+const RACK: usize = 4;
+/// How long a VM that crashed is away.
+const AWAY: Ms = 3_300;
+/// When a lease is surely over after a VM was last heard.
+const LEASE: Ms = 6_300;
+
+/// What is varied.
+#[derive(Clone, Copy, Debug)]
+pub struct Setting {
+    /// Jobs in a hundred that have a task that crashes its VMs.
+    pub guilty_percent: u32,
+    /// Suspects are kept apart.
+    pub apart: bool,
+}
+
+/// What came of a history, or of many.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Figures {
+    /// Guilty tasks that were started more than twice after their third crash.
+    pub started_too_often: u32,
+    /// Jobs without a guilty task that were shown as failed.
+    pub given_up_wrongly: u32,
+    /// Jobs without a guilty task that were not done at the end.
+    pub unfinished: u32,
+    /// Crashes by guilty tasks.
+    pub crashes: u32,
+    /// Most VMs that guilty tasks held down at once.
+    pub most_down: usize,
+    /// Core-milliseconds of others that went with those VMs.
+    pub lost_beside: u64,
+    /// Jobs without a guilty task that were done, and their milliseconds from acceptance.
+    pub done: u32,
+    pub took: u64,
+}
+
+impl Figures {
+    pub fn add(&mut self, other: Self) {
+        self.started_too_often += other.started_too_often;
+        self.given_up_wrongly += other.given_up_wrongly;
+        self.unfinished += other.unfinished;
+        self.crashes += other.crashes;
+        self.most_down = self.most_down.max(other.most_down);
+        self.lost_beside += other.lost_beside;
+        self.done += other.done;
+        self.took += other.took;
+    }
+}
+
+/// One history.
+pub struct History {
+    rng: StdRng,
+    setting: Setting,
+    now: Ms,
+    machines: Vec<Machine>,
+    pool: Pool,
+    log: JobLog,
+    token: u64,
+    written: u64,
+    steps: BTreeMap<JobId, Vec<Step>>,
+    accepted: BTreeMap<JobId, Ms>,
+    guilty: BTreeSet<TaskId>,
+    /// How often VMs crashed under a guilty task, and how often it was started since the third time.
+    crashed: BTreeMap<TaskId, (u32, u32)>,
+    /// Lasting jobs, and when their callers cancel them.
+    ends: BTreeMap<JobId, Ms>,
+    settled: BTreeSet<JobId>,
+    /// VMs that are gone and on which a new owner knows of runs, and when their lease is surely over.
+    orphans: BTreeMap<VmId, Ms>,
+    figures: Figures,
+}
+
+impl History {
+    pub fn new(seed: u64, setting: Setting) -> Self {
+        let machines = (0..VMS).map(|i| Machine::new(i, i / RACK)).collect();
+        let mut history = Self {
+            rng: StdRng::seed_from_u64(seed),
+            setting,
+            now: 0,
+            machines,
+            pool: Pool::new(),
+            log: JobLog::default(),
+            token: 0,
+            written: 0,
+            steps: BTreeMap::new(),
+            accepted: BTreeMap::new(),
+            guilty: BTreeSet::new(),
+            crashed: BTreeMap::new(),
+            ends: BTreeMap::new(),
+            settled: BTreeSet::new(),
+            orphans: BTreeMap::new(),
+            figures: Figures::default(),
+        };
+        history.replace_owner();
+        history
+    }
+
+    pub fn play(mut self) -> Figures {
+        while self.now < END {
+            self.now += TURN;
+            if self.now < CALM_AT {
+                self.submit_some();
+                self.trouble();
+            }
+            self.cancel_lasting();
+            self.move_machines();
+            self.report();
+            self.give_up_orphans();
+            self.plan();
+        }
+        for id in self.steps.keys() {
+            let innocent = !self.guilty.iter().any(|task| task.job == *id);
+            self.figures.unfinished += u32::from(innocent && !self.settled.contains(id));
+        }
+        self.figures
+    }
+
+    fn submit_some(&mut self) {
+        if !self.rng.random_bool(0.1) {
+            return;
+        }
+        let id = JobId(u64::try_from(self.steps.len()).unwrap_or(0) + 1);
+        let lasts = self.rng.random_bool(0.08);
+        let width = self.rng.random_range(2..9);
+        let steps = match (lasts, self.rng.random_bool(0.4)) {
+            (true, _) => vec![lasting(3, 1)],
+            (false, true) => {
+                vec![step(width, 900), Step { depends_on: vec![0], ..step(width, 900) }]
+            }
+            (false, false) => vec![step(width, 900)],
+        };
+        if self.rng.random_range(0..100) < self.setting.guilty_percent {
+            let index = self.rng.random_range(0..steps[0].count);
+            self.guilty.insert(TaskId { job: id, time: 0, step: 0, index });
+        }
+        if lasts {
+            self.ends.insert(id, self.now + self.rng.random_range(10_000..40_000));
+        }
+        let spec =
+            JobSpec { accepted_ms: at(self.now).wall, ..job(steps.clone()).as_ref().clone() };
+        self.steps.insert(id, steps);
+        self.accepted.insert(id, self.now);
+        let change = self.log.apply(&submit_key(id), Some(&encode(&spec)));
+        assert_eq!(change, Ok(Some(LogChange::Submitted(id))));
+        let entry = self.log.get(id).expect("it was submitted");
+        self.pool.adopt(id, entry, at(self.now));
+    }
+
+    fn cancel_lasting(&mut self) {
+        let over: Vec<JobId> =
+            self.ends.iter().filter(|(_, end)| **end <= self.now).map(|(&id, _)| id).collect();
+        for id in over {
+            self.ends.remove(&id);
+            self.settled.insert(id);
+            self.pool.cancel(id, at(self.now));
+        }
+    }
+
+    /// Another node takes over, knowing the records only.
+    fn replace_owner(&mut self) {
+        self.token += 1;
+        let mut policy = Policy::default();
+        policy.tasks.keep_suspects_apart = self.setting.apart;
+        self.pool = Pool::with_policy(policy);
+        for (id, entry) in self.log.iter().filter(|(id, _)| !self.settled.contains(id)) {
+            self.pool.adopt(id, entry, at(self.now));
+        }
+        for machine in &mut self.machines {
+            machine.heard = self.now;
+            if machine.is_listed(self.now) {
+                self.pool.list_vm(machine.facts());
+            }
+        }
+        self.pool.set_listing_is_sound(true);
+    }
+
+    fn trouble(&mut self) {
+        let i = self.rng.random_range(0..VMS);
+        match self.rng.random_range(0..1_000) {
+            0..2 => self.crash(i, AWAY),
+            2 if self.rng.random_bool(0.5) => {
+                let rack = i / RACK;
+                (0..VMS).filter(|i| i / RACK == rack).for_each(|i| self.crash(i, 2 * AWAY));
+            }
+            3..5 => self.machines[i].cut_until = self.now + self.rng.random_range(500..12_000),
+            5 => self.machines[i].leave(self.now),
+            6..9 => self.replace_owner(),
+            _ => (),
+        }
+    }
+
+    fn crash(&mut self, i: usize, away: Ms) {
+        let dark = self.rng.random_bool(0.3);
+        self.machines[i].crash(self.now, away, dark);
+    }
+
+    /// Brings VMs up again and ends what is done or over.
+    fn move_machines(&mut self) {
+        for i in 0..VMS {
+            let before = self.machines[i].facts().id.clone();
+            if self.machines[i].come_back(self.now) {
+                let facts = self.machines[i].facts();
+                self.pool.list_vm(facts);
+                self.pool.vm_lost(&before, VmLoss::Replaced, at(self.now));
+                self.pool.unlist_vm(&before);
+            }
+            self.machines[i].end_runs(self.now);
+        }
+        let down =
+            self.machines.iter().filter(|m| m.crashed_by_task && m.state != State::Up).count();
+        self.figures.most_down = self.figures.most_down.max(down);
+    }
+
+    fn report(&mut self) {
+        let now = self.now;
+        for machine in &mut self.machines {
+            let id = machine.facts().id.clone();
+            if !machine.answers(now) {
+                // A closed connection is heard of at once, silence after a while.
+                if !machine.dark || now >= machine.heard + 600 {
+                    self.pool.set_reachable(&id, false, at(now));
+                }
+                if now >= machine.heard + LEASE && !machine.given_up {
+                    machine.given_up = true;
+                    self.pool.vm_lost(&id, VmLoss::LeaseOver, at(now));
+                }
+                continue;
+            }
+            machine.heard = now;
+            machine.given_up = false;
+            self.pool.set_reachable(&id, true, at(now));
+            self.pool.report(&id, &machine.report(now), at(now));
+        }
+    }
+
+    fn give_up_orphans(&mut self) {
+        let there: Vec<VmId> = self.machines.iter().map(|m| m.facts().id.clone()).collect();
+        for id in self.pool.unlisted_with_runs().into_iter().filter(|id| !there.contains(id)) {
+            self.orphans.entry(id).or_insert(self.now + LEASE);
+        }
+        let now = self.now;
+        for (id, _) in self.orphans.extract_if(.., |_, over_at| now >= *over_at) {
+            self.pool.vm_lost(&id, VmLoss::LeaseOver, at(now));
+        }
+    }
+
+    fn plan(&mut self) {
+        let orders = self.pool.plan(at(self.now));
+        for (id, progress) in self.pool.take_records() {
+            self.written += 1;
+            let version = Version { token: self.token, number: self.written };
+            let record = encode_progress(version, &progress);
+            assert!(self.log.apply(&progress_key(id), Some(&record)).is_ok());
+            if progress.phase != Phase::Open && self.settled.insert(id) {
+                self.note_settled(id, progress.phase);
+            }
+        }
+        for (id, sequence) in self.pool.take_acks() {
+            for machine in self.machines.iter_mut().filter(|m| m.facts().id == id) {
+                machine.ended.retain(|end: &Ended| end.sequence > sequence);
+            }
+        }
+        for order in orders {
+            match order {
+                Order::Start(start) => self.start(&start),
+                Order::Stop { vm, run } => {
+                    for machine in self.machines.iter_mut().filter(|m| m.facts().id == vm) {
+                        machine.end(run.task, EndKind::Stopped);
+                    }
+                    self.pool.stop_answered(&vm, run, at(self.now));
+                }
+                Order::Pace { .. } | Order::Ask(_) => (),
+            }
+        }
+    }
+
+    fn note_settled(&mut self, id: JobId, phase: Phase) {
+        if self.guilty.iter().any(|task| task.job == id) {
+            return;
+        }
+        match phase {
+            Phase::Completed => {
+                self.figures.done += 1;
+                self.figures.took += self.now - self.accepted[&id];
+            }
+            Phase::Failed => self.figures.given_up_wrongly += 1,
+            Phase::Open | Phase::Cancelled => (),
+        }
+    }
+
+    fn start(&mut self, start: &StartOrder) {
+        let now = self.now;
+        let Some(i) = self.machines.iter().position(|m| m.facts().id == start.vm) else { return };
+        if !self.machines[i].answers(now) {
+            let result = StartResult::Unhealthy;
+            self.pool.start_result(&start.vm, start.run, result, at(now));
+            return;
+        }
+        let task = start.run.task;
+        let shape = &self.steps[&task.job][usize::from(task.step)];
+        let lasts = if shape.lasting { Ms::MAX } else { self.rng.random_range(300..1_500) };
+        let machine = &mut self.machines[i];
+        machine.start(start.run, shape, now, now.saturating_add(lasts));
+        if !self.guilty.contains(&task) {
+            self.pool.start_result(&start.vm, start.run, StartResult::Started, at(now));
+            return;
+        }
+        let (crashes, since) = self.crashed.entry(task).or_default();
+        *since += u32::from(*crashes >= 3);
+        self.figures.started_too_often += u32::from(*since > 2);
+        *crashes += 1;
+        self.figures.crashes += 1;
+        self.figures.lost_beside += machine.work_of_others(task, now);
+        self.crash(i, AWAY);
+        self.machines[i].crashed_by_task = true;
+    }
+}
--- a/crates/schedule/tests/pool.rs
+++ b/crates/schedule/tests/pool.rs
@@ -222,10 +222,10 @@
     pool.submit(JOB, job(vec![lasting(2, 1)]), at(0));
     let started = plan_and_start(&mut pool, 10);
     all_at_work(&mut pool, &started, 20);
-    pool.set_reachable(&started[0].vm, false);
+    pool.set_reachable(&started[0].vm, false, at(20));
     pool.set_cordoned([started[1].vm.as_ref()[2..3].into()].into());
     expect_that!(stops(&pool.plan(at(30))), is_empty());
-    pool.set_reachable(&started[0].vm, true);
+    pool.set_reachable(&started[0].vm, true, at(20));
     expect_that!(stops(&pool.plan(at(40))), len(eq(1)));
 }
 
--- a/crates/schedule/tests/world/mod.rs
+++ b/crates/schedule/tests/world/mod.rs
@@ -306,7 +306,7 @@
         for (name, sim) in &mut self.vms {
             let id = id_of(name, sim.life);
             if sim.cut_until > now || sim.dark_until > now {
-                self.pool.set_reachable(&id, false);
+                self.pool.set_reachable(&id, false, at(now));
                 continue;
             }
             sim.fence = self.token;
@@ -319,7 +319,7 @@
             };
             let running = sim.runs.iter().map(row).collect();
             let report = VmReport { asked_at: now, running, ended: sim.ended.clone() };
-            self.pool.set_reachable(&id, true);
+            self.pool.set_reachable(&id, true, at(now));
             self.pool.report(&id, &report, at(now));
             self.last_answer.insert(id.clone(), now);
             self.lost.remove(&id);
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -12,8 +12,8 @@
 use std::time::Duration;
 
 use metrics::{counter, gauge};
-use thistle_schedule::pool::{Load, Order, StartResult, StepId};
-use thistle_schedule::{LogChange, Ms, Pool, RunId, VmId, VmLoss, VmReport};
+use thistle_schedule::pool::{GivenUp, Load, Order, StartResult, StepId};
+use thistle_schedule::{Harm, LogChange, Ms, Pool, RunId, VmId, VmLoss, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::clock::{now, steady_ms};
@@ -203,7 +203,7 @@
             Event::Stopped(vm, run) => self.pool.stop_answered(&vm, run, now),
             Event::Reachable(vm, reachable) => {
                 log::info!("vm step=reachable vm={vm} reachable={reachable}");
-                self.pool.set_reachable(&vm, reachable);
+                self.pool.set_reachable(&vm, reachable, now);
             }
             Event::Lost(vm, loss) => self.lose_vm(&vm, loss),
             Event::Advised(step, answer) => {
@@ -230,6 +230,7 @@
         let orders = self.pool.plan(now());
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
+        self.tell_given_up();
         if !records.is_empty() {
             self.write_progress(records).await?;
         }
@@ -305,6 +306,17 @@
         }
     }
 
+    /// Logs the tasks that were given up since VMs crashed under them.
+    fn tell_given_up(&mut self) {
+        for GivenUp { task, harm } in self.pool.take_given_up() {
+            let Harm { crashes, at_start, alone, .. } = harm;
+            log::warn!(
+                "job step=given-up task={task} crashes={crashes} at_start={at_start} alone={alone}"
+            );
+            counter!("thistle_given_up", "pool" => self.log.pool.to_string()).increment(1);
+        }
+    }
+
     fn tell_load(&self) {
         let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load(now());
         let pool = self.log.pool.to_string();
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -38,6 +38,12 @@
                 let _ = self.tx.send(Event::Lost(vm.id, VmLoss::Replaced));
             }
         }
+        // One that fell silent under a task may be back in another pool.
+        for (vm, name) in self.pool.silent_losses() {
+            if !name.is_empty() && table.values().any(|f| *f.name == *name && f.id != vm) {
+                let _ = self.tx.send(Event::Lost(vm, VmLoss::Replaced));
+            }
+        }
         self.watch_orphans();
     }
 
@@ -78,7 +84,14 @@
         counter!("thistle_vms_lost", "pool" => pool, "reason" => format!("{loss:?}")).increment(1);
         log::info!("vm step=lost vm={vm} reason={loss:?} runs={}", lost.len());
         for LostRun { run, age } in lost {
-            log::info!("run step=lost run={run} vm={vm} reason={loss:?} age_ms={age}");
+            let harm = self.pool.harm_of(run.task).cloned().unwrap_or_default();
+            log::info!(
+                "run step=lost run={run} vm={vm} reason={loss:?} age_ms={age} crashes={} at_start={} unclear={} verdict={:?}",
+                harm.crashes,
+                harm.at_start,
+                harm.unclear.len(),
+                harm.verdict(),
+            );
         }
     }
 
