--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -53,12 +53,13 @@
         let mut ranked = Vec::new();
         for (key, job) in self.jobs.iter().filter(|(_, j)| j.phase == Phase::Open) {
             if job.ready_steps().next().is_some() {
-                ranked.push((self.rank(job, now.steady), job.accepted, key));
+                let crashes = self.worst_crashes(key);
+                ranked.push((crashes, self.rank(job, now.steady), job.accepted, key));
             }
         }
         ranked.sort_unstable();
         let mut most_free = self.most_free(now.steady);
-        for (_, _, key) in ranked {
+        for (.., key) in ranked {
             self.place_job(key, &mut most_free, now);
         }
     }
--- a/crates/schedule/src/pool/suspects.rs
+++ b/crates/schedule/src/pool/suspects.rs
@@ -21,6 +21,8 @@
 const ALONE_WAIT_MS: Ms = 1_000;
 /// Suspects that have not proven themselves hold one VM in so many, and one at least.
 const VMS_A_SUSPECT: usize = 4;
+/// The same for suspects that have waited for twice [`ALONE_WAIT_MS`].
+const VMS_A_LATE_SUSPECT: usize = 2;
 /// How long after a crash tasks that end by themselves are kept off VMs with lasting ones if they can be, in
 /// milliseconds: a lasting task is lost for longer, and its step counts as away meanwhile.
 const CRASH_PRONE_MS: Ms = 30_000;
@@ -169,6 +171,14 @@
         self.jobs.get(self.job_key(task)?)?.harm.get(&task)
     }
 
+    /// Returns how many VMs have crashed under the most suspect of a job's tasks: those with fewer go first, as they are
+    /// more likely to be innocent.
+    pub(super) fn worst_crashes(&self, key: JobKey) -> u32 {
+        let harms = self.jobs.get(key).into_iter().flat_map(|job| job.harm.values());
+        let suspects = harms.filter(|harm| harm.verdict() != Verdict::Clear);
+        suspects.map(|harm| harm.crashes).max().unwrap_or(0)
+    }
+
     fn change_harm(&mut self, task: TaskId, now: Now, change: impl FnOnce(&mut Harm)) {
         let Some(key) = self.job_key(task) else { return };
         let Some(job) = self.jobs.get_mut(key).filter(|job| job.phase == Phase::Open) else {
@@ -268,8 +278,9 @@
         {
             return true;
         }
+        let a_suspect = if care == Care::Usual { VMS_A_LATE_SUSPECT } else { VMS_A_SUSPECT };
         let held = self.vms.values().filter(|vm| vm.is_held_by_suspect(now)).count();
-        held < (self.vms.len() / VMS_A_SUSPECT).max(1)
+        held < (self.vms.len() / a_suspect).max(1)
     }
 
     /// Returns whether VMs have crashed of late.
