--- /dev/null
+++ b/crates/schedule/tests/room.rs
@@ -0,0 +1,74 @@
+//! The room of a VM that shrinks and grows while it runs.
+//!
+//! What a VM says of itself is what counts, from a few seconds after it changed. A start that was decided before, and that
+//! its VM had not answered, was sent again until it was answered, up to a lease later: it could then take the VM
+//! over the room that it had by then.
+
+mod common;
+
+use common::{JOB, at, job, plan_and_start, pool_with, report, row, starts, step, stops, vm};
+use googletest::prelude::*;
+use std::sync::Arc;
+use thistle_schedule::pool::StartResult;
+use thistle_schedule::{JobId, Pool, Room, VmFacts};
+
+fn with_room(cpu: u32) -> Arc<VmFacts> {
+    let room = Room { cpu, mem_mb: 10_000, gpu: 0 };
+    Arc::new(VmFacts { room, ..vm("a", 1).as_ref().clone() })
+}
+
+/// Returns a pool of one VM of four cores and a job of four tasks of one core each.
+fn full_pool() -> Pool {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(4, 1_000)]), at(0));
+    pool
+}
+
+#[gtest]
+fn starts_that_a_shrunk_vm_has_not_answered_are_called_off() {
+    let mut pool = full_pool();
+    let started = starts(&pool.plan(at(10)));
+    pool.take_records();
+    // One of them has arrived; of the others nothing is known.
+    pool.start_result(&started[0].vm, started[0].run, StartResult::Started, at(20));
+    pool.list_vm(with_room(2_000));
+    let called_off = stops(&pool.plan(at(30)));
+    expect_that!(called_off, len(eq(2)), "two of four cores are left, and one is in use for sure");
+    expect_that!(called_off.contains(&started[0].run), eq(false));
+    // Until they are surely not there they count.
+    expect_that!(starts(&pool.plan(at(40))), is_empty());
+}
+
+#[gtest]
+fn a_shrunk_vm_gets_nothing_until_it_has_room_and_then_at_once() {
+    let mut pool = full_pool();
+    let started = plan_and_start(&mut pool, 10);
+    pool.list_vm(with_room(1_300));
+    let other = JobId(9);
+    pool.submit(other, job(vec![step(1, 1_000)]), at(20));
+    expect_that!(pool.plan(at(30)), is_empty(), "what runs goes on, and nothing is begun");
+    // Three of four are done: one runs, and one core of 1.3 is in use.
+    let rows = vec![row(started[3].run, 50)];
+    let done = started[..3].iter().zip(1..);
+    let ended = done.map(|(s, n)| common::end(n, s.run, thistle_schedule::EndKind::Done)).collect();
+    pool.report(&started[0].vm, &report(40, rows, ended), at(41));
+    expect_that!(pool.plan(at(50)), is_empty());
+    pool.list_vm(with_room(4_000));
+    expect_that!(starts(&pool.plan(at(60))), len(eq(1)));
+}
+
+#[gtest]
+fn a_new_owner_counts_with_the_room_of_today() {
+    let mut before = full_pool();
+    let started = starts(&before.plan(at(10)));
+    let (_, progress) = before.take_records().pop().expect("it is written");
+    let spec = Some(job(vec![step(4, 1_000)]));
+    let entry = thistle_schedule::job_log::JobEntry { spec, progress, ..Default::default() };
+    let mut after = Pool::new();
+    after.adopt(JOB, &entry, at(100));
+    after.submit(JobId(9), job(vec![step(1, 1_000)]), at(100));
+    after.list_vm(with_room(2_000));
+    let rows = started[..2].iter().map(|s| row(s.run, 10)).collect();
+    after.report(&started[0].vm, &report(110, rows, vec![]), at(111));
+    expect_that!(starts(&after.plan(at(120))), is_empty(), "two cores run there");
+}
