Entries of another writer name no VM, and starts that no longer fit a shrunk VM are called off

A VM whose entry became unreadable takes nothing new, and what runs there goes on; one line for each ID and a counter for the rest. An entry that claims the name of a VM that still answers does not make that VM count as replaced (by reading: its tasks would have been started beside themselves); whether it is replaced is looked at again when it stops answering. Room: when a VM tells of less room than is in use, starts that it has not answered are stopped.

Ruled out by tests that were green before: that running work is given up, and that a new owner counts with the room of before.

--- a/crates/bench/src/slopes/pool.rs
+++ b/crates/bench/src/slopes/pool.rs
@@ -124,6 +124,7 @@
             labels: Vec::new(),
             room: Room { cpu: 800, mem_mb: 32_768, gpu: 0 },
             draining: false,
+            unreadable: false,
         };
         pool.list_vm(Arc::new(facts));
         pool.report(&vm_id(vm), &VmReport::default(), NOW);
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -151,6 +151,7 @@
     pub fn plan(&mut self, now: Now) -> Vec<Order> {
         self.begin_due_times(now);
         self.end_silences(now);
+        self.call_off_starts(now);
         self.evacuate(now);
         self.place_waiting(now);
         std::mem::take(&mut self.orders)
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -35,6 +35,8 @@
     pub silent_since: Option<Ms>,
     /// It answered when the platform did not list it any more: it is leaving without a word.
     pub left_the_list: bool,
+    /// Its room has shrunk since starts were last looked at.
+    pub shrunk: bool,
     pub cordoned: bool,
     pub used: Room,
     pub runs: BTreeMap<TaskId, Run>,
@@ -58,6 +60,8 @@
     pub runs: usize,
     /// It takes new work.
     pub takes_work: bool,
+    /// Its last call was answered.
+    pub reachable: bool,
 }
 
 /// A run that went with its VM.
@@ -79,6 +83,7 @@
             reachable: true,
             silent_since: None,
             left_the_list: false,
+            shrunk: false,
             cordoned: false,
             used: Room::default(),
             runs: BTreeMap::new(),
@@ -103,7 +108,8 @@
     /// Returns whether new tasks may be ordered to run there, room aside.
     pub fn takes_work(&self) -> bool {
         let fit = self.listed && self.held && self.reachable && self.strays.is_empty();
-        fit && !self.cordoned && !self.draining()
+        let readable = self.facts.as_ref().is_some_and(|f| !f.unreadable);
+        fit && readable && !self.cordoned && !self.draining()
     }
 
     pub fn free(&self) -> Room {
@@ -130,6 +136,23 @@
         Some(old)
     }
 
+    /// Marks runs that it has not answered as told to stop, until the others fit, and returns them.
+    fn stop_what_does_not_fit(&mut self, now: Ms) -> Vec<(TaskId, u32)> {
+        let (room, mut used) = (self.room(), self.used);
+        let mut stopped = Vec::new();
+        for (&task, run) in self.runs.iter_mut().rev() {
+            if room.holds(used) {
+                break;
+            }
+            if run.confirmed.is_none() && !run.stopping {
+                (run.stopping, run.stop_ordered) = (true, now);
+                used = used.minus(run.demand);
+                stopped.push((task, run.attempt));
+            }
+        }
+        stopped
+    }
+
     pub fn note_success(&mut self) {
         self.strikes.clear();
     }
@@ -164,10 +187,23 @@
         vm.listed = true;
         vm.left_the_list = false;
         vm.cordoned = cordoned;
+        vm.shrunk |= !facts.room.holds(vm.room());
         vm.facts = Some(facts);
         is_news
     }
 
+    /// Stops runs that VMs whose room has shrunk have not answered, until what they may run fits: sent again for up to a
+    /// lease, a start would take its VM over the room that it has by then.
+    pub(super) fn call_off_starts(&mut self, now: Now) {
+        let shrunk = |(key, vm): (VmKey, &mut Vm)| std::mem::take(&mut vm.shrunk).then_some(key);
+        let shrunk: Vec<VmKey> = self.vms.iter_mut().filter_map(shrunk).collect();
+        for key in shrunk {
+            for (task, attempt) in self.vms[key].stop_what_does_not_fit(now.steady) {
+                self.order_stop(key, task, attempt);
+            }
+        }
+    }
+
     /// Takes in that the platform no longer lists a VM incarnation, and returns whether it was listed before.
     /// What runs there counts until its lease is over or its end is known.
     pub fn unlist_vm(&mut self, id: &VmId) -> bool {
@@ -281,6 +317,7 @@
             used: vm.used,
             runs: vm.runs.len(),
             takes_work: vm.takes_work(),
+            reachable: vm.reachable,
         };
         self.vms.values().map(summary).collect()
     }
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -77,6 +77,9 @@
     pub room: Room,
     /// It is about to leave and takes nothing new.
     pub draining: bool,
+    /// Its newest entry makes no sense, so that this is what an older one told: it takes nothing new, and what runs
+    /// there goes on.
+    pub unreadable: bool,
 }
 
 /// A task that a VM says it is running.
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -49,6 +49,7 @@
         labels: vec!["a".into(), "r1".into()],
         room,
         draining: false,
+        unreadable: false,
     })
 }
 
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -1,10 +1,12 @@
 //! The configuration and the VMs, as the store tells them.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
+use metrics::counter;
 use thistle_platform::{Stored, config, listing};
-use thistle_schedule::Ms;
 use thistle_schedule::fleet::WaveRequest;
+use thistle_schedule::{Ms, VmFacts};
 
 use crate::clock::steady_ms;
 use crate::follow::{News, Pace, Tail, follow, follow_while_owning};
@@ -87,6 +89,7 @@
 
 /// Follows the VM incarnations that the store lists.
 pub async fn follow_vms(node: Arc<Node>) {
+    let mut unreadable = Unreadable::default();
     let apply = |news| {
         let (mut table, records) = match news {
             News::Reloaded(records) => (VmTable::new(), records),
@@ -94,7 +97,7 @@
             News::Records(records) => (VmTable::clone(&node.vms.borrow()), records),
         };
         for stored in records {
-            take_vm(&mut table, &stored);
+            take_vm(&mut table, &mut unreadable, &stored);
         }
         // Most records are heartbeats that change nothing.
         node.vms.send_if_modified(|known| {
@@ -113,17 +116,44 @@
     follow_while_owning(&node, (listing::TOPIC, 0), Pace::Bundled, apply, forget).await;
 }
 
-fn take_vm(table: &mut VmTable, stored: &Stored) {
+/// How many IDs of entries that cannot be read are kept in mind; of more no line is written, and all are counted.
+const MOST_UNREADABLE: usize = 1_000;
+
+/// The IDs of entries that cannot be read, so that each is told once.
+#[derive(Default)]
+struct Unreadable(HashSet<String>);
+
+impl Unreadable {
+    fn tell(&mut self, id: &str, offset: u64, error: &str) {
+        counter!("thistle_unreadable_entries").increment(1);
+        if self.0.len() < MOST_UNREADABLE && self.0.insert(id.to_owned()) {
+            log::error!("vm step=unreadable offset={offset} error=\"{error}\"");
+        }
+    }
+}
+
+fn take_vm(table: &mut VmTable, unreadable: &mut Unreadable, stored: &Stored) {
     let id = stored.record.key.as_str();
     let Some(value) = stored.record.value() else {
+        unreadable.0.remove(id);
         table.remove(id);
         return;
     };
     match listing::decode(id, value) {
-        Ok(facts) if table.get(id).is_some_and(|known| **known == facts) => (),
         Ok(facts) => {
-            table.insert(facts.id.clone(), Arc::new(facts));
+            if unreadable.0.remove(id) {
+                log::info!("vm step=readable vm={id} offset={}", stored.offset);
+            }
+            if table.get(id).is_none_or(|known| **known != facts) {
+                table.insert(facts.id.clone(), Arc::new(facts));
+            }
+        }
+        Err(e) => {
+            unreadable.tell(id, stored.offset, &e.0);
+            // What runs there goes on, but it is not to be used.
+            if let Some(known) = table.get_mut(id) {
+                *known = Arc::new(VmFacts { unreadable: true, ..VmFacts::clone(known) });
+            }
         }
-        Err(e) => log::error!("vm step=unreadable offset={} error=\"{}\"", stored.offset, e.0),
     }
 }
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -27,6 +27,8 @@
     fleet: FleetRecord,
     /// The job that was asked for, if it is known.
     job: Option<JobView>,
+    /// Entries of VMs that cannot be read, and why; they name no VM.
+    unreadable: Vec<String>,
 }
 
 /// A pool.
@@ -67,6 +69,7 @@
         fleet_owner: None,
         fleet: FleetRecord::default(),
         job: None,
+        unreadable: Vec::new(),
     };
     overview.read_config(&store).await?;
     overview.read_vms(&store).await?;
@@ -102,8 +105,13 @@
     async fn read_vms(&mut self, store: &Store) -> Result<(), StoreError> {
         for stored in store.newest(listing::TOPIC, 0).await?.records {
             let Some(value) = stored.record.value() else { continue };
-            let facts: VmFacts = listing::decode(&stored.record.key, value)
-                .map_err(|e| StoreError::Malformed(e.0))?;
+            let facts: VmFacts = match listing::decode(&stored.record.key, value) {
+                Ok(facts) => facts,
+                Err(e) => {
+                    self.unreadable.push(e.0);
+                    continue;
+                }
+            };
             let leaving = if facts.draining { " leaving" } else { "" };
             let line =
                 format!("{} {} {} {}{leaving}", facts.name, facts.id, facts.hall, facts.rack);
@@ -210,6 +218,9 @@
         for work in &self.fleet.work {
             writeln!(f, "vm {} {:?} {:?}", work.vm, work.purpose, work.stage)?;
         }
+        for entry in &self.unreadable {
+            writeln!(f, "unreadable entry {entry}")?;
+        }
         if let Some(job) = &self.job {
             writeln!(f, "job {} {} queue {} pool {}", job.id, job.state, job.queue, job.pool)?;
             for task in &job.tasks {
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -204,6 +204,9 @@
             Event::Reachable(vm, reachable) => {
                 log::info!("vm step=reachable vm={vm} reachable={reachable}");
                 self.pool.set_reachable(&vm, reachable, now);
+                if !reachable {
+                    self.look_for_successor(&vm);
+                }
             }
             Event::Lost(vm, loss) => self.lose_vm(&vm, loss),
             Event::Advised(step, answer) => {
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use metrics::counter;
-use thistle_schedule::pool::LostRun;
+use thistle_schedule::pool::{LostRun, VmSummary};
 use thistle_schedule::{Ms, TaskLease, VmFacts, VmId, VmLoss};
 
 use super::link::Link;
@@ -32,11 +32,7 @@
             if self.pool.unlist_vm(&vm.id) {
                 log::info!("vm step=unlisted vm={} name={} pool={}", vm.id, vm.name, self.log.pool);
             }
-            // Another incarnation of the VM has come up: this one is gone.
-            let reborn = |f: &&std::sync::Arc<_>| is_reborn(f, &vm);
-            if table.values().any(|f| reborn(&f)) {
-                let _ = self.tx.send(Event::Lost(vm.id, VmLoss::Replaced));
-            }
+            self.note_if_reborn(&vm, table);
         }
         // One that fell silent under a task may be back in another pool.
         for (vm, name) in self.pool.silent_losses() {
@@ -47,6 +43,26 @@
         self.watch_orphans();
     }
 
+    /// Takes in that a VM has stopped answering: another incarnation of it may be listed already.
+    pub(super) fn look_for_successor(&self, id: &VmId) {
+        let table = self.node.vms.borrow();
+        if let Some(vm) = self.pool.vm_summaries().into_iter().find(|vm| vm.id == *id)
+            && !table.contains_key(id)
+        {
+            self.note_if_reborn(&vm, &table);
+        }
+    }
+
+    /// Gives up an unlisted incarnation if another one of its VM has come up. One that still answers is none that is gone,
+    /// whatever an entry says that names its VM.
+    fn note_if_reborn(&self, vm: &VmSummary, table: &VmTable) {
+        let answers = vm.reachable && self.links.contains_key(&vm.id);
+        if !answers && table.values().any(|facts| is_reborn(facts, vm)) {
+            // It is taken in when this step is done.
+            let _ = self.tx.send(Event::Lost(vm.id.clone(), VmLoss::Replaced));
+        }
+    }
+
     /// Notes runs on VMs to which there is no link: they count until their lease is over.
     fn watch_orphans(&mut self) {
         let over_at = steady_ms() + lease_bound(self.node.task_lease());
@@ -115,7 +131,7 @@
     );
 }
 
-fn is_reborn(facts: &VmFacts, old: &thistle_schedule::pool::VmSummary) -> bool {
+fn is_reborn(facts: &VmFacts, old: &VmSummary) -> bool {
     !old.name.is_empty() && facts.name == old.name && facts.id != old.id
 }
 
