--- a/crates/schedule/tests/room.rs
+++ b/crates/schedule/tests/room.rs
@@ -2,7 +2,7 @@
 //!
 //! What a VM says of itself is what counts, from a few seconds after it changed. A start that was decided before, and that
 //! its VM had not answered, was sent again until it was answered, up to a lease later: it could then take the VM
-//! over the room that it had by then.
+//! over the room that it had by then. And a VM that turned a start away for want of room was asked again every half second.
 
 mod common;
 
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use std::sync::Arc;
 use thistle_schedule::pool::StartResult;
-use thistle_schedule::{JobId, Pool, Room, VmFacts};
+use thistle_schedule::{JobId, Pool, Room, VmFacts, VmReport};
 
 fn with_room(cpu: u32) -> Arc<VmFacts> {
     let room = Room { cpu, mem_mb: 10_000, gpu: 0 };
@@ -72,3 +72,20 @@
     after.report(&started[0].vm, &report(110, rows, vec![]), at(111));
     expect_that!(starts(&after.plan(at(120))), is_empty(), "two cores run there");
 }
+#[gtest]
+fn a_vm_that_turns_starts_away_is_asked_ever_more_seldom() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 1_000)]), at(0));
+    let mut asked = 0;
+    for now in (0..8_000).step_by(100) {
+        for start in starts(&pool.plan(at(now))) {
+            asked += 1;
+            pool.start_result(&start.vm, start.run, StartResult::NoRoom, at(now));
+        }
+        pool.report(&vm("a", 1).id, &VmReport::default(), at(now));
+    }
+    expect_that!(asked, le(5), "every half second would be 16 times");
+    // What it says of itself counts at once.
+    pool.list_vm(with_room(5_000));
+    expect_that!(starts(&pool.plan(at(8_010))), len(eq(1)));
+}
