--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -76,10 +76,15 @@
             StartResult::Started => {
                 state.confirmed = Some(now.steady);
                 state.started = now.steady;
+                v.without_room = 0;
             }
             StartResult::Unclear => state.confirmed = Some(now.steady),
             StartResult::NotTaken => self.release(vm_key, run, now),
-            StartResult::NoRoom | StartResult::Unhealthy => {
+            StartResult::NoRoom => {
+                v.set_aside_for_room(now.steady);
+                self.release(vm_key, run, now);
+            }
+            StartResult::Unhealthy => {
                 v.set_aside_briefly(now.steady);
                 self.release(vm_key, run, now);
             }
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -18,6 +18,9 @@
 const ASIDE_MS: Ms = 5_000;
 /// How long a VM that turned a start away gets no new ones, in milliseconds.
 const ASIDE_BRIEFLY_MS: Ms = 500;
+/// How often that time doubles at most while it turns one away after the other for want of room: each costs a call and
+/// a record. At 8 s one that has room again is used soon, and what it says of its room counts at once.
+const MOST_DOUBLINGS: u32 = 4;
 
 /// One incarnation of a VM.
 #[derive(Clone, Debug)]
@@ -45,6 +48,8 @@
     pub strays: HashMap<RunId, Ms>,
     strikes: Vec<JobId>,
     pub aside_until: Ms,
+    /// Starts in a row that it turned away for want of room.
+    pub without_room: u32,
 }
 
 /// A VM's standing, for operators.
@@ -90,6 +95,7 @@
             strays: HashMap::new(),
             strikes: Vec::new(),
             aside_until: 0,
+            without_room: 0,
         }
     }
 
@@ -174,6 +180,13 @@
     pub fn set_aside_briefly(&mut self, now: Ms) {
         self.aside_until = self.aside_until.max(now + ASIDE_BRIEFLY_MS);
     }
+
+    /// Sets it aside as it turned a start away for want of room, for longer each time in a row.
+    pub fn set_aside_for_room(&mut self, now: Ms) {
+        let pause = ASIDE_BRIEFLY_MS << self.without_room.min(MOST_DOUBLINGS);
+        self.without_room += 1;
+        self.aside_until = self.aside_until.max(now + pause);
+    }
 }
 
 impl Pool {
@@ -188,6 +201,9 @@
         vm.left_the_list = false;
         vm.cordoned = cordoned;
         vm.shrunk |= !facts.room.holds(vm.room());
+        if facts.room != vm.room() && vm.without_room > 0 {
+            (vm.without_room, vm.aside_until) = (0, 0);
+        }
         vm.facts = Some(facts);
         is_news
     }
