Lasting tasks that fail at once and orders that are turned down are tried again after pauses that grow

A lasting task: none for the first two failures within 3 s of its start, then 0.5 to 2 s (one that may start and does not for 3 s counts as lost). A lasting task that has worked for 3 s is started at once as before.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -29,14 +29,19 @@
 /// The least time between an order and its being finished in the record, in milliseconds: the
 /// shortest move.
 const CARRIED_OUT_MS: Ms = 1_500;
-/// Pause before an order is given again.
+/// Pause before an order is given again, in milliseconds.
 const AGAIN_MS: Ms = 400;
+/// How often that pause doubles at most while an order is turned down: to 1.6 s, as the machine service may be back
+/// at any moment and waves have a time to keep.
+const MOST_DOUBLINGS: u32 = 2;
 
 /// What is known of an order that was given in this term.
 #[derive(Clone, Copy, Debug, Default)]
 struct Given {
     under_way: bool,
     again_at: Ms,
+    /// How often in a row it was turned down.
+    turned_down: u32,
     done_at: Option<Ms>,
     ordered_at: Option<Ms>,
     /// The VM was seen away after the order was answered: up again, it is done.
@@ -183,7 +188,9 @@
         // An answer that nothing waits for says nothing of what is done with the VM now.
         let Some(given) = self.given.get_mut(vm).filter(|given| given.under_way) else { return };
         given.under_way = false;
-        given.again_at = now + AGAIN_MS;
+        given.again_at = now + (AGAIN_MS << given.turned_down.min(MOST_DOUBLINGS));
+        given.turned_down =
+            if outcome == OrderOutcome::NotDone { given.turned_down + 1 } else { 0 };
         match outcome {
             OrderOutcome::Done => given.done_at = Some(now),
             OrderOutcome::NotDone | OrderOutcome::Unknown => (),
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -2,10 +2,21 @@
 
 use super::job::Spot;
 use super::{JobKey, Now, Pool, VmKey};
-use crate::id::RunId;
+use crate::Ms;
+use crate::id::{RunId, TaskId};
 use crate::progress::Phase;
 use crate::vm::{EndKind, RunEnd};
 
+/// A lasting task that has run for so long has worked, in milliseconds: its start takes one to two seconds.
+const WORKED_MS: Ms = 3_000;
+/// Pause before a lasting task that has failed right after its start is started again, in milliseconds; from the third
+/// failure on it doubles with each.
+const FAILED_PAUSE_MS: Ms = 125;
+/// How often it doubles at most.
+const MOST_DOUBLINGS: u32 = 4;
+/// The longest pause, in milliseconds: a task that may start and does not for 3 s counts as lost.
+const MOST_PAUSE_MS: Ms = 2_000;
+
 impl Pool {
     /// Takes in an end that a VM lists.
     pub(super) fn take_end(&mut self, vm_key: VmKey, end: &RunEnd, now: Now) {
@@ -25,6 +36,28 @@
             self.clear(end.run.task);
         }
         self.settle_run(key, vm_key, end, now);
+        if end.kind == EndKind::Failed && run.lasting {
+            self.pause_after_failure(end.run.task, run.started, now);
+        }
+    }
+
+    /// Puts off the next start of a lasting task that has failed soon after the last one.
+    fn pause_after_failure(&mut self, task: TaskId, started: Ms, now: Now) {
+        let Some((step, index)) = self.job_mut(task).and_then(|job| job.step_mut(task)) else {
+            return;
+        };
+        let task = &mut step.tasks[index];
+        if now.steady.saturating_sub(started) >= WORKED_MS {
+            task.quick_failures = 0;
+            return;
+        }
+        let pause = match task.quick_failures {
+            // Two may be chance.
+            0 | 1 => 0,
+            n => (FAILED_PAUSE_MS << n.min(MOST_DOUBLINGS)).min(MOST_PAUSE_MS),
+        };
+        task.quick_failures += 1;
+        task.not_before = now.steady + pause;
     }
 
     fn settle_run(&mut self, key: JobKey, vm: VmKey, end: &RunEnd, now: Now) {
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -29,6 +29,10 @@
     pub avoid: Option<VmKey>,
     /// A lasting task that has started and does its work.
     pub at_work: bool,
+    /// Failures in a row right after its start, of a lasting task.
+    pub quick_failures: u32,
+    /// It is not started again before this.
+    pub not_before: Ms,
 }
 
 /// One step of one repetition.
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -98,6 +98,9 @@
     /// Places the waiting tasks of a step; returns whether there was a VM for each.
     fn place_step(&mut self, ready: ReadyStep, shape: &Step, now: Now) -> bool {
         for index in self.waiting_tasks(ready) {
+            if self.is_put_off(ready, index, now.steady) {
+                continue;
+            }
             let Some(mut care) = self.care(ready, index, now.steady) else { continue };
             let suspect = self.verdict(ready.task(index)) == Verdict::Suspect;
             if suspect && !self.may_hold_one_more(shape, care, now.steady) {
@@ -177,6 +180,11 @@
         (0..step.tasks.len()).filter(waits).collect()
     }
 
+    /// Returns whether a task that failed right after its start is not to be started yet.
+    fn is_put_off(&self, ready: ReadyStep, index: usize, now: Ms) -> bool {
+        self.jobs[ready.job].task(ready.task(index)).is_some_and(|t| now < t.not_before)
+    }
+
     fn avoids(&self, ready: ReadyStep, index: usize) -> Option<VmKey> {
         self.jobs[ready.job].task(ready.task(index)).and_then(|t| t.avoid)
     }
