--- a/crates/schedule/tests/crashing.rs
+++ b/crates/schedule/tests/crashing.rs
@@ -228,3 +228,36 @@
     expect_that!(pool.silent_losses(), is_empty());
     expect_that!(pool.harm_of(second[0].run.task), none());
 }
+
+/// A task that crashed its VMs was started a sixth time: the entry of a VM was gone before its silence was noticed, and an answer
+/// that it had given before made it pass for one that leaves without a word, under which nothing counts:
+///
+/// ```text
+/// vm step=unlisted vm=i-m-0-1
+/// run step=lost run=5c0e7a21d94b36f8.0.0.0#1 vm=i-m-0-1 reason=Replaced crashes=0 verdict=Clear
+/// ```
+#[gtest]
+fn an_answer_to_an_older_question_does_not_make_a_crash_a_departure() {
+    let mut pool = pool_with(&["a", "b"]);
+    pool.set_listing_is_sound(true);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let first = plan_and_start(&mut pool, 10);
+    let (task, vm_id) = (first[0].run.task, &first[0].vm);
+    pool.unlist_vm(vm_id);
+    // Asked at 12, when its entry stood.
+    let rows = vec![common::row(first[0].run, 10)];
+    pool.report(vm_id, &common::report(12, rows, vec![]), at(500));
+    pool.vm_lost(vm_id, VmLoss::Replaced, at(1_000));
+    expect_that!(pool.harm_of(task).map(|harm| harm.crashes), some(eq(1)));
+
+    // One that answers what it is asked when it is off the list is leaving.
+    let second = plan_and_start(&mut pool, 1_100);
+    let vm_id = &second[0].vm;
+    pool.unlist_vm(vm_id);
+    for asked_at in [1_110, 1_700] {
+        let rows = vec![common::row(second[0].run, 10)];
+        pool.report(vm_id, &common::report(asked_at, rows, vec![]), at(asked_at + 400));
+    }
+    pool.vm_lost(vm_id, VmLoss::Replaced, at(3_000));
+    expect_that!(pool.harm_of(task).map(|harm| harm.crashes), some(eq(1)));
+}
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -58,6 +58,8 @@
     state: String,
     /// Tasks that are not as they were at first, and where each stands.
     tasks: Vec<String>,
+    /// Tasks under which VMs were lost, and what that tells.
+    harms: Vec<String>,
 }
 
 /// Reads what the store holds; `job` is the ID of a job to look for.
@@ -158,6 +160,17 @@
             }
             let Some(entry) = log.get(id) else { continue };
             let Some((spec, state)) = entry.spec.as_ref().zip(entry.state()) else { continue };
+            let harm = |h: &thistle_schedule::harm::HarmRecord| {
+                let name = format!("{id}.{}.{}.{}", h.time, h.step, h.index);
+                let (crashes, at_start, alone) = (h.harm.crashes, h.harm.at_start, h.harm.alone);
+                let unclear: Vec<&str> =
+                    h.harm.unclear.iter().map(|loss| loss.vm.as_str()).collect();
+                format!(
+                    "{name} VMs that crashed under it: {crashes}, right after its start: {at_start}, alone there: {alone}, \
+                     not known yet: {unclear:?}, verdict {:?}",
+                    h.harm.verdict()
+                )
+            };
             let task = |t: &thistle_schedule::progress::TaskRecord| {
                 let place = match &t.place {
                     Place::Waiting => "waits".to_owned(),
@@ -173,6 +186,7 @@
                 queue: spec.queue.clone(),
                 state: format!("{state:?}").to_lowercase(),
                 tasks: entry.progress.tasks.iter().map(task).collect(),
+                harms: entry.progress.harms.iter().map(harm).collect(),
             });
             return Ok(());
         }
@@ -223,7 +237,7 @@
         }
         if let Some(job) = &self.job {
             writeln!(f, "job {} {} queue {} pool {}", job.id, job.state, job.queue, job.pool)?;
-            for task in &job.tasks {
+            for task in job.tasks.iter().chain(&job.harms) {
                 writeln!(f, "  {task}")?;
             }
         }
--- a/crates/scheduler/tests/crashing.rs
+++ b/crates/scheduler/tests/crashing.rs
@@ -38,6 +38,10 @@
     .await;
     expect_that!(starts_of_task(&system), le(MOST_STARTS));
     until_state(&system.nodes[0], BESIDE, "completed").await;
+    // Operators can see why.
+    let shown = system.nodes[0].show(&["--job", ID]);
+    expect_that!(shown, contains_substring("VMs that crashed under it"));
+    expect_that!(shown, contains_substring("GivenUp"));
 }
 
 #[gtest]
--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -9,6 +9,8 @@
 mod checks;
 #[path = "soak/faults.rs"]
 mod faults;
+#[path = "soak/harm.rs"]
+mod harm;
 mod system;
 
 use std::ops::Range;
@@ -34,6 +36,9 @@
 /// they had been done before its lease ran out. An end that is taken note of after that does not count.
 const WIDE_SEEDS: [u64; 2] = [70, 415];
 
+/// Seeds of a short run beside jobs that crash their VMs.
+const HARM_SEEDS: Range<u64> = 80..82;
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("THISTLE_SOAK_SEEDS") else {
         return SEEDS.chain(FAILED_ONCE).collect();
@@ -77,6 +82,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_beside_jobs_that_crash_their_vms() {
+    for seed in seeds_or(HARM_SEEDS) {
+        play(seed, Kind::Harm).await;
+    }
+}
+
 /// What happens while callers call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -84,6 +96,8 @@
     Faults,
     /// Anything, among more nodes than read a pool.
     FaultsOfMany,
+    /// Anything, beside jobs that crash their VMs and entries of another writer.
+    Harm,
     /// Nodes told to stop and started again, settings reloaded, configurations.
     PlannedWork,
 }
@@ -96,12 +110,13 @@
             Self::Faults => (100, 60),
             Self::FaultsOfMany => (160, 20),
             Self::PlannedWork => (180, 60),
+            Self::Harm => (240, 15),
         }
     }
 
     const fn nodes(self) -> u8 {
         match self {
-            Self::Faults | Self::PlannedWork => 3,
+            Self::Faults | Self::PlannedWork | Self::Harm => 3,
             Self::FaultsOfMany => 14,
         }
     }
@@ -118,13 +133,19 @@
         match kind {
             Kind::Faults | Kind::FaultsOfMany => soak.fault().await,
             Kind::PlannedWork => soak.planned_work().await,
+            Kind::Harm => soak.harm().await,
         }
         soak.probe_config().await;
     }
+    if kind == Kind::Harm {
+        soak.restore_entries();
+    }
     soak.mend_all().await;
-    let jobs = callers.stop().await;
+    let mut jobs = callers.stop().await;
     soak.until_settled(&jobs).await;
+    jobs.extend(soak.crashing_jobs());
     let mut broken = checks::broken_promises(&soak.system, &jobs);
+    broken.extend(soak.started_too_often());
     if kind == Kind::PlannedWork {
         broken.extend(checks::cut_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -24,6 +24,8 @@
     Unasked { task: String },
     /// Tasks of a job that is completed were never run.
     NotRun { job: String },
+    /// A task that crashes its VMs was started more often than the platform allows.
+    StartedTooOften { task: String, starts: usize },
     /// A node took a request in and did not answer it, with nothing but planned work about.
     Cut { job: String, node: usize },
 }
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -20,7 +20,9 @@
     pub system: System,
     /// The faults so far, for whoever reads a failure.
     pub faults: Vec<String>,
-    rng: StdRng,
+    /// The IDs of jobs that crash their VMs.
+    pub crashing: Vec<String>,
+    pub rng: StdRng,
     ways: Vec<Path>,
     /// Nodes that are paused by a signal.
     paused: Vec<usize>,
@@ -46,8 +48,9 @@
         }
         let seen = vec![0; ways.len()];
         let rng = StdRng::seed_from_u64(seed);
-        let (faults, paused, down) = (Vec::new(), Vec::new(), Vec::new());
-        Self { system, faults, rng, ways, paused, down, version: 1, seen }
+        let (faults, crashing) = (Vec::new(), Vec::new());
+        let (paused, down) = (Vec::new(), Vec::new());
+        Self { system, faults, crashing, rng, ways, paused, down, version: 1, seen }
     }
 
     pub fn addrs(&self) -> Vec<SocketAddr> {
