Only an answer to a question that was asked after a VM left the list makes it a departure

Cause: a VM that answers though it is not listed counted as leaving without a word, under which no crash counts, also if the answer was to a question from before: a long call that ends seconds later.

--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -37,11 +37,9 @@
             self.drop_missing(key, report, &listed, now);
         }
         self.pace(key, now);
-        let left_the_list = self.listing_is_sound;
+        let listing_is_sound = self.listing_is_sound;
         let vm = &mut self.vms[key];
-        vm.reachable = true;
-        vm.silent_since = None;
-        vm.left_the_list |= left_the_list && !vm.listed;
+        vm.note_answer(report.asked_at, listing_is_sound, now.steady);
         vm.held |= complete;
         vm.strays.retain(|run, _| listed.contains(run));
         self.forget_vm_if_empty(key);
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -36,7 +36,10 @@
     pub reachable: bool,
     /// Since when it has not answered.
     pub silent_since: Option<Ms>,
-    /// It answered when the platform did not list it any more: it is leaving without a word.
+    /// When it first answered although the platform did not list it: a question from before that may have been answered
+    /// before it was gone.
+    pub answered_unlisted: Option<Ms>,
+    /// It answered what it was asked when the platform did not list it any more: it is leaving without a word.
     pub left_the_list: bool,
     /// Its room has shrunk since starts were last looked at.
     pub shrunk: bool,
@@ -87,6 +90,7 @@
             held: false,
             reachable: true,
             silent_since: None,
+            answered_unlisted: None,
             left_the_list: false,
             shrunk: false,
             cordoned: false,
@@ -159,6 +163,17 @@
         stopped
     }
 
+    /// Takes in that it answered a question.
+    pub fn note_answer(&mut self, asked_at: Ms, listing_is_sound: bool, now: Ms) {
+        self.reachable = true;
+        self.silent_since = None;
+        if self.listed || !listing_is_sound {
+            return;
+        }
+        let first = *self.answered_unlisted.get_or_insert(now);
+        self.left_the_list |= asked_at >= first;
+    }
+
     pub fn note_success(&mut self) {
         self.strikes.clear();
     }
@@ -198,7 +213,7 @@
         let vm = &mut self.vms[key];
         let is_news = !vm.listed || vm.draining() != facts.draining;
         vm.listed = true;
-        vm.left_the_list = false;
+        (vm.answered_unlisted, vm.left_the_list) = (None, false);
         vm.cordoned = cordoned;
         vm.shrunk |= !facts.room.holds(vm.room());
         if facts.room != vm.room() && vm.without_room > 0 {
