--- a/crates/schedule/tests/crashing.rs
+++ b/crates/schedule/tests/crashing.rs
@@ -261,3 +261,18 @@
     pool.vm_lost(vm_id, VmLoss::Replaced, at(3_000));
     expect_that!(pool.harm_of(task).map(|harm| harm.crashes), some(eq(1)));
 }
+
+/// By reading: the answer to a start and the end of its VM's connections are heard of by different tasks, so that the end may
+/// come first. The run then began, by the answer's time, when its VM was gone already, and the crash did not count.
+#[gtest]
+fn a_crash_counts_though_it_is_heard_of_before_the_answer_to_the_start() {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let start = starts(&pool.plan(at(10))).pop().expect("there is room");
+    pool.take_records();
+    pool.set_reachable(&start.vm, false, at(20));
+    pool.start_result(&start.vm, start.run, StartResult::Started, at(21));
+    pool.vm_lost(&start.vm, VmLoss::Replaced, at(3_000));
+    let harm = pool.harm_of(start.run.task).cloned().unwrap_or_default();
+    expect_that!((harm.crashes, harm.alone), eq((1, 1)));
+}
