A crash counts also if it is heard of before the answer to the start

A run counts as ordered too late only if its VM has not answered for it, by when it was ordered and not by when the answer came.

--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -274,7 +274,7 @@
         let from_start = task.is_some_and(|t| t.checkpoint.is_empty());
         let unproven_for = self.unproven_for(ready.task(index));
         let run = Run::new(attempt, shape, now.steady);
-        let run = Run { ordered_here: true, from_start, unproven_for, ..run };
+        let run = Run { ordered_at: Some(now.steady), from_start, unproven_for, ..run };
         self.vms[vm].add_run(ready.task(index), run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(ready.task(index)) {
             step.set(index, Spot::On(vm));
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -29,8 +29,8 @@
     pub saves: bool,
     /// It is a member of a gang, which ends whole.
     pub in_gang: bool,
-    /// It was ordered by this owner.
-    pub ordered_here: bool,
+    /// When it was ordered, if by this owner.
+    pub ordered_at: Option<Ms>,
     /// It was ordered by this owner, to start at its beginning.
     pub from_start: bool,
     /// How long it must have run to take others beside it, as VMs have crashed under its task.
@@ -64,7 +64,7 @@
             lasting: shape.lasting,
             saves: shape.checkpointing,
             in_gang: shape.gang,
-            ordered_here: false,
+            ordered_at: None,
             from_start: false,
             unproven_for: None,
             progress: 0,
--- a/crates/schedule/src/pool/suspects.rs
+++ b/crates/schedule/src/pool/suspects.rs
@@ -77,12 +77,13 @@
 
     /// Returns what the crash of the VM at `ended` tells of a run there.
     fn crash_under(&self, task: TaskId, run: &Run, ended: Ms) -> Option<Crash> {
-        if run.ordered_here && run.started > ended {
+        if run.confirmed.is_none() && run.ordered_at.is_some_and(|at| at > ended) {
             // It was ordered when the VM was gone already.
             return None;
         }
+        // The answer to its start may be heard of after the end of the VM.
         let soon = ended.saturating_sub(run.started) <= AT_START_MS;
-        let at_start = run.ordered_here && (soon || run.confirmed.is_none());
+        let at_start = run.ordered_at.is_some() && (soon || run.confirmed.is_none());
         let alone = self.runs.keys().all(|other| other.job == task.job);
         Some(Crash { at_start, alone })
     }
