--- /dev/null
+++ b/crates/schedule/src/pool/gang.rs
@@ -0,0 +1,81 @@
+//! Placing gangs: tasks that work only together.
+
+use super::place::ReadyStep;
+use super::suspects::Care;
+use super::{Now, Pool};
+use crate::Ms;
+use crate::harm::Verdict;
+use crate::id::RunId;
+use crate::spec::Step;
+
+impl Pool {
+    /// Places all tasks of a gang or none, on one rack if they are slow when spread.
+    pub(super) fn place_gang(&mut self, ready: ReadyStep, shape: &Step, now: Now) {
+        let waiting = self.waiting_tasks(ready);
+        let all = self.jobs[ready.job].times[&ready.time].steps[ready.step].tasks.len();
+        if waiting.len() < all {
+            return;
+        }
+        let Some(care) = self.care_of_gang(ready, shape, &waiting, now.steady) else { return };
+        let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
+        if shape.rack_local {
+            for vm in self.vms.values().filter_map(|vm| vm.facts.as_ref()) {
+                if !racks.iter().flatten().any(|r| *r == vm.rack) {
+                    racks.push(Some(vm.rack.clone()));
+                }
+            }
+        }
+        racks.push(None);
+        let attempt = waiting.iter().map(|&i| self.next_attempt(ready, i)).max().unwrap_or(1);
+        for rack in racks {
+            let mut placed = Vec::new();
+            for &index in &waiting {
+                let Some(vm) =
+                    self.choose_vm(ready, shape, index, rack.as_deref(), care, now.steady)
+                else {
+                    break;
+                };
+                let before = self.next_attempt(ready, index) - 1;
+                self.reserve(ready, shape, index, attempt, vm, now);
+                placed.push((index, vm, before));
+            }
+            if placed.len() == waiting.len() {
+                self.share_checkpoint(ready);
+                for (index, vm, _) in placed {
+                    self.order_start(ready, index, attempt, vm, now.steady);
+                }
+                return;
+            }
+            for (index, vm, before) in placed {
+                let run = RunId { task: ready.task(index), attempt };
+                self.unreserve(ready, vm, run, before);
+            }
+        }
+    }
+
+    /// Gives all members of a gang one checkpoint: any member's is good, but all bring the same.
+    fn share_checkpoint(&mut self, ready: ReadyStep) {
+        let job = &mut self.jobs[ready.job];
+        let Some((step, _)) = job.step_mut(ready.task(0)) else { return };
+        let saved = step.tasks.iter().map(|t| &t.checkpoint).find(|c| !c.is_empty());
+        let Some(saved) = saved.cloned() else { return };
+        for task in &mut step.tasks {
+            task.checkpoint.clone_from(&saved);
+        }
+    }
+
+    /// Returns with what a gang may share VMs, or none while it is not to be started: it is as suspect as the most
+    /// suspect of its members.
+    pub(super) fn care_of_gang(
+        &self,
+        ready: ReadyStep,
+        shape: &Step,
+        members: &[usize],
+        now: Ms,
+    ) -> Option<Care> {
+        let suspect = |&&i: &&usize| self.verdict(ready.task(i)) != Verdict::Clear;
+        let Some(&suspect) = members.iter().find(suspect) else { return Some(Care::Usual) };
+        let care = self.care(ready, suspect, now)?;
+        self.may_hold_one_more(shape, care, now).then_some(care)
+    }
+}
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -9,6 +9,8 @@
 mod ends;
 mod estimate;
 mod evacuate;
+mod gang;
+mod incarnation;
 mod job;
 mod need;
 mod order;
@@ -38,12 +40,12 @@
 pub use advice::{Question, StepId};
 use arrivals::Arrivals;
 use estimate::Estimates;
+use incarnation::Vm;
 use job::Job;
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 pub use pace::Watch;
 pub use suspects::GivenUp;
-use vms::Vm;
 pub use vms::{LostRun, VmSummary};
 
 new_key_type! {
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -1,9 +1,9 @@
 //! Which waiting task runs on which VM.
 
+use super::incarnation::Vm;
 use super::job::Spot;
 use super::run::Run;
 use super::suspects::Care;
-use super::vms::Vm;
 use super::{JobKey, Now, Order, Pool, StartOrder, StepId, VmKey};
 use crate::Ms;
 use crate::harm::Verdict;
@@ -15,10 +15,10 @@
 /// A step of one repetition of a job that has waiting tasks.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ReadyStep {
-    job: JobKey,
-    id: JobId,
-    time: u32,
-    step: usize,
+    pub job: JobKey,
+    pub id: JobId,
+    pub time: u32,
+    pub step: usize,
 }
 
 impl ReadyStep {
@@ -119,62 +119,7 @@
         true
     }
 
-    /// Places all tasks of a gang or none, on one rack if they are slow when spread.
-    fn place_gang(&mut self, ready: ReadyStep, shape: &Step, now: Now) {
-        let waiting = self.waiting_tasks(ready);
-        let all = self.jobs[ready.job].times[&ready.time].steps[ready.step].tasks.len();
-        if waiting.len() < all {
-            return;
-        }
-        let Some(care) = self.care_of_gang(ready, shape, &waiting, now.steady) else { return };
-        let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
-        if shape.rack_local {
-            for vm in self.vms.values().filter_map(|vm| vm.facts.as_ref()) {
-                if !racks.iter().flatten().any(|r| *r == vm.rack) {
-                    racks.push(Some(vm.rack.clone()));
-                }
-            }
-        }
-        racks.push(None);
-        let attempt = waiting.iter().map(|&i| self.next_attempt(ready, i)).max().unwrap_or(1);
-        for rack in racks {
-            let mut placed = Vec::new();
-            for &index in &waiting {
-                let Some(vm) =
-                    self.choose_vm(ready, shape, index, rack.as_deref(), care, now.steady)
-                else {
-                    break;
-                };
-                let before = self.next_attempt(ready, index) - 1;
-                self.reserve(ready, shape, index, attempt, vm, now);
-                placed.push((index, vm, before));
-            }
-            if placed.len() == waiting.len() {
-                self.share_checkpoint(ready);
-                for (index, vm, _) in placed {
-                    self.order_start(ready, index, attempt, vm, now.steady);
-                }
-                return;
-            }
-            for (index, vm, before) in placed {
-                let run = RunId { task: ready.task(index), attempt };
-                self.unreserve(ready, vm, run, before);
-            }
-        }
-    }
-
-    /// Gives all members of a gang one checkpoint: any member's is good, but all bring the same.
-    fn share_checkpoint(&mut self, ready: ReadyStep) {
-        let job = &mut self.jobs[ready.job];
-        let Some((step, _)) = job.step_mut(ready.task(0)) else { return };
-        let saved = step.tasks.iter().map(|t| &t.checkpoint).find(|c| !c.is_empty());
-        let Some(saved) = saved.cloned() else { return };
-        for task in &mut step.tasks {
-            task.checkpoint.clone_from(&saved);
-        }
-    }
-
-    fn waiting_tasks(&self, ready: ReadyStep) -> Vec<usize> {
+    pub(super) fn waiting_tasks(&self, ready: ReadyStep) -> Vec<usize> {
         let step = &self.jobs[ready.job].times[&ready.time].steps[ready.step];
         let waits = |&i: &usize| step.tasks[i].spot == Spot::Waiting;
         (0..step.tasks.len()).filter(waits).collect()
@@ -189,12 +134,12 @@
         self.jobs[ready.job].task(ready.task(index)).and_then(|t| t.avoid)
     }
 
-    fn next_attempt(&self, ready: ReadyStep, index: usize) -> u32 {
+    pub(super) fn next_attempt(&self, ready: ReadyStep, index: usize) -> u32 {
         self.jobs[ready.job].task(ready.task(index)).map_or(1, |t| t.attempt + 1)
     }
 
     /// Picks the VM on which a task runs best: near its data if there is room, and packed.
-    fn choose_vm(
+    pub(super) fn choose_vm(
         &self,
         ready: ReadyStep,
         shape: &Step,
@@ -261,7 +206,7 @@
     }
 
     /// Takes the room of a run and moves its task there.
-    fn reserve(
+    pub(super) fn reserve(
         &mut self,
         ready: ReadyStep,
         shape: &Step,
@@ -283,7 +228,7 @@
     }
 
     /// Undoes [`Pool::reserve`]; `before` is the attempt that the task was at.
-    fn unreserve(&mut self, ready: ReadyStep, vm: VmKey, run: RunId, before: u32) {
+    pub(super) fn unreserve(&mut self, ready: ReadyStep, vm: VmKey, run: RunId, before: u32) {
         // Nobody was told of it.
         let _ = self.vms[vm].remove_run(run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(run.task) {
@@ -292,7 +237,14 @@
         }
     }
 
-    fn order_start(&mut self, ready: ReadyStep, index: usize, attempt: u32, vm: VmKey, now: Ms) {
+    pub(super) fn order_start(
+        &mut self,
+        ready: ReadyStep,
+        index: usize,
+        attempt: u32,
+        vm: VmKey,
+        now: Ms,
+    ) {
         let task = ready.task(index);
         let ticket = self.ticket(ready.id(), &self.vms[vm].id, now);
         let job = &mut self.jobs[ready.job];
--- a/crates/schedule/src/pool/remaining.rs
+++ b/crates/schedule/src/pool/remaining.rs
@@ -1,7 +1,7 @@
 //! How long runs will still take, by how far their VMs say they are.
 
+use super::incarnation::Vm;
 use super::run::Run;
-use super::vms::Vm;
 use super::{Ms, Pool};
 use crate::id::TaskId;
 
--- a/crates/schedule/src/pool/suspects.rs
+++ b/crates/schedule/src/pool/suspects.rs
@@ -1,8 +1,8 @@
 //! Tasks under which VMs crash: counting it, keeping them apart, giving them up.
 
+use super::incarnation::Vm;
 use super::place::ReadyStep;
 use super::run::Run;
-use super::vms::Vm;
 use super::{JobKey, Now, Pool, VmKey};
 use crate::Ms;
 use crate::harm::{AT_START_MS, Crash, Harm, UnclearLoss, Verdict};
@@ -256,21 +256,6 @@
         }
     }
 
-    /// Returns with what a gang may share VMs, or none while it is not to be started: it is as suspect as the most
-    /// suspect of its members.
-    pub(super) fn care_of_gang(
-        &self,
-        ready: ReadyStep,
-        shape: &Step,
-        members: &[usize],
-        now: Ms,
-    ) -> Option<Care> {
-        let suspect = |&&i: &&usize| self.verdict(ready.task(i)) != Verdict::Clear;
-        let Some(&suspect) = members.iter().find(suspect) else { return Some(Care::Usual) };
-        let care = self.care(ready, suspect, now)?;
-        self.may_hold_one_more(shape, care, now).then_some(care)
-    }
-
     /// Returns whether suspects may hold one more VM: they hold a part of the VMs at most. Lasting tasks and gangs do
     /// not wait for that for long, as they may take many VMs.
     pub(super) fn may_hold_one_more(&self, shape: &Step, care: Care, now: Ms) -> bool {
