The incident's quotes are lines that were logged, with a task's name in place of its ID

The header of the regression test quoted a loss in the form of the new lines with figures of the record: no log held that line. It quotes a run of real nodes from before the mend now.

--- a/crates/schedule/tests/crashing.rs
+++ b/crates/schedule/tests/crashing.rs
@@ -4,11 +4,13 @@
 //! VM after VM, every 3.3 s: a run that went with its VM was put back among those that wait as if nothing had
 //! happened, and only ends that a VM lists as failed counted as attempts. A VM that has crashed lists nothing. Of
 //! 1,208 bookings of that day 512 failed beside it. What settled it is that the VM was known to be lost
-//! each time, with no end in between:
+//! each time, with no end in between (real nodes, one such task):
 //!
 //! ```text
-//! run step=lost run=8c862c281e0eaea1.0.0.0#28 vm=i-ff2322b01f reason=Replaced
-//! start step=ordered run=8c862c281e0eaea1.0.0.0#29 vm=i-fc38b08831
+//! start step=ordered run=JOB.0.0.0#2 vm=i-m-0-1 queue=r/quotes/ token=1 free_cpu=13500
+//! run step=lost run=JOB.0.0.0#2 vm=i-m-0-1 reason=Replaced age_ms=820
+//! vm step=lost vm=i-m-0-1 reason=Replaced runs=5
+//! start step=ordered run=JOB.0.0.0#3 vm=i-m-1-2 queue=r/quotes/ token=1 free_cpu=15500
 //! ```
 
 mod common;
@@ -233,8 +235,8 @@
 /// that it had given before made it pass for one that leaves without a word, under which nothing counts:
 ///
 /// ```text
-/// vm step=unlisted vm=i-m-0-1
-/// run step=lost run=5c0e7a21d94b36f8.0.0.0#1 vm=i-m-0-1 reason=Replaced crashes=0 verdict=Clear
+/// vm step=unlisted vm=i-m-0-1 name=m-0 pool=desk
+/// run step=lost run=JOB.0.0.0#1 vm=i-m-0-1 reason=Replaced age_ms=1473 crashes=0 at_start=0 unclear=0 verdict=Clear
 /// ```
 #[gtest]
 fn an_answer_to_an_older_question_does_not_make_a_crash_a_departure() {
