--- a/crates/schedule/src/harm.rs
+++ b/crates/schedule/src/harm.rs
@@ -13,9 +13,9 @@
 
 use crate::Ms;
 
-/// A VM that stops answering within this time of a run's start may have been crashed by it, in milliseconds: in a played
-/// day it took 10 ms from the start to the crash, and up to 70 ms more until the owner heard that its
-/// connections were closed.
+/// A VM that stops answering within this time of a run's start may have been crashed by it, in milliseconds: with the users'
+/// VMs it took 10 ms from the start to the crash, and up to 70 ms more until the owner heard that its connections were
+/// closed.
 pub const AT_START_MS: Ms = 250;
 /// Crashes right after its start, with nothing of other jobs beside it, with which a task is given up: one may be bad luck.
 const CRASHES_ALONE: u32 = 2;
