Tests that fail: keys of workspaces are asked for by nothing

Four tests with real nodes: unknown, missing, taken-away and doubtful keys are served by the code as it is, and a workspace sees and cancels another's job.

--- /dev/null
+++ b/crates/scheduler/tests/keys.rs
@@ -0,0 +1,141 @@
+//! Keys of workspaces on real nodes.
+//!
+//! Calls with unknown keys, taken-away keys and none at all were served: nothing in the program knew a key. A family's
+//! bookings could be seen and cancelled by anyone who knew an ID.
+
+mod system;
+
+use googletest::prelude::*;
+use hyper::Method;
+use system::{Node, POOL, System, job, request, until};
+use thistle_platform::http::Answer;
+use thistle_platform::standin::bodies;
+
+const ID: &str = "5c0e7a21d94b36f8";
+const OTHER_ID: &str = "6c0e7a21d94b36f8";
+const PATHS: [&str; 2] = ["/quotes/", "/open/"];
+
+/// Puts a configuration in force in which `/quotes/` belongs to workspaces with these keys.
+fn put(system: &System, version: u64, lunch: &[&str], night: &[&str]) {
+    let config = bodies::config(version, POOL, "off", &PATHS);
+    let workspaces =
+        [bodies::workspace("lunch", lunch, 0, 3), bodies::workspace("night", night, 0, 1)];
+    let config = bodies::with_workspaces(&config, &workspaces, &["/open/"]);
+    system.platform.store.put("op", "config", config);
+}
+
+async fn call(node: &Node, method: Method, path: &str, key: Option<&str>) -> Answer {
+    let call = match key {
+        Some(key) => request(method, path).with_header("api-key", key),
+        None => request(method, path),
+    };
+    node.callers().call(call).await.expect("the node answers")
+}
+
+async fn submit(node: &Node, path: &str, key: Option<&str>) -> u16 {
+    let call = request(Method::POST, path).with_json(&job(1, 0));
+    let call = match key {
+        Some(key) => call.with_header("api-key", key),
+        None => call,
+    };
+    node.callers().call(call).await.expect("the node answers").status
+}
+
+async fn until_status(node: &Node, key: &str, status: u16) {
+    let asked = async || call(node, Method::GET, "/quotes/", Some(key)).await.status == status;
+    until("the newest configuration is in force", asked).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_callers_with_a_key_of_the_configuration_are_served() {
+    let system = System::start(92, 2, 1).await;
+    let node = &system.nodes[0];
+    put(&system, 2, &["key-a", "key-b"], &["key-n"]);
+    until_status(node, "no-such-key", 401).await;
+    for key in [None, Some("no-such-key"), Some("key-"), Some("")] {
+        expect_that!(submit(node, &format!("/quotes/{ID}"), key).await, eq(401), "{key:?}");
+        for method in [Method::GET, Method::DELETE] {
+            let answer = call(node, method, &format!("/quotes/{ID}"), key).await;
+            expect_that!(answer.status, eq(401), "{key:?}");
+        }
+        expect_that!(call(node, Method::GET, "/quotes/", key).await.status, eq(401), "{key:?}");
+    }
+    expect_that!(system.starts_of(ID).len(), eq(0));
+    expect_that!(submit(node, &format!("/quotes/{ID}"), Some("key-b")).await, eq(200));
+    expect_that!(submit(node, &format!("/open/{OTHER_ID}"), None).await, eq(200));
+    until("both run", async || system.starts_of(ID).len() + system.starts_of(OTHER_ID).len() == 2)
+        .await;
+    expect_that!(node.log(), not(contains_substring("key-")));
+    expect_that!(node.show(&["--job", ID]), not(contains_substring("key-")));
+    expect_that!(node.metrics().await, contains_substring("thistle_denied"));
+}
+
+/// What a workspace may see of another's job is nothing, on the node that keeps it and on one that has to ask.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_workspace_neither_sees_nor_cancels_anothers_job() {
+    let system = System::start(93, 2, 2).await;
+    put(&system, 2, &["key-a"], &["key-n"]);
+    for node in &system.nodes {
+        until_status(node, "no-such-key", 401).await;
+    }
+    let path = format!("/quotes/{ID}");
+    expect_that!(submit(&system.nodes[0], &path, Some("key-a")).await, eq(200));
+    until("it runs", async || system.starts_of(ID).len() == 1).await;
+    for node in &system.nodes {
+        expect_that!(call(node, Method::GET, &path, Some("key-n")).await.status, eq(410));
+        expect_that!(call(node, Method::DELETE, &path, Some("key-n")).await.status, eq(410));
+        expect_that!(call(node, Method::GET, &path, Some("key-a")).await.status, eq(200));
+    }
+    let running = async || {
+        system
+            .platform
+            .machines
+            .vms()
+            .iter()
+            .any(|vm| vm.running().iter().any(|t| t.starts_with(ID)))
+    };
+    expect_that!(running().await, eq(true));
+    let cancelled = call(&system.nodes[1], Method::DELETE, &path, Some("key-a")).await;
+    expect_that!(cancelled.status, eq(200));
+    until("it is stopped", async || !running().await).await;
+}
+
+/// A key that is taken away opens nothing more; what it has handed in goes on and is told to other keys of its workspace.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_outlives_the_key_that_it_was_submitted_with() {
+    let system = System::start(94, 2, 1).await;
+    let node = &system.nodes[0];
+    put(&system, 2, &["key-a", "key-b"], &["key-n"]);
+    until_status(node, "no-such-key", 401).await;
+    let path = format!("/quotes/{ID}");
+    expect_that!(submit(node, &path, Some("key-a")).await, eq(200));
+    put(&system, 3, &["key-b"], &["key-n"]);
+    until_status(node, "key-a", 401).await;
+    expect_that!(submit(node, &path, Some("key-a")).await, eq(401));
+    expect_that!(call(node, Method::GET, &path, Some("key-a")).await.status, eq(401));
+    expect_that!(call(node, Method::GET, &path, Some("key-b")).await.status, eq(200));
+    until("it runs", async || system.starts_of(ID).len() == 1).await;
+    put(&system, 4, &["key-b", "key-c"], &["key-n"]);
+    until_status(node, "key-c", 200).await;
+}
+
+/// A key in doubt, a key twice, a long one and one that is no text let nobody in, and harm no other caller.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn keys_that_make_no_sense_let_nobody_in() {
+    let system = System::start(95, 2, 1).await;
+    let node = &system.nodes[0];
+    put(&system, 2, &["key-a", "same"], &["key-n", "same"]);
+    until_status(node, "no-such-key", 401).await;
+    let long = "k".repeat(8_000);
+    for key in ["same", "key-a,key-a", "key-a ,", "k\u{e9}y", &long] {
+        let answer = call(node, Method::GET, "/quotes/", Some(key)).await;
+        expect_that!(answer.status, eq(401), "{key:.20}");
+    }
+    expect_that!(call(node, Method::GET, "/quotes/", Some("key-a")).await.status, eq(200));
+    expect_that!(call(node, Method::GET, "/open/", Some("nonsense")).await.status, eq(200));
+    expect_that!(node.log(), contains_substring("step=doubtful"));
+}
