Keys of workspaces: who shows none of the configuration in force is refused (401) at once

The workspace is decided at the edge, by a hash with a secret of the process, kept in the job's record and carried in questions and cancels; a job of another workspace is told as one that does not exist.

--- a/crates/schedule/src/catalog.rs
+++ b/crates/schedule/src/catalog.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use crate::spec::{AdvicePolicy, Objective};
+use crate::workspace::Workspaces;
 
 /// A queue that callers submit jobs to.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,6 +20,8 @@
     pub objective: Objective,
     /// Who is asked which VMs may run a step, if anyone.
     pub advice: Option<AdvicePolicy>,
+    /// Anyone may call it, without a key; its jobs are of no workspace.
+    pub open: bool,
 }
 
 /// A pool of VMs.
@@ -56,6 +59,8 @@
     pub pools: Vec<PoolConfig>,
     /// Limits on requests.
     pub limits: Limits,
+    /// The workspaces whose callers use queues that are not open.
+    pub workspaces: Workspaces,
 }
 
 impl Catalog {
@@ -67,7 +72,14 @@
         limits: Limits,
     ) -> Self {
         queues.sort_by_key(|q| std::cmp::Reverse(q.path_prefix.len()));
-        Self { version, queues, pools, limits }
+        Self { version, queues, pools, limits, workspaces: Workspaces::default() }
+    }
+
+    /// Sets the workspaces.
+    #[must_use]
+    pub fn with_workspaces(mut self, workspaces: Workspaces) -> Self {
+        self.workspaces = workspaces;
+        self
     }
 
     /// Returns the queue that a request is for, with the rest of its path.
--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -10,6 +10,7 @@
 use crate::id::JobId;
 use crate::progress::{JobState, Phase, Progress};
 use crate::spec::JobSpec;
+use crate::workspace::Caller;
 
 /// What a record's key starts with.
 const SUBMIT: &str = "j";
@@ -67,6 +68,42 @@
     record
 }
 
+/// Encodes a submission.
+pub fn encode_spec(spec: &JobSpec) -> Vec<u8> {
+    let mut record = encode(spec);
+    if !spec.workspace.is_empty() {
+        record.extend(encode(&spec.workspace));
+    }
+    record
+}
+
+/// Decodes a submission; a record may end before its workspace.
+fn decode_spec(value: &[u8]) -> Result<JobSpec, postcard::Error> {
+    let (mut spec, rest): (JobSpec, _) = postcard::take_from_bytes(value)?;
+    if !rest.is_empty() {
+        spec.workspace = postcard::from_bytes(rest)?;
+    }
+    Ok(spec)
+}
+
+/// What a cancel's record starts with; who cancels follows.
+const CANCELLED: u8 = 1;
+
+/// Encodes a cancel.
+pub fn encode_cancel(caller: &Caller) -> Vec<u8> {
+    let mut record = vec![CANCELLED];
+    record.extend(encode(caller));
+    record
+}
+
+/// Decodes a cancel; a record of before says nothing of its caller, who may cancel any job.
+fn decode_cancel(value: &[u8]) -> Result<Option<Caller>, postcard::Error> {
+    match value {
+        [] | [_] => Ok(None),
+        [_, caller @ ..] => postcard::from_bytes(caller).map(Some),
+    }
+}
+
 /// Decodes how far a job is; a record may end before what speaks against its tasks.
 fn decode_progress(value: &[u8]) -> Result<(Version, Progress), postcard::Error> {
     let ((version, mut progress), rest): ((Version, Progress), _) =
@@ -77,6 +114,10 @@
     Ok((version, progress))
 }
 
+/// Callers of different workspaces whose cancels of one ID are kept before its submission is read: one is usual, and
+/// more are mistakes.
+const MOST_EARLY_CANCELS: usize = 8;
+
 /// A record that cannot be read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadRecord(pub String);
@@ -94,6 +135,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Its caller cancelled it.
     pub cancelled: bool,
+    /// Who has cancelled a job of this ID whose submission has not been read.
+    pub cancelled_by: Vec<Option<Caller>>,
     /// How far it is.
     pub progress: Progress,
     /// Which record told so.
@@ -183,16 +226,14 @@
         };
         match kind {
             SUBMIT => {
-                let spec: JobSpec = postcard::from_bytes(value).map_err(|_| bad())?;
+                let spec = decode_spec(value).map_err(|_| bad())?;
                 // Whoever folded a job that cannot be would fail on it, one owner after the other.
                 spec.check().map_err(|e| BadRecord(format!("{key}: {e}")))?;
                 Ok(self.submit(id, spec))
             }
             CANCEL => {
-                let entry = self.jobs.entry(id).or_default();
-                let news = !entry.cancelled;
-                entry.cancelled = true;
-                Ok(news.then_some(LogChange::Cancelled(id)))
+                let caller = decode_cancel(value).map_err(|_| bad())?;
+                Ok(self.cancel(id, caller))
             }
             PROGRESS => {
                 let (version, progress) = decode_progress(value).map_err(|_| bad())?;
@@ -208,12 +249,35 @@
         }
     }
 
+    /// Takes in a cancel, unless its caller may not see the job.
+    fn cancel(&mut self, id: JobId, caller: Option<Caller>) -> Option<LogChange> {
+        let entry = self.jobs.entry(id).or_default();
+        match &entry.spec {
+            Some(spec) if caller.as_ref().is_none_or(|c| c.may_see(spec)) => {
+                let news = !entry.cancelled;
+                entry.cancelled = true;
+                news.then_some(LogChange::Cancelled(id))
+            }
+            Some(_) => None,
+            None => {
+                if entry.cancelled_by.len() < MOST_EARLY_CANCELS
+                    && !entry.cancelled_by.contains(&caller)
+                {
+                    entry.cancelled_by.push(caller);
+                }
+                None
+            }
+        }
+    }
+
     /// Keeps the first submission of an ID; later ones are copies.
     fn submit(&mut self, id: JobId, spec: JobSpec) -> Option<LogChange> {
         let entry = self.jobs.entry(id).or_default();
         if entry.spec.is_some() {
             return None;
         }
+        let early = std::mem::take(&mut entry.cancelled_by);
+        entry.cancelled |= early.iter().any(|by| by.as_ref().is_none_or(|c| c.may_see(&spec)));
         entry.spec = Some(Arc::new(spec));
         Some(LogChange::Submitted(id))
     }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod progress;
 pub mod spec;
 pub mod vm;
+pub mod workspace;
 
 pub use catalog::{Catalog, Limits, PoolConfig, Queue};
 pub use harm::{Harm, Verdict};
@@ -25,6 +26,7 @@
 pub use progress::{JobState, Phase, Progress};
 pub use spec::{JobSpec, Objective, Repeats, SpecError, Step};
 pub use vm::{EndKind, Room, RunEnd, RunRow, VmFacts, VmLoss, VmReport};
+pub use workspace::{Caller, KeySecret, Workspace, WorkspaceConfig, Workspaces};
 
 /// Milliseconds of a steady clock.
 pub type Ms = u64;
--- a/crates/schedule/src/spec.rs
+++ b/crates/schedule/src/spec.rs
@@ -30,6 +30,10 @@
     pub advice: Option<AdvicePolicy>,
     /// When it was accepted, in milliseconds since 1970.
     pub accepted_ms: u64,
+    /// The workspace whose key its caller showed; empty for a job of an open queue. In a record it follows all else, so
+    /// that programs from before it read the rest.
+    #[serde(skip)]
+    pub workspace: String,
 }
 
 /// How a queue's policy is asked which VMs may run a step.
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -12,12 +12,13 @@
 use metrics::{counter, histogram};
 use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, body};
-use thistle_schedule::job_log::{cancel_key, encode, submit_key};
-use thistle_schedule::{Catalog, JobId, JobSpec, JobState, Queue};
+use thistle_schedule::job_log::{cancel_key, encode_cancel, encode_spec, submit_key};
+use thistle_schedule::{Caller, Catalog, JobId, JobSpec, JobState, Queue};
 use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
 
+use crate::access::caller_of;
 use crate::clock::steady_ms;
 use crate::look_up::{self, Found, find, look_up};
 use crate::node::Node;
@@ -96,13 +97,26 @@
         log::info!("request step=no-queue host={host} path={path} version={}", catalog.version);
         return reply::no_such_queue();
     };
-    let reply = match (req.method(), rest) {
-        (&Method::GET, "") => pending(node, queue).await,
-        (&Method::POST | &Method::GET | &Method::DELETE, id) => match id.parse::<JobId>() {
-            Ok(id) => for_job(node, &catalog, queue, id, req).await,
-            Err(e) => reply::bad_request(&e.to_string()),
-        },
-        _ => reply::wrong_method(),
+    let reply = match caller_of(&catalog, queue, req.headers(), &node.secret) {
+        Err(denied) => {
+            let (queue, version) = (&queue.name, catalog.version);
+            log::info!(
+                "request step=denied queue={queue} path={path} reason={denied:?} version={version}"
+            );
+            counter!("thistle_denied", "reason" => format!("{denied:?}")).increment(1);
+            reply::no_key()
+        }
+        Ok(caller) => {
+            let call = Call { catalog: &catalog, queue, caller };
+            match (req.method(), rest) {
+                (&Method::GET, "") => pending(node, queue).await,
+                (&Method::POST | &Method::GET | &Method::DELETE, id) => match id.parse::<JobId>() {
+                    Ok(id) => for_job(node, &call, id, req).await,
+                    Err(e) => reply::bad_request(&e.to_string()),
+                },
+                _ => reply::wrong_method(),
+            }
+        }
     };
     let status = reply.status().as_u16().to_string();
     counter!("thistle_requests", "status" => status).increment(1);
@@ -122,27 +136,24 @@
     host.split(':').next().unwrap_or_default().to_owned()
 }
 
-async fn for_job(
-    node: &Arc<Node>,
-    catalog: &Catalog,
-    queue: &Queue,
-    id: JobId,
-    req: Request<Incoming>,
-) -> Reply {
+/// A call that was let in.
+struct Call<'a> {
+    /// The configuration that it was judged by.
+    catalog: &'a Catalog,
+    queue: &'a Queue,
+    caller: Caller,
+}
+
+async fn for_job(node: &Arc<Node>, call: &Call<'_>, id: JobId, req: Request<Incoming>) -> Reply {
     match *req.method() {
-        Method::POST => submit(node, catalog, queue, id, req).await,
-        Method::DELETE => cancel(node, queue, id).await,
-        _ => state(node, queue, id).await,
+        Method::POST => submit(node, call, id, req).await,
+        Method::DELETE => cancel(node, call, id).await,
+        _ => state(node, call, id).await,
     }
 }
 
-async fn submit(
-    node: &Arc<Node>,
-    catalog: &Catalog,
-    queue: &Queue,
-    id: JobId,
-    req: Request<Incoming>,
-) -> Reply {
+async fn submit(node: &Arc<Node>, call: &Call<'_>, id: JobId, req: Request<Incoming>) -> Reply {
+    let Call { catalog, queue, caller } = call;
     let limit = catalog.limits.body_bytes;
     let within = Duration::from_millis(catalog.limits.header_timeout_ms);
     let body = match request_body::read(req.into_body(), limit, within).await {
@@ -171,22 +182,26 @@
     spec.objective = queue.objective;
     spec.advice = queue.advice;
     spec.accepted_ms = wall_ms();
+    spec.workspace = caller.workspace.clone().unwrap_or_default();
     // A copy of a job that is kept is not kept twice.
-    if find(node, id).is_some() {
-        log::info!("accept id={id} queue={} step=copy", queue.name);
-        return reply::accepted();
+    if let Some(log) = find(node, id) {
+        let theirs =
+            log.jobs().get(id).and_then(|e| e.spec.clone()).is_none_or(|s| caller.may_see(&s));
+        log::info!("accept id={id} queue={} step=copy theirs={theirs}", queue.name);
+        return if theirs { reply::accepted() } else { reply::id_taken() };
     }
     let began = steady_ms();
-    let record = KeyedRecord::new(submit_key(id), encode(&spec));
+    let record = KeyedRecord::new(submit_key(id), encode_spec(&spec));
     let written = if node.standing.view().takes_submissions(steady_ms()) {
         write(&node.pool_log(&queue.pool), record).await
     } else {
         Written::NotKept
     };
     log::info!(
-        "accept id={id} queue={} pool={} version={} steps={} tasks={} lasting={} fills={} serving={} \
+        "accept id={id} queue={} workspace={} pool={} version={} steps={} tasks={} lasting={} fills={} serving={} \
          gang={} times={} written={written:?} took_ms={}",
         queue.name,
+        spec.workspace,
         queue.pool,
         catalog.version,
         spec.steps.len(),
@@ -218,16 +233,24 @@
     told.await.unwrap_or(Written::Unknown)
 }
 
-async fn cancel(node: &Arc<Node>, queue: &Queue, id: JobId) -> Reply {
-    let found = look_up(node, queue, id).await;
+async fn cancel(node: &Arc<Node>, call: &Call<'_>, id: JobId) -> Reply {
+    let Call { queue, caller, .. } = call;
+    let found = look_up(node, queue, id, caller).await;
     // An unknown job is cancelled too: its submission may still be on the way to the store.
     let (pool, state) = match &found {
         Found::Here(pool, state) => (pool, Some(*state)),
+        Found::NotTheirs(_) => {
+            log::info!("cancel id={id} queue={} step=not-theirs", queue.name);
+            return reply::no_such_job();
+        }
         Found::Nowhere | Found::NotRead => (&queue.pool, None),
     };
     let written = match state.is_some_and(JobState::is_final) {
         true => Written::Kept,
-        false => write(&node.pool_log(pool), KeyedRecord::new(cancel_key(id), vec![1])).await,
+        false => {
+            let record = KeyedRecord::new(cancel_key(id), encode_cancel(caller));
+            write(&node.pool_log(pool), record).await
+        }
     };
     log::info!("cancel id={id} queue={} state={state:?} written={written:?}", queue.name);
     match (written, found) {
@@ -236,9 +259,14 @@
     }
 }
 
-async fn state(node: &Arc<Node>, queue: &Queue, id: JobId) -> Reply {
-    match look_up(node, queue, id).await {
+async fn state(node: &Arc<Node>, call: &Call<'_>, id: JobId) -> Reply {
+    let queue = call.queue;
+    match look_up(node, queue, id, &call.caller).await {
         Found::Here(_, state) => reply::state(state),
+        Found::NotTheirs(pool) => {
+            log::info!("state id={id} queue={} step=not-theirs pool={pool}", queue.name);
+            reply::no_such_job()
+        }
         Found::Nowhere => {
             log::info!("state id={id} queue={} step=unknown", queue.name);
             reply::no_such_job()
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -6,6 +6,7 @@
 //! records is asked by callers. Lock order: a pool log's cursors, then its jobs, then the node's
 //! tables; no lock but a cursor's is held across an await.
 
+mod access;
 mod append;
 mod ask;
 mod callers;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -33,7 +33,7 @@
 
 fn take_catalog(node: &Arc<Node>, stored: &Stored) {
     let Some(value) = stored.record.value() else { return };
-    let catalog = match config::decode_catalog(value) {
+    let catalog = match config::decode_catalog(value, &node.secret) {
         Ok(catalog) => catalog,
         Err(e) => {
             log::error!("config step=unreadable offset={} error=\"{}\"", stored.offset, e.0);
@@ -45,13 +45,18 @@
         return;
     }
     log::info!(
-        "config step=in-force version={} before={known} offset={} bytes={} queues={} pools={}",
+        "config step=in-force version={} before={known} offset={} bytes={} queues={} pools={} workspaces={} keys={}",
         catalog.version,
         stored.offset,
         value.len(),
         catalog.queues().len(),
         catalog.pools.len(),
+        catalog.workspaces.all().len(),
+        catalog.workspaces.keys(),
     );
+    for doubt in catalog.workspaces.doubts() {
+        log::error!("config step=doubtful version={} reason=\"{doubt}\"", catalog.version);
+    }
     let catalog = Arc::new(catalog);
     for pool in catalog.working_pools() {
         node.pool_log(pool);
--- a/crates/scheduler/src/look_up.rs
+++ b/crates/scheduler/src/look_up.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use thistle_schedule::job_log::JobEntry;
-use thistle_schedule::{JobId, JobState, Ms, Queue};
+use thistle_schedule::{Caller, JobId, JobState, Ms, Queue};
 
 use crate::ask::ask;
 use crate::clock::steady_ms;
@@ -28,6 +27,8 @@
 pub enum Found {
     /// In this pool, in this state.
     Here(Arc<str>, JobState),
+    /// In this pool, and another workspace's.
+    NotTheirs(Arc<str>),
     /// In none, by all that the store had when it was asked for.
     Nowhere,
     /// In none that could be read.
@@ -40,14 +41,29 @@
     node.pool_logs().into_iter().find(has)
 }
 
-fn known_state(log: &PoolLog, id: JobId) -> Option<JobState> {
-    log.jobs().get(id).and_then(JobEntry::state)
+/// Returns what is known of a job, if it was submitted.
+fn known(log: &PoolLog, id: JobId, caller: &Caller) -> Option<Told> {
+    let jobs = log.jobs();
+    let entry = jobs.get(id)?;
+    let spec = entry.spec.as_ref()?;
+    if !caller.may_see(spec) {
+        return Some(Told::NotTheirs);
+    }
+    entry.state().map(Told::State)
+}
+
+const fn is_settled(told: Told) -> bool {
+    match told {
+        Told::State(state) => state.is_final(),
+        Told::NotTheirs => true,
+        Told::NoSuchJob | Told::Pending(_) | Told::NotRead => false,
+    }
 }
 
 /// Looks for a job, first in its queue's pool of today.
-pub async fn look_up(node: &Arc<Node>, queue: &Queue, id: JobId) -> Found {
+pub async fn look_up(node: &Arc<Node>, queue: &Queue, id: JobId, caller: &Caller) -> Found {
     if let Some(log) = find(node, id) {
-        return in_pool(node, &log, id).await;
+        return in_pool(node, &log, id, caller).await;
     }
     let since = steady_ms();
     let mut logs = node.pool_logs();
@@ -58,38 +74,41 @@
         if !all_read && steady_ms().saturating_sub(since) >= LOOK_UP_MS {
             return Found::NotRead;
         }
-        match in_pool(node, &log, id).await {
+        match in_pool(node, &log, id, caller).await {
             Found::Nowhere => (),
             Found::NotRead => all_read = false,
-            here @ Found::Here(..) => return here,
+            here @ (Found::Here(..) | Found::NotTheirs(_)) => return here,
         }
     }
     if all_read { Found::Nowhere } else { Found::NotRead }
 }
 
-async fn in_pool(node: &Node, log: &Arc<PoolLog>, id: JobId) -> Found {
+async fn in_pool(node: &Node, log: &Arc<PoolLog>, id: JobId, caller: &Caller) -> Found {
     // What is settled stays so, whoever reads on.
-    if let Some(state) = known_state(log, id).filter(|state| state.is_final()) {
-        return Found::Here(log.pool.clone(), state);
-    }
-    let told = match is_read_here(node, log).await {
-        true => state_here(node, log, id).await,
-        false => ask(node, &Question::State { pool: log.pool.to_string(), id }).await,
+    let settled = known(log, id, caller).filter(|&told| is_settled(told));
+    let told = match settled {
+        Some(told) => told,
+        None if is_read_here(node, log).await => state_here(node, log, id, caller).await,
+        None => {
+            let (pool, caller) = (log.pool.to_string(), caller.clone());
+            ask(node, &Question::State { pool, id, caller }).await
+        }
     };
     match told {
         Told::State(state) => Found::Here(log.pool.clone(), state),
+        Told::NotTheirs => Found::NotTheirs(log.pool.clone()),
         Told::NoSuchJob => Found::Nowhere,
         Told::Pending(_) | Told::NotRead => Found::NotRead,
     }
 }
 
 /// Reads on until what the store has now is known of a job.
-async fn state_here(node: &Node, log: &PoolLog, id: JobId) -> Told {
+async fn state_here(node: &Node, log: &PoolLog, id: JobId, caller: &Caller) -> Told {
     let since = steady_ms();
     let mut all_read = true;
     // The job may be in either partition of its pool.
     for (part, age) in [(SUBMISSIONS, 0), (SPARE, SPARE_AGE_MS)] {
-        if known_state(log, id).is_some() {
+        if known(log, id, caller).is_some() {
             break;
         }
         if let Err(e) = log.catch_up(node, part, since.saturating_sub(age)).await {
@@ -97,14 +116,14 @@
             all_read = false;
         }
     }
-    if known_state(log, id).is_some_and(|state| !state.is_final()) && !log.is_owned() {
+    if known(log, id, caller).is_some_and(|told| !is_settled(told)) && !log.is_owned() {
         // A state that is some moments old is better than none.
         if let Err(e) = log.catch_up(node, PROGRESS, since).await {
             log::debug!("state id={id} step=old error=\"{e}\"");
         }
     }
-    match known_state(log, id) {
-        Some(state) => Told::State(state),
+    match known(log, id, caller) {
+        Some(told) => told,
         None if all_read => Told::NoSuchJob,
         None => Told::NotRead,
     }
@@ -122,7 +141,7 @@
     };
     match told {
         Told::Pending(count) => Some(count),
-        Told::State(_) | Told::NoSuchJob | Told::NotRead => None,
+        Told::State(_) | Told::NotTheirs | Told::NoSuchJob | Told::NotRead => None,
     }
 }
 
@@ -159,7 +178,7 @@
         return Told::NotRead;
     }
     match question {
-        Question::State { id, .. } => state_here(node, &log, *id).await,
+        Question::State { id, caller, .. } => state_here(node, &log, *id, caller).await,
         Question::Pending { queue, .. } => pending_here(node, &log, queue).await,
     }
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -7,7 +7,7 @@
 use thistle_platform::Store;
 use thistle_schedule::fleet::{FleetRecord, WaveRequest};
 use thistle_schedule::ownership::{NodeLife, OWNER_LEASE_MS, Ownership};
-use thistle_schedule::{Catalog, Ms, VmFacts, VmId};
+use thistle_schedule::{Catalog, KeySecret, Ms, VmFacts, VmId};
 use thistle_settings::SchedulerSettings;
 use tokio::sync::watch;
 
@@ -35,6 +35,8 @@
     pub speed: u32,
     /// The platform's store.
     pub store: Store,
+    /// With what keys of workspaces are hashed.
+    pub secret: KeySecret,
     /// How the store stands with this node.
     pub standing: StoreStanding,
     /// Other nodes.
@@ -71,6 +73,7 @@
         Self {
             speed: crate::speed::measure(),
             store: Store::new(settings.store),
+            secret: KeySecret::new(rand::random()),
             standing: StoreStanding::default(),
             peers: Peers::default(),
             ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -9,7 +9,7 @@
 use thistle_schedule::fleet::{FleetRecord, PoolReport};
 use thistle_schedule::ownership::{Claim, token_of};
 use thistle_schedule::progress::Place;
-use thistle_schedule::{JobId, JobLog, VmFacts};
+use thistle_schedule::{JobId, JobLog, KeySecret, VmFacts};
 
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
 use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
@@ -92,7 +92,8 @@
         let newest = store.newest(config::TOPIC, 0).await?;
         let found = newest.records.iter().find(|s| s.record.key == config::CATALOG_KEY);
         let Some(value) = found.and_then(|s| s.record.value()) else { return Ok(()) };
-        let catalog = config::decode_catalog(value).map_err(|e| StoreError::Malformed(e.0))?;
+        let catalog = config::decode_catalog(value, &KeySecret::new(rand::random()))
+            .map_err(|e| StoreError::Malformed(e.0))?;
         self.version = catalog.version;
         for pool in &catalog.pools {
             self.pool(&pool.name);
--- a/crates/scheduler/src/question.rs
+++ b/crates/scheduler/src/question.rs
@@ -1,7 +1,7 @@
 //! What one node asks another about a pool's jobs, and what it is told.
 
 use serde::{Deserialize, Serialize};
-use thistle_schedule::{JobId, JobState};
+use thistle_schedule::{Caller, JobId, JobState};
 
 /// The path of questions.
 pub const PATH: &str = "/questions";
@@ -15,6 +15,8 @@
         pool: String,
         /// The job.
         id: JobId,
+        /// Who asks.
+        caller: Caller,
     },
     /// How many jobs of a queue have not begun.
     Pending {
@@ -41,6 +43,8 @@
     State(JobState),
     /// The pool has no such job, by all that the store had when the question came.
     NoSuchJob,
+    /// There is such a job, which is another workspace's.
+    NotTheirs,
     /// So many have not begun.
     Pending(u64),
     /// The node does not read this pool, or cannot now.
--- a/crates/scheduler/src/reply.rs
+++ b/crates/scheduler/src/reply.rs
@@ -36,6 +36,16 @@
     error(StatusCode::GONE, "there is no such job")
 }
 
+/// The caller's key names no workspace.
+pub fn no_key() -> Reply {
+    error(StatusCode::UNAUTHORIZED, "send a valid key of your workspace in the header Api-Key")
+}
+
+/// The ID is another job's.
+pub fn id_taken() -> Reply {
+    error(StatusCode::CONFLICT, "this ID is taken: choose another")
+}
+
 /// There is no such queue.
 pub fn no_such_queue() -> Reply {
     error(StatusCode::NOT_FOUND, "there is no queue at this host and path")
