--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -260,12 +260,11 @@
             }
             Some(_) => None,
             None => {
-                if entry.cancelled_by.len() < MOST_EARLY_CANCELS
-                    && !entry.cancelled_by.contains(&caller)
-                {
+                let news = !entry.cancelled_by.contains(&caller);
+                if news && entry.cancelled_by.len() < MOST_EARLY_CANCELS {
                     entry.cancelled_by.push(caller);
                 }
-                None
+                news.then_some(LogChange::Cancelled(id))
             }
         }
     }
--- a/crates/schedule/tests/takeover.rs
+++ b/crates/schedule/tests/takeover.rs
@@ -7,10 +7,13 @@
 };
 use googletest::prelude::*;
 use thistle_schedule::job_log::{
-    JobEntry, Version, cancel_key, encode, encode_progress, progress_key, submit_key,
+    JobEntry, Version, cancel_key, encode, encode_cancel, encode_progress, encode_spec,
+    progress_key, submit_key,
 };
 use thistle_schedule::progress::JobState;
-use thistle_schedule::{EndKind, JobId, JobLog, LogChange, Phase, Pool, VmLoss, VmReport};
+use thistle_schedule::{
+    Caller, EndKind, JobId, JobLog, JobSpec, LogChange, Phase, Pool, VmLoss, VmReport,
+};
 
 fn entry_of(pool: &mut Pool, spec: &std::sync::Arc<thistle_schedule::JobSpec>) -> JobEntry {
     let records = pool.take_records();
@@ -288,3 +291,32 @@
     expect_that!(tell(3, 7, Phase::Open), some(eq(JobState::Completed)));
     expect_that!(tell(2, 90, Phase::Open), some(eq(JobState::Completed)), "a former owner's");
 }
+
+/// A cancel counted for whatever job had its ID. One of another workspace, written before that job's submission was read,
+/// would have cancelled it.
+#[gtest]
+fn a_cancel_of_another_workspace_changes_nothing_before_and_after_the_submission() {
+    let by = |name: &str| {
+        let caller = Caller { queue: "q".into(), workspace: Some(name.into()) };
+        encode_cancel(&caller)
+    };
+    let spec = JobSpec { workspace: "lunch".into(), ..job(vec![step(1, 500)]).as_ref().clone() };
+    let state = |log: &JobLog| log.get(JOB).and_then(JobEntry::state);
+    let mut log = JobLog::default();
+    expect_that!(log.apply(&cancel_key(JOB), Some(&by("night"))).is_ok(), eq(true));
+    expect_that!(log.apply(&submit_key(JOB), Some(&encode_spec(&spec))).is_ok(), eq(true));
+    expect_that!(
+        log.get(JOB).and_then(|e| e.spec.clone()),
+        some(eq(&std::sync::Arc::new(spec.clone())))
+    );
+    expect_that!(log.apply(&cancel_key(JOB), Some(&by("night"))), eq(&Ok(None)));
+    expect_that!(state(&log), some(eq(JobState::Queued)));
+    let cancelled = log.apply(&cancel_key(JOB), Some(&by("lunch")));
+    expect_that!(cancelled, eq(&Ok(Some(LogChange::Cancelled(JOB)))));
+    expect_that!(state(&log), some(eq(JobState::Cancelled)));
+
+    let mut log = JobLog::default();
+    expect_that!(log.apply(&cancel_key(JOB), Some(&by("lunch"))).is_ok(), eq(true));
+    expect_that!(log.apply(&submit_key(JOB), Some(&encode_spec(&spec))).is_ok(), eq(true));
+    expect_that!(state(&log), some(eq(JobState::Cancelled)));
+}
