--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -72,7 +72,7 @@
 pub fn encode_spec(spec: &JobSpec) -> Vec<u8> {
     let mut record = encode(spec);
     if !spec.workspace.is_empty() {
-        record.extend(encode(&spec.workspace));
+        record.extend(encode(&(&spec.workspace, spec.admitted_by)));
     }
     record
 }
@@ -81,7 +81,7 @@
 fn decode_spec(value: &[u8]) -> Result<JobSpec, postcard::Error> {
     let (mut spec, rest): (JobSpec, _) = postcard::take_from_bytes(value)?;
     if !rest.is_empty() {
-        spec.workspace = postcard::from_bytes(rest)?;
+        (spec.workspace, spec.admitted_by) = postcard::from_bytes(rest)?;
     }
     Ok(spec)
 }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod policy;
 pub mod pool;
 pub mod progress;
+pub mod quota;
 pub mod spec;
 pub mod vm;
 pub mod workspace;
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -22,7 +22,8 @@
     pub(super) fn take_end(&mut self, vm_key: VmKey, end: &RunEnd, now: Now) {
         let vm = &mut self.vms[vm_key];
         vm.strays.remove(&end.run);
-        let Some(run) = vm.remove_run(end.run) else { return };
+        let Some(run) = self.remove_run(vm_key, end.run) else { return };
+        let vm = &mut self.vms[vm_key];
         match end.kind {
             EndKind::Done => vm.note_success(),
             EndKind::Failed => {
--- a/crates/schedule/src/pool/gang.rs
+++ b/crates/schedule/src/pool/gang.rs
@@ -16,6 +16,10 @@
         if waiting.len() < all {
             return;
         }
+        let whole = shape.demand.times(shape.count);
+        if !self.quota.may_start(self.jobs[ready.job].workspace, whole) {
+            return;
+        }
         let Some(care) = self.care_of_gang(ready, shape, &waiting, now.steady) else { return };
         let mut racks: Vec<Option<std::sync::Arc<str>>> = Vec::new();
         if shape.rack_local {
--- a/crates/schedule/src/pool/incarnation.rs
+++ b/crates/schedule/src/pool/incarnation.rs
@@ -101,11 +101,12 @@
         self.runs.values().filter(|run| run.lasting).count()
     }
 
-    pub fn add_run(&mut self, task: TaskId, run: Run) {
+    /// Adds a run and returns the one in whose place it comes, if there was one.
+    pub fn add_run(&mut self, task: TaskId, run: Run) -> Option<Run> {
         self.used = self.used.plus(run.demand);
-        if let Some(old) = self.runs.insert(task, run) {
-            self.used = self.used.minus(old.demand);
-        }
+        let old = self.runs.insert(task, run)?;
+        self.used = self.used.minus(old.demand);
+        Some(old)
     }
 
     /// Removes a run and returns it, if it was there.
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -8,6 +8,7 @@
 use crate::harm::{Harm, HarmRecord};
 use crate::id::{JobId, TaskId, VmId};
 use crate::progress::{Phase, Place, Progress, TaskRecord};
+use crate::quota::WorkspaceKey;
 use crate::spec::JobSpec;
 
 /// Repetitions of a job that are open at once: as many as were ever due at once under the users' loads, several times
@@ -106,6 +107,8 @@
 pub(super) struct Job {
     pub id: JobId,
     pub spec: Arc<JobSpec>,
+    /// Whose it is, if it is a workspace's.
+    pub workspace: Option<WorkspaceKey>,
     /// The longest chain of estimated work from each step to the end, in milliseconds.
     pub chains: Vec<u64>,
     pub phase: Phase,
@@ -130,6 +133,7 @@
         let age = now.wall.saturating_sub(spec.accepted_ms);
         Self {
             id,
+            workspace: None,
             chains: spec.chains(),
             phase: Phase::Open,
             begun: false,
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -16,6 +16,7 @@
 mod order;
 mod pace;
 mod place;
+mod quota;
 mod rank;
 mod remaining;
 mod report;
@@ -33,6 +34,7 @@
 use crate::id::{JobId, VmId};
 use crate::policy::Policy;
 use crate::progress::{Phase, Progress};
+use crate::quota::Ledger;
 use crate::spec::JobSpec;
 use crate::vm::Room;
 
@@ -119,6 +121,8 @@
     arrivals: Arrivals,
     /// What is known of the policies of steps that need advice.
     advice: BTreeMap<StepId, Advised>,
+    /// What workspaces have running, and what they may.
+    quota: Ledger,
 }
 
 impl Pool {
@@ -138,7 +142,8 @@
             return;
         }
         self.note_arrival(&spec, now.steady);
-        let key = self.jobs.insert(Job::new(id, spec, now));
+        let job = self.new_job(id, spec, now);
+        let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
     }
 
--- a/crates/schedule/src/pool/need.rs
+++ b/crates/schedule/src/pool/need.rs
@@ -11,6 +11,7 @@
 use super::{JobKey, Ms, Now, Pool};
 use crate::id::{JobId, TaskId};
 use crate::progress::Phase;
+use crate::quota::WorkspaceKey;
 
 /// Processor that a pool will use at a time to come, in thousandths of a core, by what makes it up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -67,9 +68,18 @@
                 demand.staying += lasting.map(|run| u64::from(run.demand.cpu)).sum::<u64>();
             }
         }
+        let mut capped: HashMap<WorkspaceKey, u64> = HashMap::new();
         for (key, job) in self.jobs.iter().filter(|(_, job)| job.phase == Phase::Open) {
             let mut waiting = Demand::default();
             self.add_waiting(key, job, lead, &ending, now, &mut waiting);
+            if let Some((key, left)) =
+                job.workspace.and_then(|w| Some((w, self.quota.cpu_left(w)?)))
+            {
+                // What its cap holds back needs no VMs.
+                let left = capped.entry(key).or_insert(left);
+                waiting.waiting = waiting.waiting.min(*left);
+                *left -= waiting.waiting;
+            }
             if late.contains(&job.id) {
                 demand.late += waiting.in_time();
             } else {
--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -102,8 +102,7 @@
 
     /// Frees the room of a run that is surely not there, and lets its task wait again.
     pub(super) fn release(&mut self, vm: VmKey, run: RunId, _now: Now) {
-        let Some(v) = self.vms.get_mut(vm) else { return };
-        let Some(gone) = v.remove_run(run) else { return };
+        let Some(gone) = self.remove_run(vm, run) else { return };
         let Some(&key) = self.job_keys.get(&run.task.job) else { return };
         let Some(job) = self.jobs.get_mut(key) else { return };
         let Some((step, index)) = job.step_mut(run.task) else { return };
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -101,6 +101,9 @@
             if self.is_put_off(ready, index, now.steady) {
                 continue;
             }
+            if !self.quota.may_start(self.jobs[ready.job].workspace, shape.demand) {
+                return true;
+            }
             let Some(mut care) = self.care(ready, index, now.steady) else { continue };
             let suspect = self.verdict(ready.task(index)) == Verdict::Suspect;
             if suspect && !self.may_hold_one_more(shape, care, now.steady) {
@@ -220,7 +223,7 @@
         let unproven_for = self.unproven_for(ready.task(index));
         let run = Run::new(attempt, shape, now.steady);
         let run = Run { ordered_at: Some(now.steady), from_start, unproven_for, ..run };
-        self.vms[vm].add_run(ready.task(index), run);
+        self.add_run(vm, ready.task(index), run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(ready.task(index)) {
             step.set(index, Spot::On(vm));
             step.tasks[index].attempt = attempt;
@@ -230,7 +233,7 @@
     /// Undoes [`Pool::reserve`]; `before` is the attempt that the task was at.
     pub(super) fn unreserve(&mut self, ready: ReadyStep, vm: VmKey, run: RunId, before: u32) {
         // Nobody was told of it.
-        let _ = self.vms[vm].remove_run(run);
+        let _ = self.remove_run(vm, run);
         if let Some((step, index)) = self.jobs[ready.job].step_mut(run.task) {
             step.set(index, Spot::Waiting);
             step.tasks[index].attempt = before;
--- /dev/null
+++ b/crates/schedule/src/pool/quota.rs
@@ -0,0 +1,87 @@
+//! Workspaces within a pool's schedule: what they have running counts against their caps.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::job::Job;
+use super::run::Run;
+use super::{Now, Pool, VmKey};
+use crate::id::{JobId, RunId, TaskId};
+use crate::progress::Phase;
+use crate::quota::{CapUse, Held, Ledger, LentCap, WorkspaceKey};
+use crate::spec::JobSpec;
+use crate::vm::Room;
+
+impl Pool {
+    /// Sets the pool's name, by which it is lent parts of caps.
+    #[must_use]
+    pub fn with_name(mut self, name: Arc<str>) -> Self {
+        self.quota = Ledger::new(name);
+        self
+    }
+
+    /// Takes in the caps of a version of the configuration.
+    pub fn set_caps<'a>(&mut self, version: u64, caps: impl Iterator<Item = (&'a str, Room)>) {
+        self.quota.set_caps(version, caps);
+    }
+
+    /// Takes in the newest records of how caps are lent.
+    pub fn set_lent<'a>(&mut self, records: impl Iterator<Item = &'a LentCap>) {
+        self.quota.set_records(records);
+    }
+
+    /// Returns the workspaces whose tasks were held back by their caps of late.
+    pub fn held_by_caps(&self) -> Vec<Held> {
+        self.quota.held().collect()
+    }
+
+    /// Returns what there is to say to the lender of caps.
+    pub fn say_cap_use(&mut self, token: u64, count: &mut u64) -> Vec<CapUse> {
+        let waiting = self.waiting_by_workspace();
+        self.quota.to_say(token, count, &waiting)
+    }
+
+    /// Takes in that what was said to the lender may not have arrived.
+    pub fn cap_use_not_said(&mut self) {
+        self.quota.forget_said();
+    }
+
+    fn waiting_by_workspace(&self) -> HashMap<WorkspaceKey, Room> {
+        let mut waiting: HashMap<WorkspaceKey, Room> = HashMap::new();
+        for job in self.jobs.values().filter(|job| job.phase == Phase::Open) {
+            let Some(key) = job.workspace else { continue };
+            for (_, step, count) in job.ready_steps() {
+                let room = waiting.entry(key).or_default();
+                *room = room.plus(job.spec.steps[step].demand.times(count));
+            }
+        }
+        waiting
+    }
+
+    /// Makes a job that has just come.
+    pub(super) fn new_job(&mut self, id: JobId, spec: Arc<JobSpec>, now: Now) -> Job {
+        let workspace = self.quota.key_of_job(&spec.workspace, spec.admitted_by);
+        Job { workspace, ..Job::new(id, spec, now) }
+    }
+
+    /// Takes the room of a run.
+    pub(super) fn add_run(&mut self, vm: VmKey, task: TaskId, run: Run) {
+        let (workspace, charge) = (self.workspace_of(task.job), run.charge);
+        let old = self.vms[vm].add_run(task, run);
+        self.quota.add(workspace, charge);
+        if let Some(old) = old {
+            self.quota.remove(workspace, old.charge);
+        }
+    }
+
+    /// Frees the room of a run and returns it, if it was there.
+    pub(super) fn remove_run(&mut self, vm: VmKey, run: RunId) -> Option<Run> {
+        let gone = self.vms.get_mut(vm)?.remove_run(run)?;
+        self.quota.remove(self.workspace_of(run.task.job), gone.charge);
+        Some(gone)
+    }
+
+    fn workspace_of(&self, job: JobId) -> Option<WorkspaceKey> {
+        self.jobs.get(*self.job_keys.get(&job)?)?.workspace
+    }
+}
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -15,6 +15,8 @@
 pub(super) struct Run {
     pub attempt: u32,
     pub demand: Room,
+    /// What it counts against its workspace's cap, also if it takes no processor's room.
+    pub charge: Room,
     /// When the VM last answered an order about it; a report asked for after that lists it.
     pub confirmed: Option<Ms>,
     pub started: Ms,
@@ -55,6 +57,7 @@
         Self {
             attempt,
             demand: shape.room(),
+            charge: shape.demand,
             confirmed: None,
             started: now,
             stopping: false,
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use super::job::{Job, Spot};
+use super::job::Spot;
 use super::run::Run;
 use super::{Ms, Now, Pool};
 use crate::harm::HarmRecord;
@@ -27,7 +27,7 @@
         if entry.progress.phase != Phase::Open || self.job_keys.contains_key(&id) {
             return;
         }
-        let mut job = Job::new(id, spec.clone(), now);
+        let mut job = self.new_job(id, spec.clone(), now);
         if now.steady.saturating_sub(job.accepted) < JUST_ACCEPTED_MS {
             self.note_arrival(spec, now.steady);
         }
@@ -72,7 +72,7 @@
         let Some(shape) = shape else { return };
         let unproven_for = self.unproven_for(id);
         let run = Run { pace: None, unproven_for, ..Run::new(record.attempt, &shape, now.steady) };
-        self.vms[vm].add_run(id, run);
+        self.add_run(vm, id, run);
     }
 
     /// Returns the incarnations that have runs, each with its listing if there is one.
--- a/crates/schedule/src/spec.rs
+++ b/crates/schedule/src/spec.rs
@@ -34,6 +34,9 @@
     /// that programs from before it read the rest.
     #[serde(skip)]
     pub workspace: String,
+    /// The version of the configuration by which its caller was let in.
+    #[serde(skip)]
+    pub admitted_by: u64,
 }
 
 /// How a queue's policy is asked which VMs may run a step.
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Returns so many times as much.
+    #[must_use]
+    pub const fn times(self, count: u32) -> Self {
+        Self {
+            cpu: self.cpu.saturating_mul(count),
+            mem_mb: self.mem_mb.saturating_mul(count),
+            gpu: self.gpu.saturating_mul(count),
+        }
+    }
+
     /// Returns the greater of each kind.
     #[must_use]
     pub fn greater_of_each(self, other: Self) -> Self {
--- /dev/null
+++ b/crates/schedule/tests/quota_world/mod.rs
@@ -0,0 +1,384 @@
+//! A lender, the owners of three pools, and the store between them: records that are read late, words that arrive late or out of
+//! order, owners and lenders that are replaced at any moment, caps that change. What runs is counted by itself.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::collections::{BTreeMap, HashMap};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thistle_schedule::Room;
+use thistle_schedule::quota::{CapUse, Ledger, Lender, LentCap, WorkspaceKey};
+
+/// Milliseconds of one turn.
+pub const TURN_MS: u64 = 10;
+/// Within how many turns each node has the newest configuration.
+const CONFIG_TURNS: u64 = 30;
+/// Cores of the largest task, of a cap of 100.
+const LARGEST_TASK: u32 = 3;
+/// After how many turns an owner says something again.
+const SAY_EVERY: u64 = 4;
+const POOLS: [&str; 3] = ["desk", "plan", "hub"];
+pub const WORKSPACE: &str = "lunch";
+
+/// How caps are split.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Way {
+    /// By a lender, by what pools want.
+    Lent,
+    /// Each pool has an equal part for good.
+    Equal,
+}
+
+/// A safeguard that is taken out, to see that the check would show it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Without {
+    Nothing,
+    /// What a pool says counts as said of the newest record.
+    Confirmation,
+    /// A new owner goes by old records of how caps are lent.
+    ReadingFirst,
+    /// A lowered cap counts as lent.
+    LoweredCap,
+    /// A new owner does not count what its predecessor started.
+    Predecessor,
+    /// A job of a workspace that is not known yet has no limit.
+    Admission,
+}
+
+struct Run {
+    room: Room,
+    ends: u64,
+    told: u64,
+}
+
+struct Owner {
+    ledger: Ledger,
+    key: Option<WorkspaceKey>,
+    token: u64,
+    count: u64,
+    version: usize,
+    /// Up to which record of the lender it has read.
+    cursor: usize,
+    /// When it has read the newest records.
+    reads_at: u64,
+    /// What its runs that are not known to have ended take.
+    runs: Vec<Run>,
+    waiting: Vec<Room>,
+    short_since: Option<u64>,
+    says_at: u64,
+}
+
+pub struct World {
+    rng: StdRng,
+    way: Way,
+    without: Without,
+    pub now: u64,
+    configs: Vec<(u64, Room)>,
+    records: Vec<LentCap>,
+    /// Words on their way, with when each arrives.
+    words: Vec<(u64, CapUse)>,
+    arrived: Vec<CapUse>,
+    lender: Lender,
+    lender_version: usize,
+    lender_back_at: u64,
+    heard: usize,
+    owners: Vec<Owner>,
+    next_token: u64,
+    pub starts: u64,
+    pub over: u64,
+    pub waited_cpu: u64,
+    pub idle_while_waited: u64,
+    pub cap_while_waited: u64,
+    pub moves_ms: Vec<u64>,
+    trouble: bool,
+}
+
+fn cap(cpu: u32) -> Room {
+    Room { cpu, mem_mb: cpu * 3, gpu: 0 }
+}
+
+impl World {
+    pub fn new(seed: u64, way: Way, without: Without, trouble: bool) -> Self {
+        let owners = POOLS.iter().map(|_| Owner {
+            ledger: Ledger::default(),
+            key: None,
+            token: 0,
+            count: 0,
+            version: 0,
+            cursor: 0,
+            reads_at: 0,
+            runs: Vec::new(),
+            waiting: Vec::new(),
+            short_since: None,
+            says_at: 0,
+        });
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            way,
+            without,
+            now: 0,
+            configs: vec![(0, cap(100))],
+            records: Vec::new(),
+            words: Vec::new(),
+            arrived: Vec::new(),
+            lender: Lender::default(),
+            lender_version: 0,
+            lender_back_at: 0,
+            heard: 0,
+            owners: owners.collect(),
+            next_token: 1,
+            starts: 0,
+            over: 0,
+            waited_cpu: 0,
+            idle_while_waited: 0,
+            cap_while_waited: 0,
+            moves_ms: Vec::new(),
+            trouble,
+        };
+        for pool in 0..POOLS.len() {
+            world.replace_owner(pool);
+        }
+        world
+    }
+
+    /// Returns the highest cap that may be in force.
+    fn cap_now(&self) -> u32 {
+        let until =
+            |i: usize| self.configs.get(i + 1).map_or(u64::MAX, |next| next.0 + CONFIG_TURNS);
+        let in_force = (0..self.configs.len()).filter(|&i| self.now <= until(i));
+        in_force.map(|i| self.configs[i].1.cpu).max().unwrap_or(0)
+    }
+
+    fn oldest_version(&self) -> usize {
+        let due = |i: &usize| self.configs[*i].0 + CONFIG_TURNS <= self.now;
+        (0..self.configs.len()).rev().find(due).unwrap_or(0)
+    }
+
+    fn replace_owner(&mut self, pool: usize) {
+        let newest = self.configs.len() - 1;
+        let version = self.rng.random_range(self.oldest_version()..=newest);
+        let delay = if self.trouble { self.rng.random_range(0..20) } else { 1 };
+        let owner = &mut self.owners[pool];
+        owner.ledger = Ledger::new(POOLS[pool].into());
+        let admitted = if self.without == Without::Admission { 0 } else { newest as u64 + 1 };
+        owner.key = owner.ledger.key_of_job(WORKSPACE, admitted);
+        (owner.token, owner.count, owner.version) = (self.next_token, 0, version);
+        owner.reads_at = self.now + delay;
+        self.next_token += 1;
+        if self.without != Without::Predecessor {
+            for run in &owner.runs {
+                owner.ledger.add(owner.key, run.room);
+            }
+        }
+        if self.without != Without::Admission {
+            self.tell_caps(pool);
+        }
+    }
+
+    fn tell_caps(&mut self, pool: usize) {
+        let owner = &mut self.owners[pool];
+        let cap = self.configs[owner.version].1;
+        owner.ledger.set_caps(owner.version as u64 + 1, std::iter::once((WORKSPACE, cap)));
+    }
+
+    /// One turn; `busy` is the pool whose turn it is.
+    pub fn turn(&mut self, busy: usize) {
+        self.now += 1;
+        if self.trouble {
+            self.disturb();
+        }
+        self.end_runs();
+        self.spread_configs();
+        self.lend();
+        for pool in 0..POOLS.len() {
+            self.read(pool);
+            let comes = if pool == busy { 0.9 } else { 0.05 };
+            if self.rng.random_bool(comes) {
+                let room = cap(self.rng.random_range(1..=LARGEST_TASK));
+                self.owners[pool].waiting.push(room);
+            }
+            self.start_waiting(pool);
+            self.say(pool);
+        }
+        self.measure();
+    }
+
+    fn disturb(&mut self) {
+        if self.rng.random_bool(0.01) {
+            let pool = self.rng.random_range(0..POOLS.len());
+            self.replace_owner(pool);
+        }
+        if self.rng.random_bool(0.005) {
+            self.lender_back_at = self.now + self.rng.random_range(5..100);
+            self.lender = Lender::new(self.newest_records());
+            self.heard = 0;
+        }
+        if self.rng.random_bool(0.005) {
+            let cpu = *[100, 60, 25, 140].get(self.rng.random_range(0..4)).unwrap_or(&100);
+            self.configs.push((self.now, cap(cpu)));
+        }
+    }
+
+    fn newest_records(&self) -> Vec<LentCap> {
+        let mut newest = BTreeMap::new();
+        for record in &self.records {
+            newest.insert(record.workspace.clone(), record.clone());
+        }
+        newest.into_values().collect()
+    }
+
+    fn end_runs(&mut self) {
+        let now = self.now;
+        for owner in &mut self.owners {
+            let (ledger, key) = (&mut owner.ledger, owner.key);
+            let forget = self.without == Without::Predecessor;
+            owner.runs.retain(|run| {
+                let gone = now >= run.told;
+                if gone && !forget {
+                    ledger.remove(key, run.room);
+                }
+                !gone
+            });
+        }
+    }
+
+    fn spread_configs(&mut self) {
+        let (oldest, newest) = (self.oldest_version(), self.configs.len() - 1);
+        for pool in 0..POOLS.len() {
+            let version = self.owners[pool].version.max(oldest);
+            let hears = self.rng.random_bool(0.1);
+            let version = if hears { newest } else { version };
+            if version != self.owners[pool].version || self.without == Without::Admission {
+                self.owners[pool].version = version;
+                if self.without != Without::Admission || hears {
+                    self.tell_caps(pool);
+                }
+            }
+        }
+        let hears = self.rng.random_bool(0.1);
+        self.lender_version = if hears { newest } else { self.lender_version.max(oldest) };
+    }
+
+    fn lend(&mut self) {
+        let now = self.now;
+        let (here, later) = std::mem::take(&mut self.words).into_iter().partition(|w| w.0 <= now);
+        self.words = later;
+        let here: Vec<(u64, CapUse)> = here;
+        self.arrived.extend(here.into_iter().map(|w| w.1));
+        if now < self.lender_back_at {
+            return;
+        }
+        let number = self.records.last().map_or(0, |r| r.number);
+        for word in &self.arrived[self.heard..] {
+            let mut word = word.clone();
+            if self.without == Without::Confirmation {
+                word.number = number;
+            }
+            self.lender.take(word);
+        }
+        self.heard = self.arrived.len();
+        let cap = self.configs[self.lender_version].1;
+        if self.way == Way::Equal
+            && !self.records.is_empty()
+            && self.records.last().is_some_and(|r| r.cap == cap)
+        {
+            return;
+        }
+        let pools = POOLS.iter().map(|&p| p.into());
+        self.lender.set_config(pools, std::iter::once((WORKSPACE.into(), cap)));
+        self.records.extend(self.lender.plan());
+    }
+
+    fn read(&mut self, pool: usize) {
+        let late = self.trouble && !self.rng.random_bool(0.1);
+        let owner = &mut self.owners[pool];
+        let end = self.records.len();
+        if self.now == owner.reads_at {
+            // Another node's view may lag behind by any number of records.
+            let lag = if self.without == Without::ReadingFirst { 4 } else { 0 };
+            owner.cursor = end.saturating_sub(lag);
+        } else if self.now < owner.reads_at || late {
+            return;
+        } else {
+            owner.cursor = end;
+        }
+        let mut records: Vec<LentCap> =
+            self.records[..owner.cursor].iter().rev().take(1).cloned().collect();
+        if self.without == Without::LoweredCap {
+            for record in &mut records {
+                record.cap = self.configs[owner.version].1;
+            }
+        }
+        owner.ledger.set_records(records.iter());
+    }
+
+    fn start_waiting(&mut self, pool: usize) {
+        let cap_now = u64::from(self.cap_now());
+        loop {
+            let owner = &mut self.owners[pool];
+            let Some(&room) = owner.waiting.first() else { return };
+            if !owner.ledger.may_start(owner.key, room) {
+                owner.short_since.get_or_insert(self.now);
+                return;
+            }
+            if let Some(since) = owner.short_since.take() {
+                self.moves_ms.push((self.now - since) * TURN_MS);
+            }
+            owner.waiting.remove(0);
+            owner.ledger.add(owner.key, room);
+            let ends = self.now + self.rng.random_range(5..120);
+            let told = ends + if self.trouble { self.rng.random_range(0..60) } else { 1 };
+            self.owners[pool].runs.push(Run { room, ends, told });
+            self.starts += 1;
+            let running = self.running();
+            let alone = running == u64::from(room.cpu);
+            self.over += u64::from(running > cap_now && !alone);
+        }
+    }
+
+    fn running(&self) -> u64 {
+        let runs = self.owners.iter().flat_map(|o| &o.runs).filter(|r| r.ends > self.now);
+        runs.map(|r| u64::from(r.room.cpu)).sum()
+    }
+
+    fn say(&mut self, pool: usize) {
+        let owner = &mut self.owners[pool];
+        if self.now < owner.says_at {
+            return;
+        }
+        let waiting = owner.waiting.iter().fold(Room::default(), |sum, r| sum.plus(*r));
+        let waiting: HashMap<WorkspaceKey, Room> =
+            owner.key.map(|k| (k, waiting)).into_iter().collect();
+        let words = owner.ledger.to_say(owner.token, &mut owner.count, &waiting);
+        if !words.is_empty() {
+            owner.says_at = self.now + SAY_EVERY;
+        }
+        for word in words {
+            let delay = if self.trouble { self.rng.random_range(1..60) } else { 1 };
+            // Some never arrive, and the owner is told so, or is gone by then.
+            if self.trouble && self.rng.random_bool(0.1) {
+                self.owners[pool].ledger.forget_said();
+                continue;
+            }
+            self.words.push((self.now + delay, word));
+        }
+    }
+
+    fn measure(&mut self) {
+        let waiting: u64 =
+            self.owners.iter().flat_map(|o| &o.waiting).map(|r| u64::from(r.cpu)).sum();
+        if waiting > 0 {
+            let cap = u64::from(self.configs.last().map_or(0, |c| c.1.cpu));
+            // What waits for its own size to come free is no fault of the split.
+            // An end that its owner has not heard of is no fault of the split.
+            let counted = self.owners.iter().flat_map(|o| &o.runs).map(|r| u64::from(r.room.cpu));
+            let left = cap.saturating_sub(counted.sum());
+            let heads = self.owners.iter().filter_map(|o| o.waiting.first());
+            let fits = heads.map(|r| u64::from(r.cpu)).any(|cpu| cpu <= left);
+            let idle = if fits { left.min(waiting) } else { 0 };
+            self.waited_cpu += waiting;
+            self.idle_while_waited += idle;
+            self.cap_while_waited += cap;
+        }
+    }
+}
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -13,7 +13,8 @@
 use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, body};
 use thistle_schedule::job_log::{cancel_key, encode_cancel, encode_spec, submit_key};
-use thistle_schedule::{Caller, Catalog, JobId, JobSpec, JobState, Queue};
+use thistle_schedule::quota::within;
+use thistle_schedule::{Caller, Catalog, JobId, JobSpec, JobState, Queue, Step};
 use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::oneshot;
@@ -178,11 +179,18 @@
     if let Err(e) = spec.check() {
         return reply::bad_request(&e.to_string());
     }
+    if let Some(step) = caller.workspace.as_deref().and_then(|w| too_wide(catalog, w, &spec)) {
+        log::info!("accept id={id} queue={} step=wider-than-cap number={step}", queue.name);
+        return reply::bad_request(&format!(
+            "step {step} is a gang that your workspace's cap can never hold"
+        ));
+    }
     queue.name.as_ref().clone_into(&mut spec.queue);
     spec.objective = queue.objective;
     spec.advice = queue.advice;
     spec.accepted_ms = wall_ms();
     spec.workspace = caller.workspace.clone().unwrap_or_default();
+    spec.admitted_by = catalog.version;
     // A copy of a job that is kept is not kept twice.
     if let Some(log) = find(node, id) {
         let theirs =
@@ -216,6 +224,13 @@
     answer_written(written)
 }
 
+/// Returns the step, if any, whose tasks work only together and ask for more than their workspace may ever run.
+fn too_wide(catalog: &Catalog, workspace: &str, spec: &JobSpec) -> Option<usize> {
+    let cap = catalog.workspaces.get(workspace)?.cap;
+    let never_fits = |step: &Step| step.gang && !within(step.demand.times(step.count), cap, cap);
+    spec.steps.iter().position(never_fits)
+}
+
 fn answer_written(written: Written) -> Reply {
     match written {
         Written::Kept => reply::accepted(),
--- /dev/null
+++ b/crates/scheduler/src/caps/lender.rs
@@ -0,0 +1,119 @@
+//! Owning the lending of caps: hears what pools use and want, and writes how each cap is split.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use metrics::counter;
+use thistle_platform::Stored;
+use thistle_schedule::quota::{CapUse, Lender, LentCap};
+use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
+
+use super::{LENT, USES, decode, has_caps, lent_record, read_lent};
+use crate::control::TOPIC;
+use crate::follow::{News, Pace, Tail, follow};
+use crate::journal::{Fenced, Journal};
+use crate::node::Node;
+
+/// How often the configuration is looked at when nothing is said.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Lends caps until another node does, or the task is aborted.
+pub async fn run(node: Arc<Node>, token: u64) {
+    let Ok(journal) = Journal::open(&node, TOPIC, &[LENT], token).await else {
+        log::warn!("caps step=fenced token={token}");
+        return;
+    };
+    // The predecessor can write no more: what is there now is all there is.
+    while let Err(e) = read_lent(&node).await {
+        log::debug!("caps step=read-failed error=\"{e}\"");
+        tokio::time::sleep(TICK).await;
+    }
+    let records: Vec<LentCap> = node.lent.borrow().values().cloned().collect();
+    log::info!("caps step=took-over token={token} workspaces={}", records.len());
+    let (tx, mut rx) = unbounded_channel();
+    let mut lending = Lending { node: node.clone(), lender: Lender::new(records), journal };
+    let work = async {
+        loop {
+            if let Ok(Some(said)) = tokio::time::timeout(TICK, rx.recv()).await {
+                lending.take(said);
+            }
+            while let Ok(said) = rx.try_recv() {
+                lending.take(said);
+            }
+            if lending.node.lease_valid() && lending.step().await == Err(Fenced) {
+                log::warn!("caps step=fenced token={token}");
+                return;
+            }
+        }
+    };
+    // Both end with this task.
+    tokio::select! {
+        () = follow_uses(&node, tx) => (),
+        () = work => (),
+    }
+}
+
+async fn follow_uses(node: &Node, tx: UnboundedSender<CapUse>) {
+    follow(node, Tail::new(TOPIC, USES), Pace::AtOnce, move |news, _| {
+        let records: Vec<Stored> = match news {
+            News::Reloaded(records) | News::Records(records) => records,
+        };
+        for said in records.iter().filter_map(decode::<CapUse>) {
+            // The other end is dropped with this task.
+            let _ = tx.send(said);
+        }
+    })
+    .await;
+}
+
+struct Lending {
+    node: Arc<Node>,
+    lender: Lender,
+    journal: Journal,
+}
+
+impl Lending {
+    fn take(&mut self, said: CapUse) {
+        log::debug!(
+            "caps step=said pool={} workspace={} number={} used={:?} wanted={:?}",
+            said.pool,
+            said.workspace,
+            said.number,
+            said.used,
+            said.wanted
+        );
+        self.lender.take(said);
+    }
+
+    async fn step(&mut self) -> Result<(), Fenced> {
+        let Some(catalog) = self.node.catalog.borrow().clone().filter(|c| has_caps(c)) else {
+            return Ok(());
+        };
+        let caps = catalog.workspaces.all().iter().map(|w| (w.name.clone(), w.cap));
+        self.lender.set_config(catalog.working_pools().cloned(), caps);
+        let split = self.lender.plan();
+        if split.is_empty() {
+            return Ok(());
+        }
+        let records: Vec<_> = split.iter().map(lent_record).collect();
+        self.journal.append(&self.node, &records).await?;
+        counter!("thistle_caps_split").increment(split.len() as u64);
+        for lent in &split {
+            let shares: Vec<String> = lent
+                .shares
+                .iter()
+                .map(|s| format!("{}:{}/{}", s.pool, s.room.cpu, s.bound.cpu))
+                .collect();
+            log::info!(
+                "caps step=lent workspace={} number={} cap_cpu={} cap_mem_mb={} version={} cpu_and_bound={}",
+                lent.workspace,
+                lent.number,
+                lent.cap.cpu,
+                lent.cap.mem_mb,
+                catalog.version,
+                shares.join(",")
+            );
+        }
+        Ok(())
+    }
+}
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -11,13 +11,14 @@
 use thistle_schedule::ownership::Claim;
 use tokio::task::AbortHandle;
 
+use crate::caps::CAPS;
 use crate::clock::steady_ms;
 use crate::fleet_owner::FLEET;
 use crate::follow::{News, Pace, Tail, follow};
 use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::PoolLog;
-use crate::{fleet_owner, owner};
+use crate::{caps, fleet_owner, owner};
 
 pub use beat::HEARTBEATS;
 
@@ -54,7 +55,8 @@
     let follow_claims = follow_claims(node.clone(), claims_end.clone());
     let follow_fleet = fleet_owner::follow_record(node.clone());
     let claim = claim(node.clone(), claims_end);
-    tokio::join!(follow_claims, follow_fleet, beat::run(node.clone()), claim);
+    let follow_lent = caps::follow_lent(node.clone());
+    tokio::join!(follow_claims, follow_fleet, follow_lent, beat::run(node.clone()), claim);
 }
 
 async fn follow_claims(node: Arc<Node>, claims_end: Arc<ClaimsEnd>) {
@@ -123,7 +125,9 @@
     }
     let fleet: Arc<str> = FLEET.into();
     let fleet = node.settings.machine_service.map(|_| &fleet);
-    let shards = logs.iter().map(|log| &log.pool).chain(fleet);
+    let caps: Arc<str> = CAPS.into();
+    let caps = caps::in_force(node).then_some(&caps);
+    let shards = logs.iter().map(|log| &log.pool).chain(fleet).chain(caps);
     lock(&node.ownership).to_claim(shards, steady_ms())
 }
 
@@ -149,11 +153,12 @@
         keep_in_step(node, running, &log.pool.clone(), Some(&log));
     }
     keep_in_step(node, running, &FLEET.into(), None);
+    keep_in_step(node, running, &CAPS.into(), None);
     let owning = !running.is_empty();
     node.owning.set(owning);
 }
 
-/// Starts or ends the owner of a pool, or of the fleet if there is no log.
+/// Starts or ends the owner of a pool, or of what is no pool if there is no log.
 fn keep_in_step(
     node: &Arc<Node>,
     running: &mut Running,
@@ -175,6 +180,7 @@
     let Some(token) = token else { return };
     let task = match log {
         Some(log) => tokio::spawn(owner::run(node.clone(), log.clone(), token)),
+        None if &**shard == CAPS => tokio::spawn(caps::run(node.clone(), token)),
         None => tokio::spawn(fleet_owner::run(node.clone(), token)),
     };
     running.insert(shard.clone(), (token, task.abort_handle()));
@@ -186,7 +192,7 @@
     let mut records = Vec::new();
     for (pool, (token, task)) in running {
         task.abort();
-        if &*pool != FLEET {
+        if &*pool != FLEET && &*pool != CAPS {
             drop(node.pool_log(&pool).connect_owner(None));
         }
         log::info!("owner pool={pool} step=given-up token={token}");
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -10,6 +10,7 @@
 mod append;
 mod ask;
 mod callers;
+mod caps;
 mod clock;
 mod control;
 mod fleet_owner;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -11,6 +11,7 @@
 use thistle_settings::SchedulerSettings;
 use tokio::sync::watch;
 
+use crate::caps::LentTable;
 use crate::clock::steady_ms;
 use crate::locks::lock;
 use crate::owned::Owned;
@@ -49,6 +50,8 @@
     pub vms_listed: watch::Sender<bool>,
     /// Which VMs are worked on; none while this node owns nothing.
     pub fleet: watch::Sender<Arc<FleetRecord>>,
+    /// How caps of workspaces are lent, as far as this node has read.
+    pub lent: watch::Sender<Arc<LentTable>>,
     /// The waves that the operator asks for.
     pub waves: watch::Sender<Vec<WaveRequest>>,
     /// Owners and members.
@@ -83,6 +86,7 @@
             vms: watch::Sender::new(Arc::default()),
             vms_listed: watch::Sender::new(false),
             fleet: watch::Sender::new(Arc::default()),
+            lent: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(Vec::new()),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -9,8 +9,10 @@
 use thistle_schedule::fleet::{FleetRecord, PoolReport};
 use thistle_schedule::ownership::{Claim, token_of};
 use thistle_schedule::progress::Place;
+use thistle_schedule::quota::{CapUse, LentCap};
 use thistle_schedule::{JobId, JobLog, KeySecret, VmFacts};
 
+use crate::caps::{CAPS, LENT, USES};
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
 use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
 use crate::pool_log::{PROGRESS, SPARE, SPARE_PROGRESS, SUBMISSIONS, topic_of};
@@ -27,6 +29,8 @@
     fleet: FleetRecord,
     /// The job that was asked for, if it is known.
     job: Option<JobView>,
+    /// Workspaces with caps: how these are lent, and what pools last said.
+    workspaces: BTreeMap<String, WorkspaceView>,
     /// Entries of VMs that cannot be read, and why; they name no VM.
     unreadable: Vec<String>,
 }
@@ -41,6 +45,13 @@
     load: Option<PoolReport>,
 }
 
+/// A workspace with a cap.
+#[derive(Debug, Default, Serialize)]
+struct WorkspaceView {
+    lent: Option<LentCap>,
+    uses: Vec<CapUse>,
+}
+
 /// The owner of a pool.
 #[derive(Debug, Serialize)]
 struct OwnerView {
@@ -55,6 +66,8 @@
     id: String,
     pool: String,
     queue: String,
+    /// Whose it is, empty if no workspace's.
+    workspace: String,
     state: String,
     /// Tasks that are not as they were at first, and where each stands.
     tasks: Vec<String>,
@@ -71,12 +84,14 @@
         fleet_owner: None,
         fleet: FleetRecord::default(),
         job: None,
+        workspaces: BTreeMap::new(),
         unreadable: Vec::new(),
     };
     overview.read_config(&store).await?;
     overview.read_vms(&store).await?;
     overview.read_owners(&store).await?;
     overview.read_fleet(&store).await?;
+    overview.read_caps(&store).await?;
     if let Some(id) = job.and_then(|id| id.parse().ok()) {
         overview.read_job(&store, id).await?;
     }
@@ -131,7 +146,7 @@
             let owner = OwnerView { node, token: token_of(stored.offset), released };
             if pool == FLEET {
                 self.fleet_owner = Some(owner);
-            } else {
+            } else if pool != CAPS {
                 self.pool(pool).owner = Some(owner);
             }
         }
@@ -150,6 +165,17 @@
         Ok(())
     }
 
+    async fn read_caps(&mut self, store: &Store) -> Result<(), StoreError> {
+        for lent in read_all::<LentCap>(store, LENT).await? {
+            let name = lent.workspace.clone();
+            self.workspaces.entry(name).or_default().lent = Some(lent);
+        }
+        for said in read_all::<CapUse>(store, USES).await? {
+            self.workspaces.entry(said.workspace.clone()).or_default().uses.push(said);
+        }
+        Ok(())
+    }
+
     async fn read_job(&mut self, store: &Store, id: JobId) -> Result<(), StoreError> {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
             let mut log = JobLog::default();
@@ -185,6 +211,7 @@
                 id: id.to_string(),
                 pool,
                 queue: spec.queue.clone(),
+                workspace: spec.workspace.clone(),
                 state: format!("{state:?}").to_lowercase(),
                 tasks: entry.progress.tasks.iter().map(task).collect(),
                 harms: entry.progress.harms.iter().map(harm).collect(),
@@ -195,6 +222,39 @@
     }
 }
 
+/// Reads the newest record of each key of a partition of the caps' records.
+async fn read_all<T: serde::de::DeserializeOwned>(
+    store: &Store,
+    part: u32,
+) -> Result<Vec<T>, StoreError> {
+    let newest = store.newest(TOPIC, part).await?;
+    let records = newest.records.iter().filter_map(|stored| stored.record.value());
+    let decode =
+        |value| postcard::from_bytes(value).map_err(|e| StoreError::Malformed(e.to_string()));
+    records.map(decode).collect()
+}
+
+fn write_workspace(f: &mut fmt::Formatter<'_>, name: &str, view: &WorkspaceView) -> fmt::Result {
+    let Some(lent) = &view.lent else { return Ok(()) };
+    let (cpu, mem_mb) = (lent.cap.cpu, lent.cap.mem_mb);
+    writeln!(
+        f,
+        "workspace {name} cap {cpu} thousandths of a core, {mem_mb} MB, split {}",
+        lent.number
+    )?;
+    for share in &lent.shares {
+        write!(f, "  pool {} lent {} cpu, {} MB", share.pool, share.room.cpu, share.room.mem_mb)?;
+        match view.uses.iter().find(|said| said.pool == share.pool) {
+            Some(said) => {
+                let (used, wanted) = (said.used.cpu, said.wanted.cpu);
+                writeln!(f, "; said by split {}: uses {used} cpu, wants {wanted}", said.number)?;
+            }
+            None => writeln!(f, "; said nothing")?,
+        }
+    }
+    Ok(())
+}
+
 fn decode<T: for<'a> serde::Deserialize<'a>>(value: &[u8]) -> Result<T, StoreError> {
     serde_json::from_slice(value).map_err(|e| StoreError::Malformed(e.to_string()))
 }
@@ -233,11 +293,15 @@
         for work in &self.fleet.work {
             writeln!(f, "vm {} {:?} {:?}", work.vm, work.purpose, work.stage)?;
         }
+        for (name, view) in &self.workspaces {
+            write_workspace(f, name, view)?;
+        }
         for entry in &self.unreadable {
             writeln!(f, "unreadable entry {entry}")?;
         }
         if let Some(job) = &self.job {
-            writeln!(f, "job {} {} queue {} pool {}", job.id, job.state, job.queue, job.pool)?;
+            let JobView { id, state, queue, pool, workspace, .. } = job;
+            writeln!(f, "job {id} {state} queue {queue} pool {pool} workspace {workspace}")?;
             for task in job.tasks.iter().chain(&job.harms) {
                 writeln!(f, "  {task}")?;
             }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod link;
 mod progress;
 mod purge;
+mod quota;
 mod report;
 mod vms;
 
@@ -23,6 +24,7 @@
 use advisor::Advisor;
 use link::Link;
 use progress::ProgressWriter;
+use quota::Quota;
 use report::Reporter;
 
 /// How often the schedule is looked at when nothing happens.
@@ -51,6 +53,10 @@
     Fenced(VmId),
     /// A question about a step was answered, or not.
     Advised(StepId, Option<Tickets>),
+    /// The newest records of how caps are lent were read.
+    LentRead,
+    /// What was said of the use of caps may not have arrived.
+    CapUseNotSaid,
 }
 
 /// VMs that may run a step with their tickets, and for how long, in milliseconds.
@@ -71,6 +77,7 @@
     purged_at: Ms,
     reporter: Reporter,
     advisor: Advisor,
+    quota: Quota,
     /// When what changes slowly was last looked at.
     looked_at: Ms,
 }
@@ -104,7 +111,7 @@
         node,
         log,
         token,
-        pool: Pool::with_policy(policy),
+        pool: Pool::with_policy(policy).with_name(pool_name.clone()),
         journal,
         writer: ProgressWriter::new(token, spilled),
         links: HashMap::new(),
@@ -113,8 +120,10 @@
         purged_at: steady_ms(),
         reporter: Reporter::default(),
         advisor,
+        quota: Quota::default(),
         looked_at: 0,
     };
+    owner.take_caps();
     owner.adopt();
     let load = owner.pool.load(now());
     log::info!(
@@ -143,8 +152,11 @@
     async fn work(&mut self, mut rx: UnboundedReceiver<Event>) -> Result<(), Fenced> {
         let mut vms = self.node.vms.subscribe();
         let mut fleet = self.node.fleet.subscribe();
+        let mut catalog = self.node.catalog.subscribe();
+        let mut lent = self.node.lent.subscribe();
         vms.mark_changed();
         fleet.mark_changed();
+        catalog.mark_changed();
         loop {
             let pause = self.pause();
             tokio::select! {
@@ -160,6 +172,14 @@
                     self.pool.set_hurried(record.moving().map(Arc::from).collect());
                     self.pool.set_due(record.due().map(Arc::from).collect());
                 }
+                Ok(()) = catalog.changed() => {
+                    catalog.mark_unchanged();
+                    self.take_caps();
+                }
+                Ok(()) = lent.changed() => {
+                    lent.mark_unchanged();
+                    self.take_lent();
+                }
                 () = tokio::time::sleep(pause) => (),
             }
             // What has piled up meanwhile is decided on together.
@@ -219,6 +239,8 @@
                 );
                 self.pool.advised(step, answer, now);
             }
+            Event::LentRead => self.lent_read(),
+            Event::CapUseNotSaid => self.pool.cap_use_not_said(),
             Event::Fenced(vm) => {
                 log::warn!("vm step=fenced vm={vm} token={}", self.token);
                 return Err(Fenced);
@@ -247,6 +269,7 @@
             self.dispatch(order);
         }
         self.look_at_vms();
+        self.say_cap_use();
         self.report();
         self.purge().await
     }
--- /dev/null
+++ b/crates/scheduler/src/owner/quota.rs
@@ -0,0 +1,126 @@
+//! A pool's owner and the caps of workspaces: what it is lent, and what it says of its use.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use metrics::counter;
+use thistle_platform::Guard;
+use thistle_schedule::Ms;
+use thistle_schedule::quota::Held;
+
+use super::{Event, Owner};
+use crate::caps::{USES, in_force, read_lent, use_record};
+use crate::clock::steady_ms;
+use crate::control::TOPIC;
+
+/// How often an owner says what it uses at most, in milliseconds: a share moves in about two such times, and what a pool
+/// wants changes with each task.
+const SAY_EVERY_MS: Ms = 40;
+/// Pause before the records are read again, if they could not be.
+const READ_AGAIN: Duration = Duration::from_millis(100);
+/// How often it is told at most that a workspace is held back, in milliseconds.
+const TELL_EVERY_MS: Ms = 1_000;
+
+/// How an owner stands with caps.
+#[derive(Debug, Default)]
+pub(super) struct Quota {
+    /// The records are being read, or were, since this owner came to own the pool.
+    asked: bool,
+    /// They were read: from here on news of them count.
+    read: bool,
+    /// How often something was said.
+    count: u64,
+    said_at: Ms,
+    told_at: Ms,
+    under_way: Arc<AtomicBool>,
+}
+
+impl Owner {
+    /// Takes in the caps of the configuration in force, and has their records read once there are any.
+    pub(super) fn take_caps(&mut self) {
+        let Some(catalog) = self.node.catalog.borrow().clone() else { return };
+        let caps = catalog.workspaces.all().iter().map(|w| (&*w.name, w.cap));
+        self.pool.set_caps(catalog.version, caps);
+        if self.quota.asked || !in_force(&self.node) {
+            return;
+        }
+        self.quota.asked = true;
+        let (node, tx) = (self.node.clone(), self.tx.clone());
+        tokio::spawn(async move {
+            while let Err(e) = read_lent(&node).await {
+                log::info!("caps step=not-read error=\"{e}\"");
+                if tx.is_closed() {
+                    return;
+                }
+                tokio::time::sleep(READ_AGAIN).await;
+            }
+            // An owner that has ended needs no news.
+            let _ = tx.send(Event::LentRead);
+        });
+    }
+
+    /// Takes in that the newest records were read since this owner came to own the pool.
+    pub(super) fn lent_read(&mut self) {
+        self.quota.read = true;
+        self.take_lent();
+    }
+
+    /// Takes in how caps are lent.
+    pub(super) fn take_lent(&mut self) {
+        if self.quota.read {
+            let table = self.node.lent.borrow().clone();
+            self.pool.set_lent(table.values());
+        }
+    }
+
+    /// Says what workspaces use that are short of their shares, or whose shares have changed.
+    pub(super) fn say_cap_use(&mut self) {
+        let now = steady_ms();
+        let quiet = now.saturating_sub(self.quota.said_at) < SAY_EVERY_MS;
+        if !self.quota.read || quiet || self.quota.under_way.load(Ordering::Relaxed) {
+            return;
+        }
+        self.quota.said_at = now;
+        self.tell_held(now);
+        let said = self.pool.say_cap_use(self.token, &mut self.quota.count);
+        if said.is_empty() {
+            return;
+        }
+        self.quota.under_way.store(true, Ordering::Relaxed);
+        let records: Vec<_> = said.iter().map(use_record).collect();
+        let (node, tx, under_way) =
+            (self.node.clone(), self.tx.clone(), self.quota.under_way.clone());
+        tokio::spawn(async move {
+            let result = node.store.append(TOPIC, USES, Guard::Always, &records).await;
+            node.standing.note(result.is_ok());
+            if let Err(e) = result {
+                log::info!("caps step=not-said count={} error=\"{e}\"", records.len());
+                let _ = tx.send(Event::CapUseNotSaid);
+            }
+            under_way.store(false, Ordering::Relaxed);
+        });
+    }
+
+    /// Tells which workspaces are held back by their caps, and by what.
+    fn tell_held(&mut self, now: Ms) {
+        if now.saturating_sub(self.quota.told_at) < TELL_EVERY_MS {
+            return;
+        }
+        self.quota.told_at = now;
+        for Held { workspace, cap, share, used, number } in self.pool.held_by_caps() {
+            log::info!(
+                "caps step=held workspace={workspace} pool={} cap_cpu={} cap_mem_mb={} lent_cpu={} lent_mem_mb={} \
+                 used_cpu={} used_mem_mb={} number={number}",
+                self.log.pool,
+                cap.cpu,
+                cap.mem_mb,
+                share.cpu,
+                share.mem_mb,
+                used.cpu,
+                used.mem_mb,
+            );
+            counter!("thistle_held_by_caps", "pool" => self.log.pool.to_string()).increment(1);
+        }
+    }
+}
