--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -199,13 +199,23 @@
         let claim = Claim { owner: node.me.clone(), released: true };
         records.push(KeyedRecord::new(format!("{OWNER_PREFIX}{pool}"), to_json(&claim)));
     }
+    let fleet = format!("{OWNER_PREFIX}{FLEET}");
+    let (fleet, pools): (Vec<_>, Vec<_>) = records.into_iter().partition(|r| r.key == fleet);
+    // Orders to the machine service that are under way are answered by then.
+    let give_up_fleet = async {
+        tokio::time::sleep(LAST_ORDERS).await;
+        release(node, &fleet).await;
+    };
+    tokio::join!(release(node, &pools), give_up_fleet);
+}
+
+/// Tells that this node owns some things no more.
+async fn release(node: &Node, records: &[KeyedRecord]) {
     if records.is_empty() {
         return;
     }
-    // Orders to the machine service that are under way are answered by then.
-    tokio::time::sleep(LAST_ORDERS).await;
     for _ in 0..RELEASE_TRIES {
-        match node.store.append(TOPIC, CLAIMS, Guard::Always, &records).await {
+        match node.store.append(TOPIC, CLAIMS, Guard::Always, records).await {
             Ok(_) => return,
             Err(e) => log::warn!("owner step=release-failed error=\"{e}\""),
         }
--- a/crates/scheduler/src/journal.rs
+++ b/crates/scheduler/src/journal.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use futures::future::try_join_all;
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
 
@@ -59,9 +60,9 @@
         let lane = |&part: &u32| Lane { part, sequence: 0, unanswered: None, again_at: 0 };
         let lanes = parts.iter().map(lane).collect();
         let mut journal = Self { topic: topic.to_owned(), lanes, epoch: token };
-        for i in 0..journal.lanes.len() {
-            journal.append_to(node, i, &[]).await?;
-        }
+        let epoch = journal.epoch;
+        let fence = |lane| fence(node, topic, epoch, lane);
+        try_join_all(journal.lanes.iter_mut().map(fence)).await?;
         Ok(journal)
     }
 
@@ -144,36 +145,51 @@
         lane: usize,
         records: &[KeyedRecord],
     ) -> Result<Tried, Fenced> {
-        let lane = &mut self.lanes[lane];
-        let guard = Guard::Writer { epoch: self.epoch, sequence: lane.sequence };
-        match node.store.append(&self.topic, lane.part, guard, records).await {
-            Ok(Appended::Done { offset, end }) => {
-                node.standing.note(true);
-                (lane.unanswered, lane.again_at) = (None, 0);
-                lane.sequence += 1;
-                return Ok(Tried::Done(Place { part: lane.part, offset, end }));
-            }
-            Ok(Appended::Fenced) => return Err(Fenced),
-            Ok(Appended::Sequence(Some(wanted))) => {
-                log::warn!(
-                    "journal topic={} part={} step=renumbered sequence={} wanted={wanted}",
-                    self.topic,
-                    lane.part,
-                    lane.sequence,
-                );
-                (lane.sequence, lane.unanswered) = (wanted, None);
-            }
-            Ok(other) => log::error!("journal topic={} answer={other:?}", self.topic),
-            Err(e) => {
-                node.standing.note(false);
-                if !e.nothing_done() {
-                    lane.unanswered = Some(records.to_vec());
-                }
-                lane.again_at = steady_ms() + LEAVE_ALONE_MS;
-                let (topic, part) = (&self.topic, lane.part);
-                log::info!("journal topic={topic} part={part} step=failed error=\"{e}\"");
+        send(node, &self.topic, self.epoch, &mut self.lanes[lane], records).await
+    }
+}
+
+/// Shuts writers with lower epochs out of a partition, however long that takes.
+async fn fence(node: &Node, topic: &str, epoch: u64, lane: &mut Lane) -> Result<(), Fenced> {
+    while let Tried::Failed = send(node, topic, epoch, lane, &[]).await? {
+        tokio::time::sleep(PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn send(
+    node: &Node,
+    topic: &str,
+    epoch: u64,
+    lane: &mut Lane,
+    records: &[KeyedRecord],
+) -> Result<Tried, Fenced> {
+    let guard = Guard::Writer { epoch, sequence: lane.sequence };
+    match node.store.append(topic, lane.part, guard, records).await {
+        Ok(Appended::Done { offset, end }) => {
+            node.standing.note(true);
+            (lane.unanswered, lane.again_at) = (None, 0);
+            lane.sequence += 1;
+            return Ok(Tried::Done(Place { part: lane.part, offset, end }));
+        }
+        Ok(Appended::Fenced) => return Err(Fenced),
+        Ok(Appended::Sequence(Some(wanted))) => {
+            log::warn!(
+                "journal topic={topic} part={} step=renumbered sequence={} wanted={wanted}",
+                lane.part,
+                lane.sequence,
+            );
+            (lane.sequence, lane.unanswered) = (wanted, None);
+        }
+        Ok(other) => log::error!("journal topic={topic} answer={other:?}"),
+        Err(e) => {
+            node.standing.note(false);
+            if !e.nothing_done() {
+                lane.unanswered = Some(records.to_vec());
             }
+            lane.again_at = steady_ms() + LEAVE_ALONE_MS;
+            log::info!("journal topic={topic} part={} step=failed error=\"{e}\"", lane.part);
         }
-        Ok(Tried::Failed)
     }
+    Ok(Tried::Failed)
 }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -87,23 +87,13 @@
     let (tx, rx) = unbounded_channel();
     let pool_name = log.pool.clone();
     let began = steady_ms();
-    let journal = match Journal::open(&node, &log.topic, &[PROGRESS, SPARE_PROGRESS], token).await {
-        Ok(journal) => journal,
-        Err(Fenced) => {
-            log::warn!("owner pool={pool_name} step=fenced token={token}");
-            return;
-        }
-    };
-    // The predecessor can write no more: what is there now is all there is.
-    let since = steady_ms();
-    while let Err(e) = log.read_all(&node, since).await {
-        log::debug!("owner pool={pool_name} step=read-failed error=\"{e}\"");
-        tokio::time::sleep(TICK).await;
-    }
     // Without the VMs nothing can be started; an outage may concern their partition alone, and jobs are told of all
-    // the same.
-    let mut listed = node.vms_listed.subscribe();
-    let _ = tokio::time::timeout(LISTED_WITHIN, listed.wait_for(|&listed| listed)).await;
+    // the same. They are waited for beside the rest: each call to a slow store takes a quarter of a second.
+    let (journal, ()) = tokio::join!(open_and_read(&node, &log, token), until_listed(&node));
+    let Ok(journal) = journal else {
+        log::warn!("owner pool={pool_name} step=fenced token={token}");
+        return;
+    };
     let spilled = log.spilled();
     let policy = node.settings.policy;
     let advisor = Advisor::start(&node, tx.clone());
@@ -138,6 +128,30 @@
     drop(owner.log.connect_owner(None));
 }
 
+/// Waits until the VMs were read, but not for long.
+async fn until_listed(node: &Node) {
+    let mut listed = node.vms_listed.subscribe();
+    let wait = async {
+        // The sender lives as long as the node.
+        let _ = listed.wait_for(|&listed| listed).await;
+    };
+    if tokio::time::timeout(LISTED_WITHIN, wait).await.is_err() {
+        log::info!("owner step=vms-not-listed waited_ms={}", LISTED_WITHIN.as_millis());
+    }
+}
+
+/// Shuts the predecessor out of the pool's progress and reads all that there is.
+async fn open_and_read(node: &Node, log: &PoolLog, token: u64) -> Result<Journal, Fenced> {
+    let journal = Journal::open(node, &log.topic, &[PROGRESS, SPARE_PROGRESS], token).await?;
+    // The predecessor can write no more: what is there now is all there is.
+    let since = steady_ms();
+    while let Err(e) = log.read_all(node, since).await {
+        log::debug!("owner pool={} step=read-failed error=\"{e}\"", log.pool);
+        tokio::time::sleep(TICK).await;
+    }
+    Ok(journal)
+}
+
 impl Owner {
     /// Takes in all jobs, and from here on all news.
     fn adopt(&mut self) {
