--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -5,6 +5,8 @@
 
 #[path = "soak/callers.rs"]
 mod callers;
+#[path = "soak/caps.rs"]
+mod caps;
 #[path = "soak/checks.rs"]
 mod checks;
 #[path = "soak/faults.rs"]
@@ -42,6 +44,9 @@
 /// before, with nothing running, so that the run counted as never begun (no `run step=lost` for attempt 4 on i-m-3-3).
 const HARM_SEEDS: [u64; 2] = [80, 302];
 
+/// Seeds of a short run beside a cap.
+const CAP_SEEDS: [u64; 2] = [20, 21];
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("THISTLE_SOAK_SEEDS") else {
         return SEEDS.chain(FAILED_ONCE).collect();
@@ -92,6 +97,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_beside_a_cap_that_changes() {
+    for seed in seeds_or(CAP_SEEDS) {
+        play(seed, Kind::Cap).await;
+    }
+}
+
 /// What happens while callers call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -101,6 +113,8 @@
     FaultsOfMany,
     /// Anything, beside jobs that crash their VMs and entries of another writer.
     Harm,
+    /// Anything, beside a cap of all callers' workspace that changes.
+    Cap,
     /// Nodes told to stop and started again, settings reloaded, configurations.
     PlannedWork,
 }
@@ -114,12 +128,13 @@
             Self::FaultsOfMany => (160, 20),
             Self::PlannedWork => (180, 60),
             Self::Harm => (240, 15),
+            Self::Cap => (10, 60),
         }
     }
 
     const fn nodes(self) -> u8 {
         match self {
-            Self::Faults | Self::PlannedWork | Self::Harm => 3,
+            Self::Faults | Self::PlannedWork | Self::Harm | Self::Cap => 3,
             Self::FaultsOfMany => 14,
         }
     }
@@ -130,6 +145,9 @@
     let (first, nets) = kind.nets();
     let net = first + u8::try_from(seed % nets).unwrap_or(0);
     let mut soak = Soak::start(seed, net, kind.nodes()).await;
+    if kind == Kind::Cap {
+        soak.put_first_cap().await;
+    }
     let callers = Callers::start(seed, soak.addrs());
     let began = Instant::now();
     while began.elapsed() < length {
@@ -137,6 +155,7 @@
             Kind::Faults | Kind::FaultsOfMany => soak.fault().await,
             Kind::PlannedWork => soak.planned_work().await,
             Kind::Harm => soak.harm().await,
+            Kind::Cap => soak.cap_or_fault().await,
         }
         soak.probe_config().await;
     }
@@ -149,6 +168,7 @@
     jobs.extend(soak.crashing_jobs());
     let mut broken = checks::broken_promises(&soak.system, &jobs);
     broken.extend(soak.started_too_often());
+    broken.extend(soak.starts_over_cap());
     if kind == Kind::PlannedWork {
         broken.extend(checks::cut_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/callers.rs
+++ b/crates/scheduler/tests/soak/callers.rs
@@ -8,11 +8,12 @@
 use hyper::Method;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use thistle_platform::KEY_HEADER;
 use thistle_platform::http::{Call, CallError, HttpClient};
 use thistle_platform::standin::bodies;
 use tokio::task::JoinHandle;
 
-use super::system::job;
+use super::system::{KEY, job};
 
 /// Callers at once.
 const CALLERS: u64 = 3;
@@ -106,7 +107,7 @@
         let node = self.rng.random_range(0..self.nodes.len());
         self.asked = node;
         let call = Call::new(method, format!("/quotes/{id}"), PATIENCE);
-        let call = call.with_header("host", bodies::HOST);
+        let call = call.with_header("host", bodies::HOST).with_header(KEY_HEADER, KEY);
         let call = match body {
             Some(body) => call.with_json(body),
             None => call,
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -26,6 +26,8 @@
     NotRun { job: String },
     /// A task that crashes its VMs was started more often than the platform allows.
     StartedTooOften { task: String, starts: usize },
+    /// More ran of a workspace through a start than its cap allows.
+    OverCap { run: String, running: i64 },
     /// A node took a request in and did not answer it, with nothing but planned work about.
     Cut { job: String, node: usize },
 }
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -1,7 +1,7 @@
 //! Faults from outside, in series and overlapping, by one seed.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use rand::rngs::StdRng;
@@ -22,6 +22,8 @@
     pub faults: Vec<String>,
     /// The IDs of jobs that crash their VMs.
     pub crashing: Vec<String>,
+    /// Caps, with when each was put in force.
+    pub caps: Vec<(Instant, u32)>,
     pub rng: StdRng,
     ways: Vec<Path>,
     /// Nodes that are paused by a signal.
@@ -48,9 +50,9 @@
         }
         let seen = vec![0; ways.len()];
         let rng = StdRng::seed_from_u64(seed);
-        let (faults, crashing) = (Vec::new(), Vec::new());
+        let (faults, crashing, caps) = (Vec::new(), Vec::new(), Vec::new());
         let (paused, down) = (Vec::new(), Vec::new());
-        Self { system, faults, crashing, rng, ways, paused, down, version: 1, seen }
+        Self { system, faults, crashing, caps, rng, ways, paused, down, version: 1, seen }
     }
 
     pub fn addrs(&self) -> Vec<SocketAddr> {
@@ -182,7 +184,7 @@
         format!("vm {}", vm.id)
     }
 
-    fn config(&mut self) -> String {
+    pub fn config(&mut self) -> String {
         self.version += 1;
         let added = (2..=self.version).map(path_of).collect::<Vec<_>>();
         let mut paths = vec!["/quotes/"];
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use hyper::Method;
+use thistle_platform::KEY_HEADER;
 use thistle_platform::http::{Answer, Call, HttpClient};
 use thistle_platform::standin::{Standin, bodies};
 
@@ -17,6 +18,8 @@
 pub const PATIENCE: Duration = Duration::from_secs(60);
 const CALL_TIMEOUT: Duration = Duration::from_secs(10);
 pub const POOL: &str = "desk";
+/// The key that callers show; where there is no workspace nobody asks for it.
+pub const KEY: &str = "soak-key";
 
 /// A node's process; it is killed when dropped.
 pub struct Node {
@@ -124,6 +127,8 @@
 pub struct System {
     pub platform: Standin,
     pub nodes: Vec<Node>,
+    /// What the one workspace of further configurations may run, in thousandths of a core; without it there is no workspace.
+    pub cap: Option<u32>,
     dir: PathBuf,
 }
 
@@ -149,7 +154,7 @@
         }
         let dir = std::env::temp_dir().join(format!("thistle-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the folder is made");
-        let mut system = Self { platform, nodes: Vec::new(), dir };
+        let mut system = Self { platform, nodes: Vec::new(), cap: None, dir };
         system.put_config(1, &["/quotes/"]);
         for i in 0..nodes {
             system.add_node(ip(10 + i));
@@ -182,7 +187,11 @@
 
     /// Puts a configuration in force whose queues have these paths.
     pub fn put_config(&self, version: u64, paths: &[&str]) {
-        let config = bodies::config(version, POOL, "off", paths);
+        let mut config = bodies::config(version, POOL, "off", paths);
+        if let Some(cap) = self.cap {
+            let workspace = bodies::workspace("soak", &[KEY], cap, 1);
+            config = bodies::with_workspaces(&config, &[workspace], &[]);
+        }
         self.platform.store.put("op", "config", config);
     }
 
@@ -223,7 +232,7 @@
 }
 
 async fn call_host(node: &Node, call: Call) -> Answer {
-    let call = call.with_header("host", bodies::HOST);
+    let call = call.with_header("host", bodies::HOST).with_header(KEY_HEADER, KEY);
     node.callers().call(call).await.expect("the node answers")
 }
 
