--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -33,7 +33,7 @@
 const AGAIN_MS: Ms = 400;
 /// How often that pause doubles at most while an order is turned down: to 1.6 s, as the machine service may be back
 /// at any moment and waves have a time to keep.
-const MOST_DOUBLINGS: u32 = 2;
+const MOST_ORDER_DOUBLINGS: u32 = 2;
 
 /// What is known of an order that was given in this term.
 #[derive(Clone, Copy, Debug, Default)]
@@ -188,7 +188,7 @@
         // An answer that nothing waits for says nothing of what is done with the VM now.
         let Some(given) = self.given.get_mut(vm).filter(|given| given.under_way) else { return };
         given.under_way = false;
-        given.again_at = now + (AGAIN_MS << given.turned_down.min(MOST_DOUBLINGS));
+        given.again_at = now + (AGAIN_MS << given.turned_down.min(MOST_ORDER_DOUBLINGS));
         given.turned_down =
             if outcome == OrderOutcome::NotDone { given.turned_down + 1 } else { 0 };
         match outcome {
--- a/crates/schedule/src/harm.rs
+++ b/crates/schedule/src/harm.rs
@@ -29,7 +29,7 @@
 /// The first pause before a suspect is started again, in milliseconds; it doubles with each crash.
 const PAUSE_MS: Ms = 250;
 /// The longest such pause, in milliseconds: a task that may start and does not for 3 s counts as lost.
-const MOST_PAUSE_MS: Ms = 2_000;
+pub const MOST_PAUSE_MS: Ms = 2_000;
 
 /// A VM that fell silent under a task until its lease was over.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -209,9 +209,9 @@
         };
     }
 
-    /// Takes in that all of that is told anew.
-    pub fn forget_further_lanes(&mut self) {
-        self.further_lanes.clear();
+    /// Takes in all pools of which that is told: what is told of no other one any more holds no longer.
+    pub fn replace_further_lanes(&mut self, pools: HashSet<Arc<str>>) {
+        self.further_lanes = pools;
     }
 
     /// Returns whether a pool's progress may stand in further partitions.
--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -3,6 +3,7 @@
 use super::job::Spot;
 use super::{JobKey, Now, Pool, VmKey};
 use crate::Ms;
+use crate::harm::MOST_PAUSE_MS;
 use crate::id::{RunId, TaskId};
 use crate::progress::Phase;
 use crate::vm::{EndKind, RunEnd};
@@ -13,9 +14,7 @@
 /// failure on it doubles with each.
 const FAILED_PAUSE_MS: Ms = 125;
 /// How often it doubles at most.
-const MOST_DOUBLINGS: u32 = 4;
-/// The longest pause, in milliseconds: a task that may start and does not for 3 s counts as lost.
-const MOST_PAUSE_MS: Ms = 2_000;
+const MOST_PAUSE_DOUBLINGS: u32 = 4;
 
 impl Pool {
     /// Takes in an end that a VM lists.
@@ -55,7 +54,7 @@
         let pause = match task.quick_failures {
             // Two may be chance.
             0 | 1 => 0,
-            n => (FAILED_PAUSE_MS << n.min(MOST_DOUBLINGS)).min(MOST_PAUSE_MS),
+            n => (FAILED_PAUSE_MS << n.min(MOST_PAUSE_DOUBLINGS)).min(MOST_PAUSE_MS),
         };
         task.quick_failures += 1;
         task.not_before = now.steady + pause;
--- a/crates/schedule/src/pool/incarnation.rs
+++ b/crates/schedule/src/pool/incarnation.rs
@@ -18,7 +18,7 @@
 const ASIDE_BRIEFLY_MS: Ms = 500;
 /// How often that time doubles at most while it turns one away after the other for want of room: each costs a call and
 /// a record. At 8 s one that has room again is used soon, and what it says of its room counts at once.
-const MOST_DOUBLINGS: u32 = 4;
+const MOST_ASIDE_DOUBLINGS: u32 = 4;
 /// One incarnation of a VM.
 #[derive(Clone, Debug)]
 pub(super) struct Vm {
@@ -169,7 +169,7 @@
 
     /// Sets it aside as it turned a start away for want of room, for longer each time in a row.
     pub fn set_aside_for_room(&mut self, now: Ms) {
-        let pause = ASIDE_BRIEFLY_MS << self.without_room.min(MOST_DOUBLINGS);
+        let pause = ASIDE_BRIEFLY_MS << self.without_room.min(MOST_ASIDE_DOUBLINGS);
         self.without_room += 1;
         self.aside_until = self.aside_until.max(now + pause);
     }
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -4,7 +4,7 @@
 mod claims_end;
 mod lanes;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -52,8 +52,8 @@
     follow(&node, Tail::new(TOPIC, CLAIMS), Pace::AtOnce, move |news, next| {
         let records = match news {
             News::Reloaded(records) => {
-                // What was told and is not there any more was taken back meanwhile.
-                lock(&cx.ownership).forget_further_lanes();
+                // At once: whoever claims a pool in between must not miss what is told of it.
+                lock(&cx.ownership).replace_further_lanes(lanes_of(&records));
                 records
             }
             News::Records(records) => records,
@@ -75,6 +75,12 @@
     .await;
 }
 
+/// Returns the pools of which records tell that their progress may stand in further partitions.
+fn lanes_of(records: &[Stored]) -> HashSet<Arc<str>> {
+    let told = records.iter().filter(|stored| stored.record.value().is_some());
+    told.filter_map(|stored| stored.record.key.strip_prefix(LANES_PREFIX)).map(Arc::from).collect()
+}
+
 fn take_claim(node: &Node, stored: &Stored) {
     let Some(pool) = stored.record.key.strip_prefix(OWNER_PREFIX) else { return };
     let Some(value) = stored.record.value() else { return };
--- a/crates/scheduler/src/journal.rs
+++ b/crates/scheduler/src/journal.rs
@@ -17,7 +17,7 @@
 
 /// How often that time doubles at most, up to 3.2 s: each try of a partition that says nothing holds all else up for as long as
 /// an append may take.
-const MOST_DOUBLINGS: u32 = 3;
+const MOST_LANE_DOUBLINGS: u32 = 3;
 
 /// Another node owns what the records are about.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -251,7 +251,8 @@
             if !e.nothing_done() {
                 lane.unanswered = Some(records.to_vec());
             }
-            lane.again_at = steady_ms() + (LEAVE_ALONE_MS << lane.failures.min(MOST_DOUBLINGS));
+            lane.again_at =
+                steady_ms() + (LEAVE_ALONE_MS << lane.failures.min(MOST_LANE_DOUBLINGS));
             lane.failures += 1;
             log::info!("journal topic={topic} part={} step=failed error=\"{e}\"", lane.part);
         }
--- /dev/null
+++ b/crates/scheduler/src/owner/start.rs
@@ -0,0 +1,111 @@
+//! Coming to own a pool: shutting the predecessor out, reading all that there is, and taking it in.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use thistle_schedule::Pool;
+use tokio::sync::mpsc::unbounded_channel;
+
+use super::advisor::Advisor;
+use super::progress::ProgressWriter;
+use super::quota::Quota;
+use super::report::Reporter;
+use super::{Owner, TICK};
+use crate::clock::{now, steady_ms};
+use crate::journal::{Fenced, Journal};
+use crate::locks::lock;
+use crate::node::Node;
+use crate::pool_log::{FURTHER_PROGRESS, PROGRESS, PoolLog, SPARE_PROGRESS};
+
+/// How long a new owner waits for the VMs to be read: a page of 540 VMs takes 0.1 s over 20 Mbit/s.
+const LISTED_WITHIN: Duration = Duration::from_millis(1_000);
+
+/// Owns a pool until another node does, or the task is aborted.
+pub async fn run(node: Arc<Node>, log: Arc<PoolLog>, token: u64) {
+    let (tx, rx) = unbounded_channel();
+    let pool_name = log.pool.clone();
+    let began = steady_ms();
+    // Without the VMs nothing can be started; an outage may concern their partition alone, and jobs are told of all
+    // the same. They are waited for beside the rest: each call to a slow store takes a quarter of a second.
+    let (journal, ()) = tokio::join!(open_and_read(&node, &log, token), until_listed(&node));
+    let Ok(journal) = journal else {
+        log::warn!("owner pool={pool_name} step=fenced token={token}");
+        return;
+    };
+    let spilled = log.spilled();
+    let further_told = lock(&node.ownership).has_further_lanes(&log.pool);
+    let policy = node.settings.policy;
+    let advisor = Advisor::start(&node, tx.clone());
+    let mut owner = Owner {
+        node,
+        log,
+        token,
+        pool: Pool::with_policy(policy).with_name(pool_name.clone()),
+        journal,
+        writer: ProgressWriter::new(token, spilled, further_told),
+        links: HashMap::new(),
+        orphans: HashMap::new(),
+        tx: tx.clone(),
+        purged_at: steady_ms(),
+        reporter: Reporter::default(),
+        advisor,
+        quota: Quota::default(),
+        looked_at: 0,
+    };
+    owner.take_caps();
+    owner.adopt();
+    let load = owner.pool.load(now());
+    log::info!(
+        "owner pool={pool_name} step=took-over token={token} jobs={} placed={} took_ms={}",
+        load.jobs,
+        load.placed,
+        steady_ms().saturating_sub(began),
+    );
+    if owner.work(rx).await == Err(Fenced) {
+        log::warn!("owner pool={pool_name} step=fenced token={token}");
+    }
+    drop(owner.log.connect_owner(None));
+}
+
+/// Waits until the VMs were read, but not for long.
+async fn until_listed(node: &Node) {
+    let mut listed = node.vms_listed.subscribe();
+    let wait = async {
+        // The sender lives as long as the node.
+        let _ = listed.wait_for(|&listed| listed).await;
+    };
+    if tokio::time::timeout(LISTED_WITHIN, wait).await.is_err() {
+        log::info!("owner step=vms-not-listed waited_ms={}", LISTED_WITHIN.as_millis());
+    }
+}
+
+/// Shuts the predecessor out of the pool's progress and reads all that there is.
+async fn open_and_read(node: &Node, log: &PoolLog, token: u64) -> Result<Journal, Fenced> {
+    // All that its predecessor told was read before this node could claim the pool.
+    let further = lock(&node.ownership).has_further_lanes(&log.pool);
+    let mut parts = vec![PROGRESS, SPARE_PROGRESS];
+    if further {
+        parts.extend(FURTHER_PROGRESS);
+    }
+    let journal = Journal::open(node, &log.topic, &parts, token).await?;
+    // The predecessor can write no more: what is there now is all there is.
+    let since = steady_ms();
+    while let Err(e) = log.read_all(node, since, further).await {
+        log::debug!("owner pool={} step=read-failed error=\"{e}\"", log.pool);
+        tokio::time::sleep(TICK).await;
+    }
+    Ok(journal)
+}
+
+impl Owner {
+    /// Takes in all jobs, and from here on all news.
+    fn adopt(&mut self) {
+        let log = self.log.clone();
+        self.pool.taken_over(now());
+        let jobs = log.connect_owner(Some(self.tx.clone()));
+        for (id, entry) in jobs.iter() {
+            self.pool.adopt(id, entry, now());
+        }
+    }
+}
--- /dev/null
+++ b/crates/scheduler/src/owner/tell.rs
@@ -0,0 +1,40 @@
+//! What an owner tells operators: metrics of its load, tasks given up, ends.
+
+use metrics::{counter, gauge};
+use thistle_schedule::pool::{GivenUp, Load};
+use thistle_schedule::{Harm, VmId, VmReport};
+
+use super::Owner;
+use crate::clock::now;
+
+impl Owner {
+    /// Logs the tasks that were given up since VMs crashed under them.
+    pub(super) fn tell_given_up(&mut self) {
+        for GivenUp { task, harm } in self.pool.take_given_up() {
+            let Harm { crashes, at_start, alone, .. } = harm;
+            log::warn!(
+                "job step=given-up task={task} crashes={crashes} at_start={at_start} alone={alone}"
+            );
+            counter!("thistle_given_up", "pool" => self.log.pool.to_string()).increment(1);
+        }
+    }
+
+    pub(super) fn tell_load(&self) {
+        let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load(now());
+        let pool = self.log.pool.to_string();
+        gauge!("thistle_pool_tasks_waiting", "pool" => pool.clone()).set(f64::from(waiting));
+        gauge!("thistle_pool_tasks_placed", "pool" => pool.clone()).set(f64::from(placed));
+        gauge!("thistle_pool_jobs", "pool" => pool.clone()).set(f64::from(jobs));
+        gauge!("thistle_pool_vms", "pool" => pool.clone()).set(f64::from(vms));
+        let used = used_cpu as f64 / (cpu as f64).max(1.0);
+        gauge!("thistle_pool_cpu_used", "pool" => pool).set(used);
+    }
+}
+
+/// Logs the ends that a VM lists.
+pub(super) fn log_ends(vm: &VmId, report: &VmReport) {
+    for end in &report.ended {
+        log::info!("end run={} vm={vm} how={:?} number={}", end.run, end.kind, end.sequence);
+        counter!("thistle_ends", "how" => format!("{:?}", end.kind)).increment(1);
+    }
+}
