--- a/crates/schedule/tests/quota_histories.rs
+++ b/crates/schedule/tests/quota_histories.rs
@@ -22,6 +22,10 @@
     world
 }
 
+/// Seeds that failed once, played in each run. 658: a cap had no limit for a while; when it had one again, a pool went on by the part that it
+/// was lent before, beside what another had started without limit (4 starts).
+const FAILED_ONCE: [u64; 1] = [658];
+
 fn seeds() -> std::ops::Range<u64> {
     let many = std::env::var_os("THISTLE_LONG_RUN").is_some();
     0..if many { 10_000 } else { SEEDS }
@@ -30,7 +34,7 @@
 #[test]
 fn nothing_starts_over_a_cap_whoever_is_replaced_and_whatever_comes_late() {
     let mut starts = 0;
-    for seed in seeds() {
+    for seed in seeds().chain(FAILED_ONCE) {
         let world = play(seed, Way::Lent, Without::Nothing, true);
         assert_eq!(world.over, 0, "seed {seed}");
         starts += world.starts;
--- a/crates/schedule/tests/quota_world/mod.rs
+++ b/crates/schedule/tests/quota_world/mod.rs
@@ -15,6 +15,8 @@
 const CONFIG_TURNS: u64 = 30;
 /// Cores of the largest task, of a cap of 100.
 const LARGEST_TASK: u32 = 3;
+/// Caps that come by turns, in cores; 0 is no limit.
+const CAPS: [u32; 5] = [100, 60, 25, 140, 0];
 /// After how many turns an owner says something again.
 const SAY_EVERY: u64 = 4;
 const POOLS: [&str; 3] = ["desk", "plan", "hub"];
@@ -146,7 +148,8 @@
         let until =
             |i: usize| self.configs.get(i + 1).map_or(u64::MAX, |next| next.0 + CONFIG_TURNS);
         let in_force = (0..self.configs.len()).filter(|&i| self.now <= until(i));
-        in_force.map(|i| self.configs[i].1.cpu).max().unwrap_or(0)
+        let caps = in_force.map(|i| self.configs[i].1.cpu);
+        caps.map(|cpu| if cpu == 0 { u32::MAX } else { cpu }).max().unwrap_or(0)
     }
 
     fn oldest_version(&self) -> usize {
@@ -215,7 +218,8 @@
             self.heard = 0;
         }
         if self.rng.random_bool(0.005) {
-            let cpu = *[100, 60, 25, 140].get(self.rng.random_range(0..4)).unwrap_or(&100);
+            // 0 is no limit.
+            let cpu = CAPS[self.rng.random_range(0..CAPS.len())];
             self.configs.push((self.now, cap(cpu)));
         }
     }
