--- a/crates/schedule/src/pool/quota.rs
+++ b/crates/schedule/src/pool/quota.rs
@@ -26,9 +26,9 @@
         self.quota.set_workspaces(version, workspaces);
     }
 
-    /// Takes in the newest records of how caps are lent.
-    pub fn set_lent<'a>(&mut self, records: impl Iterator<Item = &'a LentCap>) {
-        self.quota.set_records(records);
+    /// Takes in the newest records of how caps are lent, and the version of the configuration for which they hold.
+    pub fn set_lent<'a>(&mut self, as_of: u64, records: impl Iterator<Item = &'a LentCap>) {
+        self.quota.set_records(as_of, records);
     }
 
     /// Returns the workspaces whose tasks were held back by their caps of late.
--- a/crates/schedule/src/quota/ledger.rs
+++ b/crates/schedule/src/quota/ledger.rs
@@ -21,7 +21,9 @@
     name: Arc<str>,
     /// Its cap by the newest configuration, or the last that named it.
     cap: Option<Room>,
-    /// How that is lent, by the newest record.
+    /// The version since which it has been limited; records of before know nothing of what was started without a limit.
+    limited_since: u64,
+    /// How its cap is lent, by the newest record.
     lent: Option<LentCap>,
     /// What it has running here, or may have.
     used: Room,
@@ -88,6 +90,10 @@
     by_name: HashMap<Arc<str>, WorkspaceKey>,
     /// The version of the configuration whose caps are known.
     version: u64,
+    /// Some workspace is limited there.
+    has_caps: bool,
+    /// The version of the configuration for which the records hold.
+    as_of: u64,
     /// The newest records have been read since this owner came to own the pool: before, it may be lent less than it knows.
     records_read: bool,
 }
@@ -123,10 +129,12 @@
     /// Takes in the workspaces of a version of the configuration.
     pub fn set_workspaces(&mut self, version: u64, workspaces: &[Workspace]) {
         self.version = version;
+        self.has_caps = workspaces.iter().any(|workspace| limits(workspace.cap));
         for workspace in workspaces {
             if let Some(key) = self.key(&workspace.name) {
                 let entry = &mut self.arena[key];
                 (entry.cap, entry.weight) = (Some(workspace.cap), Some(workspace.weight));
+                entry.limited_since = workspace.limited_since;
             }
         }
     }
@@ -138,9 +146,10 @@
         entry.jobs.take(weight, accepted)
     }
 
-    /// Takes in the newest records of how caps are lent.
-    pub fn set_records<'a>(&mut self, records: impl Iterator<Item = &'a LentCap>) {
+    /// Takes in the newest records of how caps are lent, and the version for which they hold.
+    pub fn set_records<'a>(&mut self, as_of: u64, records: impl Iterator<Item = &'a LentCap>) {
         self.records_read = true;
+        self.as_of = self.as_of.max(as_of);
         for lent in records {
             let Some(key) = self.key(&lent.workspace) else { continue };
             let entry = &mut self.arena[key];
@@ -203,7 +212,11 @@
     ) -> Vec<CapUse> {
         let mut news = Vec::new();
         for (key, entry) in &mut self.arena {
-            let Some(lent) = entry.lent.as_ref().filter(|_| self.records_read) else { continue };
+            // Who sees no limit goes by no record.
+            let limited = entry.cap_now(self.version).is_some_and(limits);
+            let Some(lent) = entry.lent.as_ref().filter(|_| self.records_read && limited) else {
+                continue;
+            };
             let waits = waiting.get(&key).copied().unwrap_or_default();
             let wanted = entry.used.plus(waits);
             let share = lent.share(&self.pool).map(|s| s.room).unwrap_or_default();
@@ -241,7 +254,13 @@
     }
 
     fn view(&self) -> View {
-        View { pool: self.pool.clone(), version: self.version, records_read: self.records_read }
+        View {
+            pool: self.pool.clone(),
+            version: self.version,
+            as_of: self.as_of,
+            has_caps: self.has_caps,
+            records_read: self.records_read,
+        }
     }
 }
 
@@ -249,25 +268,37 @@
 struct View {
     pool: Arc<str>,
     version: u64,
+    as_of: u64,
+    has_caps: bool,
     records_read: bool,
 }
 
 impl Entry {
+    /// Returns its cap: by the newest configuration, or by a record that goes by a newer one than this node has. One that no
+    /// configuration names any more keeps to the last that was lent.
+    fn cap_now(&self, version: u64) -> Option<Room> {
+        let newer = self.lent.as_ref().filter(|lent| lent.version > version);
+        let known = self.cap.or(self.lent.as_ref().map(|lent| lent.cap));
+        newer.map(|lent| lent.cap).or(known)
+    }
+
     /// Returns how much it may have running here; none if nothing limits it.
     fn share(&self, view: &View) -> Option<Room> {
-        let lent = self.lent.as_ref();
-        // One that no configuration names any more keeps to the last that it was lent.
-        let Some(cap) = self.cap.or(lent.map(|lent| lent.cap)) else {
+        let Some(cap) = self.cap_now(view.version) else {
             // Its cap is not known yet, or it never had one.
             let unknown = view.version < self.admitted_by || !view.records_read;
             return unknown.then(Room::default);
         };
         if !limits(cap) {
-            return None;
+            // Another node may know of a limit already.
+            return (view.has_caps && !view.records_read).then(Room::default);
         }
-        let Some(lent) = lent.filter(|lent| view.records_read && !is_higher(lent.cap, cap)) else {
-            return Some(Room::default());
+        let counts = |lent: &&LentCap| {
+            view.records_read
+                && lent.version.max(view.as_of) >= self.limited_since
+                && !is_higher(lent.cap, cap)
         };
+        let Some(lent) = self.lent.as_ref().filter(counts) else { return Some(Room::default()) };
         Some(lent.share(&view.pool).map(|share| share.room).unwrap_or_default())
     }
 
--- a/crates/schedule/src/quota/lender.rs
+++ b/crates/schedule/src/quota/lender.rs
@@ -3,37 +3,53 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::{CapUse, LentCap, Share, kinds, limits, of_kinds, within};
+use super::{CapUse, LentCap, Share, Splits, kinds, limits, of_kinds, within};
 use crate::vm::Room;
+use crate::workspace::Workspace;
 
 /// A split is written anew for a pool that is short only if it gains at least one of so many parts of the cap, or all
 /// that it is short of: each record is a call to the store, and what pools want changes with each task.
 const LEAST_GAIN_PART: u64 = 32;
 
+/// Nothing is known of what a pool has running.
+const NO_BOUND: Room = Room { cpu: u32::MAX, mem_mb: u32::MAX, gpu: u32::MAX };
+
 /// Splits caps among pools by what each wants.
 #[derive(Clone, Debug, Default)]
 pub struct Lender {
     pools: Vec<Arc<str>>,
-    caps: BTreeMap<Arc<str>, Room>,
+    version: u64,
+    /// The version for which all splits hold, as it was written last.
+    as_of: u64,
+    limited: BTreeMap<Arc<str>, Workspace>,
     lent: BTreeMap<Arc<str>, LentCap>,
     said: HashMap<(Arc<str>, Arc<str>), CapUse>,
 }
 
 impl Lender {
-    /// Goes on from the records of its predecessors.
-    pub fn new(records: Vec<LentCap>) -> Self {
+    /// Goes on from the records of its predecessors, which hold for a version of the configuration.
+    pub fn new(as_of: u64, records: Vec<LentCap>) -> Self {
         let lent = records.into_iter().map(|lent| (lent.workspace.as_str().into(), lent)).collect();
-        Self { lent, ..Self::default() }
+        Self { as_of, lent, ..Self::default() }
     }
 
-    /// Sets the pools that run jobs, and the caps of workspaces.
+    /// Sets the pools that run jobs, and the workspaces, by a version of the configuration.
     pub fn set_config(
         &mut self,
+        version: u64,
         pools: impl Iterator<Item = Arc<str>>,
-        caps: impl Iterator<Item = (Arc<str>, Room)>,
+        workspaces: &[Workspace],
     ) {
+        self.version = version;
         self.pools = pools.collect();
-        self.caps = caps.filter(|(_, cap)| limits(*cap)).collect();
+        let limited = workspaces.iter().filter(|workspace| limits(workspace.cap));
+        self.limited = limited.map(|w| (w.name.clone(), w.clone())).collect();
+    }
+
+    /// Returns whether a workspace may have been without a limit since its cap was last split: what pools have started meanwhile
+    /// is known by none of their words.
+    fn was_unlimited(&self, workspace: &Workspace, before: Option<&LentCap>) -> bool {
+        before.is_some_and(|lent| lent.version.max(self.as_of) < workspace.limited_since)
     }
 
     /// Takes in what a pool's owner says; what was said before is no news.
@@ -51,33 +67,42 @@
     }
 
     /// Decides which caps are split anew. The records are to be written before anything else is asked of the lender.
-    pub fn plan(&mut self) -> Vec<LentCap> {
-        let caps: Vec<(Arc<str>, Room)> =
-            self.caps.iter().map(|(w, &cap)| (w.clone(), cap)).collect();
-        let mut records = Vec::new();
-        for (workspace, cap) in caps {
-            if let Some(lent) = self.split(&workspace, cap) {
-                self.lent.insert(workspace, lent.clone());
-                records.push(lent);
+    pub fn plan(&mut self) -> Splits {
+        let limited: Vec<Workspace> = self.limited.values().cloned().collect();
+        let mut splits = Splits::default();
+        for workspace in limited {
+            if let Some(lent) = self.split(&workspace) {
+                self.lent.insert(workspace.name, lent.clone());
+                splits.lent.push(lent);
             }
         }
-        records
+        if self.version > self.as_of {
+            self.as_of = self.version;
+            splits.as_of = Some(self.version);
+        }
+        splits
     }
 
     /// Returns a cap's new split, if there is to be one.
-    fn split(&self, workspace: &Arc<str>, cap: Room) -> Option<LentCap> {
-        let before = self.lent.get(workspace);
+    fn split(&self, workspace: &Workspace) -> Option<LentCap> {
+        let (name, cap) = (&workspace.name, workspace.cap);
+        let before = self.lent.get(name);
+        let unknown = self.was_unlimited(workspace, before);
         let mut pools: Vec<Arc<str>> = self.pools.clone();
         // One that is not configured any more may still run what it has.
         let gone = before.into_iter().flat_map(|lent| &lent.shares);
         pools.extend(gone.map(|s| Arc::from(s.pool.as_str())).filter(|p| !self.pools.contains(p)));
-        let stands = |pool: &Arc<str>| self.standing(workspace, pool, before);
+        let stands = |pool: &Arc<str>| match unknown {
+            // Each pool says what it has running once it goes by this record.
+            true => Standing { bound: NO_BOUND, ..Standing::default() },
+            false => self.standing(name, pool, before),
+        };
         let standings: Vec<Standing> = pools.iter().map(stands).collect();
         let same_terms = before.is_some_and(|lent| {
             lent.cap == cap && pools.iter().all(|pool| lent.share(pool).is_some())
         });
         let mut shares: Vec<[u32; 3]> = vec![[0; 3]; pools.len()];
-        let mut is_due = !same_terms;
+        let mut is_due = !same_terms || unknown;
         for kind in 0..3 {
             let column: Vec<OfKind> = standings.iter().map(|s| s.of_kind(kind)).collect();
             let total = u64::from(kinds(cap)[kind]);
@@ -97,8 +122,8 @@
         let shares: Vec<Share> = pools.iter().zip(shares).zip(&standings).map(share).collect();
         let mut wanted = shares.iter().zip(&standings);
         let is_short = wanted.any(|(share, standing)| !within(standing.wanted, share.room, cap));
-        let (workspace, number) = (workspace.to_string(), before.map_or(0, |lent| lent.number) + 1);
-        Some(LentCap { workspace, number, cap, shares, is_short })
+        let (workspace, number) = (name.to_string(), before.map_or(0, |lent| lent.number) + 1);
+        Some(LentCap { workspace, number, version: self.version, cap, shares, is_short })
     }
 
     fn standing(&self, workspace: &Arc<str>, pool: &Arc<str>, lent: Option<&LentCap>) -> Standing {
--- a/crates/schedule/src/quota/mod.rs
+++ b/crates/schedule/src/quota/mod.rs
@@ -27,6 +27,8 @@
     pub workspace: String,
     /// The count of the records of this workspace.
     pub number: u64,
+    /// The version of the configuration by which it was split.
+    pub version: u64,
     /// The cap that is lent; a kind that is 0 has no limit and is not lent.
     pub cap: Room,
     /// What each pool is lent.
@@ -35,6 +37,15 @@
     pub is_short: bool,
 }
 
+/// What the lender has decided, to be written together.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Splits {
+    /// Caps that are split anew.
+    pub lent: Vec<LentCap>,
+    /// The version of the configuration for which all splits hold from now on, if that is news.
+    pub as_of: Option<u64>,
+}
+
 /// What a pool is lent of a cap.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
--- a/crates/schedule/src/workspace.rs
+++ b/crates/schedule/src/workspace.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
+use crate::quota::limits;
 use crate::spec::JobSpec;
 use crate::vm::Room;
 
@@ -18,6 +19,9 @@
     pub weight: u32,
     /// The most that it may have running at once over all pools; a kind that is 0 has no limit.
     pub cap: Room,
+    /// The version of the configuration since which it has surely been limited: as far as this process has read on, or the first
+    /// one that it has read.
+    pub limited_since: u64,
 }
 
 /// A secret of this process with which keys are hashed, so that neither memory nor the time of a look-up tells of them.
@@ -102,6 +106,15 @@
         self.all.push(config.workspace);
     }
 
+    /// Takes in the version before, if one was read: which workspaces were limited there, and since when.
+    pub fn follow(&mut self, before: Option<&Self>, version: u64) {
+        for workspace in self.all.iter_mut().filter(|w| limits(w.cap)) {
+            let known = before.and_then(|before| before.get(&workspace.name));
+            let known = known.filter(|known| limits(known.cap));
+            workspace.limited_since = known.map_or(version, |known| known.limited_since);
+        }
+    }
+
     /// Returns the workspace that a key names.
     pub fn of_key(&self, key: &str, secret: &KeySecret) -> Option<&Workspace> {
         let index = *self.by_key.get(&secret.digest(key))?;
--- a/crates/schedule/tests/quota_world/mod.rs
+++ b/crates/schedule/tests/quota_world/mod.rs
@@ -59,6 +59,8 @@
     token: u64,
     count: u64,
     version: usize,
+    /// The version that its node has read first.
+    began: usize,
     /// Up to which record of the lender it has read.
     cursor: usize,
     /// When it has read the newest records.
@@ -77,11 +79,14 @@
     pub now: u64,
     configs: Vec<(u64, Room)>,
     records: Vec<LentCap>,
+    /// Versions for which all records hold, each with how many there were.
+    as_of: Vec<(usize, u64)>,
     /// Words on their way, with when each arrives.
     words: Vec<(u64, CapUse)>,
     arrived: Vec<CapUse>,
     lender: Lender,
     lender_version: usize,
+    lender_began: usize,
     lender_back_at: u64,
     heard: usize,
     owners: Vec<Owner>,
@@ -107,6 +112,7 @@
             token: 0,
             count: 0,
             version: 0,
+            began: 0,
             cursor: 0,
             reads_at: 0,
             runs: Vec::new(),
@@ -121,10 +127,12 @@
             now: 0,
             configs: vec![(0, cap(100))],
             records: Vec::new(),
+            as_of: Vec::new(),
             words: Vec::new(),
             arrived: Vec::new(),
             lender: Lender::default(),
             lender_version: 0,
+            lender_began: 0,
             lender_back_at: 0,
             heard: 0,
             owners: owners.collect(),
@@ -166,6 +174,7 @@
         let admitted = if self.without == Without::Admission { 0 } else { newest as u64 + 1 };
         owner.key = owner.ledger.key_of_job(WORKSPACE, admitted);
         (owner.token, owner.count, owner.version) = (self.next_token, 0, version);
+        owner.began = version;
         owner.reads_at = self.now + delay;
         self.next_token += 1;
         if self.without != Without::Predecessor {
@@ -178,10 +187,17 @@
         }
     }
 
+    /// Returns the workspace by a version, as a node knows it that has read on from another one.
+    fn workspace(&self, version: usize, began: usize) -> Workspace {
+        let unlimited = (began..=version).rev().find(|&v| self.configs[v].1.cpu == 0);
+        let limited_since = unlimited.map_or(began as u64 + 1, |v| v as u64 + 2);
+        let cap = self.configs[version].1;
+        Workspace { name: WORKSPACE.into(), weight: 1, cap, limited_since }
+    }
+
     fn tell_caps(&mut self, pool: usize) {
+        let workspace = self.workspace(self.owners[pool].version, self.owners[pool].began);
         let owner = &mut self.owners[pool];
-        let cap = self.configs[owner.version].1;
-        let workspace = Workspace { name: WORKSPACE.into(), weight: 1, cap };
         owner.ledger.set_workspaces(owner.version as u64 + 1, &[workspace]);
     }
 
@@ -214,7 +230,9 @@
         }
         if self.rng.random_bool(0.005) {
             self.lender_back_at = self.now + self.rng.random_range(5..100);
-            self.lender = Lender::new(self.newest_records());
+            let as_of = self.as_of.last().map_or(0, |told| told.1);
+            self.lender = Lender::new(as_of, self.newest_records());
+            self.lender_began = self.lender_version;
             self.heard = 0;
         }
         if self.rng.random_bool(0.005) {
@@ -290,8 +308,13 @@
             return;
         }
         let pools = POOLS.iter().map(|&p| p.into());
-        self.lender.set_config(pools, std::iter::once((WORKSPACE.into(), cap)));
-        self.records.extend(self.lender.plan());
+        let workspace = self.workspace(self.lender_version, self.lender_began);
+        self.lender.set_config(self.lender_version as u64 + 1, pools, &[workspace]);
+        let splits = self.lender.plan();
+        self.records.extend(splits.lent);
+        if let Some(as_of) = splits.as_of {
+            self.as_of.push((self.records.len(), as_of));
+        }
     }
 
     fn read(&mut self, pool: usize) {
@@ -314,7 +337,8 @@
                 record.cap = self.configs[owner.version].1;
             }
         }
-        owner.ledger.set_records(records.iter());
+        let told = self.as_of.iter().rev().find(|told| told.0 <= owner.cursor);
+        owner.ledger.set_records(told.map_or(0, |told| told.1), records.iter());
     }
 
     fn start_waiting(&mut self, pool: usize) {
--- a/crates/schedule/tests/shares.rs
+++ b/crates/schedule/tests/shares.rs
@@ -46,8 +46,12 @@
             pool.report(&facts.id, &VmReport::default(), at(0));
         }
         let names = (0..=OTHERS).map(|i| format!("w{i}"));
-        let workspace =
-            |name: String| Workspace { name: name.into(), weight: WEIGHT, cap: Room::default() };
+        let workspace = |name: String| Workspace {
+            name: name.into(),
+            weight: WEIGHT,
+            cap: Room::default(),
+            limited_since: 0,
+        };
         pool.set_workspaces(1, &names.map(workspace).collect::<Vec<_>>());
         Self { pool, due: BTreeMap::new(), runs: Vec::new(), sequence: 0, in_time: 0 }
     }
@@ -127,7 +131,8 @@
 #[test]
 fn a_workspace_keeps_its_share_however_much_it_sends() {
     let mut pool = pool_with(&["a"]).with_name("desk".into());
-    let workspace = Workspace { name: "w".into(), weight: 1, cap: Room::default() };
+    let workspace =
+        Workspace { name: "w".into(), weight: 1, cap: Room::default(), limited_since: 0 };
     pool.set_workspaces(1, &[workspace]);
     let spec = JobSpec { workspace: "w".into(), ..job(vec![step(1, 500)]).as_ref().clone() };
     for id in 1..20 {
--- a/crates/schedule/tests/workspaces.rs
+++ b/crates/schedule/tests/workspaces.rs
@@ -17,7 +17,12 @@
 fn each_of_twenty_thousand_keys_names_its_workspace() {
     let secret = KeySecret::new([7; 32]);
     let config = |w: usize| WorkspaceConfig {
-        workspace: Workspace { name: format!("w{w}").into(), weight: 1, cap: Room::default() },
+        workspace: Workspace {
+            name: format!("w{w}").into(),
+            weight: 1,
+            cap: Room::default(),
+            limited_since: 0,
+        },
         keys: (0..KEYS_EACH).map(|k| key_of(w, k)).collect(),
     };
     let configs: Vec<WorkspaceConfig> = (0..WORKSPACES).map(config).collect();
--- a/crates/scheduler/src/caps/lender.rs
+++ b/crates/scheduler/src/caps/lender.rs
@@ -5,10 +5,10 @@
 
 use metrics::counter;
 use thistle_platform::Stored;
-use thistle_schedule::quota::{CapUse, Lender, LentCap};
+use thistle_schedule::quota::{CapUse, Lender, LentCap, Splits};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
-use super::{LENT, USES, decode, has_caps, lent_record, read_lent};
+use super::{LENT, USES, as_of_record, decode, has_caps, lent_record, read_lent};
 use crate::control::TOPIC;
 use crate::follow::{News, Pace, Tail, follow};
 use crate::journal::{Fenced, Journal};
@@ -28,10 +28,16 @@
         log::debug!("caps step=read-failed error=\"{e}\"");
         tokio::time::sleep(TICK).await;
     }
-    let records: Vec<LentCap> = node.lent.borrow().values().cloned().collect();
-    log::info!("caps step=took-over token={token} workspaces={}", records.len());
+    let table = node.lent.borrow().clone();
+    let records: Vec<LentCap> = table.lent.values().cloned().collect();
+    log::info!(
+        "caps step=took-over token={token} workspaces={} as_of={}",
+        records.len(),
+        table.as_of
+    );
     let (tx, mut rx) = unbounded_channel();
-    let mut lending = Lending { node: node.clone(), lender: Lender::new(records), journal };
+    let mut lending =
+        Lending { node: node.clone(), lender: Lender::new(table.as_of, records), journal };
     let work = async {
         loop {
             if let Ok(Some(said)) = tokio::time::timeout(TICK, rx.recv()).await {
@@ -89,13 +95,14 @@
         let Some(catalog) = self.node.catalog.borrow().clone().filter(|c| has_caps(c)) else {
             return Ok(());
         };
-        let caps = catalog.workspaces.all().iter().map(|w| (w.name.clone(), w.cap));
-        self.lender.set_config(catalog.working_pools().cloned(), caps);
-        let split = self.lender.plan();
-        if split.is_empty() {
+        let workspaces = catalog.workspaces.all();
+        self.lender.set_config(catalog.version, catalog.working_pools().cloned(), workspaces);
+        let Splits { lent: split, as_of } = self.lender.plan();
+        let mut records: Vec<_> = split.iter().map(lent_record).collect();
+        records.extend(as_of.map(as_of_record));
+        if records.is_empty() {
             return Ok(());
         }
-        let records: Vec<_> = split.iter().map(lent_record).collect();
         self.journal.append(&self.node, &records).await?;
         counter!("thistle_caps_split").increment(split.len() as u64);
         for lent in &split {
--- a/crates/scheduler/src/caps/mod.rs
+++ b/crates/scheduler/src/caps/mod.rs
@@ -23,11 +23,27 @@
 /// The partition of what pools' owners say of what they use.
 pub const USES: u32 = 6;
 /// What the keys of records start with; a hash of the names follows, as names may be of any length.
-const LENT_PREFIX: &str = "cap/";
-const USE_PREFIX: &str = "use/";
+pub const LENT_PREFIX: &str = "cap/";
+/// The same for what is said.
+pub const USE_PREFIX: &str = "use/";
+
+/// The key of the version for which the splits hold. It comes before all others, so that pages of newest records never tell of a
+/// newer version than the splits that follow.
+const AS_OF_KEY: &str = "as-of";
+
+/// How caps are lent.
+#[derive(Clone, Debug, Default)]
+pub struct LentTable {
+    /// The version of the configuration for which the splits hold.
+    pub as_of: u64,
+    /// The split of each cap, by workspace.
+    pub lent: BTreeMap<String, LentCap>,
+}
 
-/// How caps are lent, by workspace.
-pub type LentTable = BTreeMap<String, LentCap>;
+/// Encodes the version for which the splits hold.
+pub fn as_of_record(version: u64) -> KeyedRecord {
+    KeyedRecord::new(AS_OF_KEY, thistle_schedule::job_log::encode(&version))
+}
 
 /// Returns whether a configuration limits what any workspace may have running. Where none does, nothing here is read or
 /// written.
@@ -67,10 +83,17 @@
 /// Takes records into a table; of two about one workspace the newer holds.
 fn merge(table: &mut LentTable, records: &[Stored]) -> bool {
     let mut changed = false;
-    for lent in records.iter().filter_map(decode::<LentCap>) {
-        let is_news = table.get(&lent.workspace).is_none_or(|known| known.number < lent.number);
-        if is_news {
-            table.insert(lent.workspace.clone(), lent);
+    for stored in records {
+        if stored.record.key == AS_OF_KEY {
+            let as_of = decode(stored).unwrap_or(0);
+            changed |= as_of > table.as_of;
+            table.as_of = table.as_of.max(as_of);
+            continue;
+        }
+        let Some(lent) = decode::<LentCap>(stored) else { continue };
+        let known = table.lent.get(&lent.workspace);
+        if known.is_none_or(|known| known.number < lent.number) {
+            table.lent.insert(lent.workspace.clone(), lent);
             changed = true;
         }
     }
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -33,14 +33,15 @@
 
 fn take_catalog(node: &Arc<Node>, stored: &Stored) {
     let Some(value) = stored.record.value() else { return };
-    let catalog = match config::decode_catalog(value, &node.secret) {
+    let mut catalog = match config::decode_catalog(value, &node.secret) {
         Ok(catalog) => catalog,
         Err(e) => {
             log::error!("config step=unreadable offset={} error=\"{}\"", stored.offset, e.0);
             return;
         }
     };
-    let known = node.catalog.borrow().as_ref().map_or(0, |c| c.version);
+    let before = node.catalog.borrow().clone();
+    let known = before.as_ref().map_or(0, |c| c.version);
     if catalog.version <= known {
         return;
     }
@@ -57,6 +58,7 @@
     for doubt in catalog.workspaces.doubts() {
         log::error!("config step=doubtful version={} reason=\"{doubt}\"", catalog.version);
     }
+    catalog.workspaces.follow(before.as_ref().map(|b| &b.workspaces), catalog.version);
     let catalog = Arc::new(catalog);
     for pool in catalog.working_pools() {
         node.pool_log(pool);
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -12,7 +12,7 @@
 use thistle_schedule::quota::{CapUse, LentCap};
 use thistle_schedule::{JobId, JobLog, KeySecret, VmFacts};
 
-use crate::caps::{CAPS, LENT, USES};
+use crate::caps::{CAPS, LENT, LENT_PREFIX, USE_PREFIX, USES};
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
 use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
 use crate::pool_log::{PROGRESS, SPARE, SPARE_PROGRESS, SUBMISSIONS, topic_of};
@@ -166,11 +166,11 @@
     }
 
     async fn read_caps(&mut self, store: &Store) -> Result<(), StoreError> {
-        for lent in read_all::<LentCap>(store, LENT).await? {
+        for lent in read_all::<LentCap>(store, LENT, LENT_PREFIX).await? {
             let name = lent.workspace.clone();
             self.workspaces.entry(name).or_default().lent = Some(lent);
         }
-        for said in read_all::<CapUse>(store, USES).await? {
+        for said in read_all::<CapUse>(store, USES, USE_PREFIX).await? {
             self.workspaces.entry(said.workspace.clone()).or_default().uses.push(said);
         }
         Ok(())
@@ -226,9 +226,11 @@
 async fn read_all<T: serde::de::DeserializeOwned>(
     store: &Store,
     part: u32,
+    prefix: &str,
 ) -> Result<Vec<T>, StoreError> {
     let newest = store.newest(TOPIC, part).await?;
-    let records = newest.records.iter().filter_map(|stored| stored.record.value());
+    let records = newest.records.iter().filter(|stored| stored.record.key.starts_with(prefix));
+    let records = records.filter_map(|stored| stored.record.value());
     let decode =
         |value| postcard::from_bytes(value).map_err(|e| StoreError::Malformed(e.to_string()));
     records.map(decode).collect()
--- a/crates/scheduler/src/owner/quota.rs
+++ b/crates/scheduler/src/owner/quota.rs
@@ -69,7 +69,7 @@
     pub(super) fn take_lent(&mut self) {
         if self.quota.read {
             let table = self.node.lent.borrow().clone();
-            self.pool.set_lent(table.values());
+            self.pool.set_lent(table.as_of, table.lent.values());
         }
     }
 
