--- a/crates/schedule/tests/quota_world/mod.rs
+++ b/crates/schedule/tests/quota_world/mod.rs
@@ -106,6 +106,8 @@
 
 impl World {
     pub fn new(seed: u64, way: Way, without: Without, trouble: bool) -> Self {
+        let of_seed = usize::try_from(seed).unwrap_or(0) % CAPS.len();
+        let first = if trouble { CAPS[of_seed] } else { CAPS[0] };
         let owners = POOLS.iter().map(|_| Owner {
             ledger: Ledger::default(),
             key: None,
@@ -125,7 +127,7 @@
             way,
             without,
             now: 0,
-            configs: vec![(0, cap(100))],
+            configs: vec![(0, cap(first))],
             records: Vec::new(),
             as_of: Vec::new(),
             words: Vec::new(),
