Caps: a kind that is limited later than another is lent only when pools have said what they have of it

By reading: words of before told what was used while nothing bound it. Test: quota_kinds.rs (red before: half of the memory lent to each of two pools, one of which had 900 of 1,000 MB).

--- a/crates/schedule/src/quota/lender.rs
+++ b/crates/schedule/src/quota/lender.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
-use super::{CapUse, LentCap, Share, Splits, kinds, limits, of_kinds, within};
+use super::{CapUse, LentCap, Share, Splits, kinds, limits, limits_all_of, of_kinds, within};
 use crate::vm::Room;
 use crate::workspace::Workspace;
 
@@ -53,7 +53,10 @@
     /// Returns whether a workspace may have been without a limit since its cap was last split, or ever if it was not: what pools
     /// have started meanwhile is known by none of their words.
     fn was_unlimited(&self, workspace: &Workspace, before: Option<&LentCap>) -> bool {
-        before.is_none_or(|lent| lent.version.max(self.as_of) < workspace.limited_since)
+        before.is_none_or(|lent| {
+            let held_since = lent.version.max(self.as_of);
+            held_since < workspace.limited_since || !limits_all_of(lent.cap, workspace.cap)
+        })
     }
 
     /// Takes in what a pool's owner says; what was said before is no news.
--- a/crates/schedule/src/quota/mod.rs
+++ b/crates/schedule/src/quota/mod.rs
@@ -86,6 +86,11 @@
     cap.cpu > 0 || cap.mem_mb > 0 || cap.gpu > 0
 }
 
+/// Returns whether `cap` limits every kind that `other` limits.
+pub fn limits_all_of(cap: Room, other: Room) -> bool {
+    kinds(other).into_iter().zip(kinds(cap)).all(|(other, cap)| other == 0 || cap > 0)
+}
+
 /// The kinds of a room, one after the other, for what is worked out for each kind by itself.
 const fn kinds(room: Room) -> [u32; 3] {
     [room.cpu, room.mem_mb, room.gpu]
--- a/crates/schedule/src/workspace.rs
+++ b/crates/schedule/src/workspace.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
 
-use crate::quota::limits;
+use crate::quota::{limits, limits_all_of};
 use crate::spec::JobSpec;
 use crate::vm::Room;
 
@@ -110,7 +110,7 @@
     pub fn follow(&mut self, before: Option<&Self>, version: u64) {
         for workspace in self.all.iter_mut().filter(|w| limits(w.cap)) {
             let known = before.and_then(|before| before.get(&workspace.name));
-            let known = known.filter(|known| limits(known.cap));
+            let known = known.filter(|known| limits_all_of(known.cap, workspace.cap));
             workspace.limited_since = known.map_or(version, |known| known.limited_since);
         }
     }
