--- a/crates/scheduler/tests/soak/caps.rs
+++ b/crates/scheduler/tests/soak/caps.rs
@@ -38,6 +38,11 @@
         until("the first cap is in force", all).await;
     }
 
+    /// Puts the largest cap in force, under which all that waits is done soon.
+    pub fn put_last_cap(&mut self) {
+        self.put_cap(CAPS[0]);
+    }
+
     /// Puts a cap in force.
     fn put_cap(&mut self, cap: u32) {
         self.system.cap = Some(cap);
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -3,6 +3,7 @@
 
 use std::fs::File;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::time::{Duration, Instant};
@@ -72,6 +73,12 @@
         child.try_wait().is_ok_and(|status| status.is_some())
     }
 
+    /// Returns the signal that ended its process, if one did.
+    pub fn end_signal(&mut self) -> Option<i32> {
+        let child = self.child.as_mut()?;
+        child.try_wait().ok()??.signal()
+    }
+
     /// Returns what its process has logged, in all its lives.
     pub fn log(&self) -> String {
         let log = std::fs::read(self.settings.with_extension("log")).unwrap_or_default();
