--- a/crates/schedule/tests/quota_world/mod.rs
+++ b/crates/schedule/tests/quota_world/mod.rs
@@ -2,6 +2,8 @@
 //! order, owners and lenders that are replaced at any moment, caps that change. What runs is counted by itself.
 #![allow(dead_code, reason = "each test file uses its own part")]
 
+mod parts;
+
 use std::collections::{BTreeMap, HashMap};
 
 use rand::rngs::StdRng;
@@ -9,6 +11,9 @@
 use thistle_schedule::quota::{CapUse, Ledger, Lender, LentCap, WorkspaceKey};
 use thistle_schedule::{Room, Workspace};
 
+use parts::{Owner, Run};
+pub use parts::{Way, Without};
+
 /// Milliseconds of one turn.
 pub const TURN_MS: u64 = 10;
 /// Within how many turns each node has the newest configuration.
@@ -22,56 +27,6 @@
 const POOLS: [&str; 3] = ["desk", "plan", "hub"];
 pub const WORKSPACE: &str = "lunch";
 
-/// How caps are split.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Way {
-    /// By a lender, by what pools want.
-    Lent,
-    /// Each pool has an equal part for good.
-    Equal,
-}
-
-/// A safeguard that is taken out, to see that the check would show it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Without {
-    Nothing,
-    /// What a pool says counts as said of the newest record.
-    Confirmation,
-    /// A new owner goes by old records of how caps are lent.
-    ReadingFirst,
-    /// A lowered cap counts as lent.
-    LoweredCap,
-    /// A new owner does not count what its predecessor started.
-    Predecessor,
-    /// A job of a workspace that is not known yet has no limit.
-    Admission,
-}
-
-struct Run {
-    room: Room,
-    ends: u64,
-    told: u64,
-}
-
-struct Owner {
-    ledger: Ledger,
-    key: Option<WorkspaceKey>,
-    token: u64,
-    count: u64,
-    version: usize,
-    /// The version that its node has read first.
-    began: usize,
-    /// Up to which record of the lender it has read.
-    cursor: usize,
-    /// When it has read the newest records.
-    reads_at: u64,
-    /// What its runs that are not known to have ended take.
-    runs: Vec<Run>,
-    waiting: Vec<Room>,
-    short_since: Option<u64>,
-    says_at: u64,
-}
-
 pub struct World {
     rng: StdRng,
     way: Way,
