--- a/crates/scheduler/src/append.rs
+++ b/crates/scheduler/src/append.rs
@@ -81,8 +81,11 @@
         }
         let waited = steady_ms().saturating_sub(since);
         match may_be_written {
-            // The whole store is silent: the caller is told 0.4 s sooner.
-            true if !node.standing.view().has_answered_since(round_at) => {
+            // The whole store is silent, or this node's way to it: the caller is told 0.4 s sooner. Once calls go through another
+            // node it is asked again.
+            true if node.store.detour().is_none()
+                && !node.standing.view().has_answered_since(round_at) =>
+            {
                 return Some(Written::Unknown);
             }
             true if waited >= ASK_FOR_MS => return Some(Written::Unknown),
--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -14,7 +14,7 @@
 use crate::node::Node;
 
 /// The partition of heartbeats.
-pub const HEARTBEATS: u32 = 1;
+const HEARTBEATS: u32 = 1;
 /// The partition of heartbeats that the first one does not take.
 const SPARE_HEARTBEATS: u32 = 4;
 /// What the keys of heartbeats start with.
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -21,7 +21,6 @@
 use crate::pool_log::PoolLog;
 use crate::{caps, fleet_owner, owner};
 
-pub use beat::HEARTBEATS;
 pub use claims_end::ClaimsEnd;
 use lanes::LANES_PREFIX;
 pub use lanes::announce;
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -16,7 +16,6 @@
 use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::TcpListener;
 
-use crate::control::{HEARTBEATS, TOPIC};
 use crate::node::Node;
 use crate::request_body;
 use crate::{hand_over, look_up, question};
@@ -109,7 +108,7 @@
             before = detour;
         }
         if detour.is_some() {
-            node.store.ask_directly(TOPIC, HEARTBEATS).await;
+            node.store.ask_directly().await;
         }
     }
 }
