Metrics by workspace, the 32 of most weight by name: submissions by outcome, and starts held back by caps

An operator could see from logs and 'show' only which workspace is held back or refused. 400 names on each node would be most of what is scraped, so the others are counted as one. Test: metrics_name_the_largest_workspaces_only, and the end of a submission in keys.rs.

--- a/crates/schedule/src/workspace.rs
+++ b/crates/schedule/src/workspace.rs
@@ -1,6 +1,7 @@
 //! Workspaces: who may call, how much each may run at once, and what share each has of a full fleet.
 
-use std::collections::HashMap;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -24,6 +25,12 @@
     pub limited_since: u64,
 }
 
+/// As how many workspaces at most metrics name by themselves: the largest. Each name is a series on each of some hundred nodes, and
+/// an operator's 400 workspaces would be most of what is scraped.
+const MOST_NAMED: usize = 32;
+/// As what metrics count the others, and calls of no workspace.
+const UNNAMED: &str = "other";
+
 /// A secret of this process with which keys are hashed, so that neither memory nor the time of a look-up tells of them.
 #[derive(Clone)]
 pub struct KeySecret([u8; 32]);
@@ -68,6 +75,8 @@
     by_name: HashMap<Arc<str>, usize>,
     /// Which workspace holds a key; none if several do.
     by_key: HashMap<KeyDigest, Option<usize>>,
+    /// Those that metrics name.
+    named: HashSet<Arc<str>>,
     doubts: Vec<String>,
 }
 
@@ -78,9 +87,17 @@
         for config in configs {
             workspaces.add(config, secret);
         }
+        let mut largest: Vec<&Workspace> = workspaces.all.iter().collect();
+        largest.sort_by_key(|w| (Reverse(w.weight), w.name.clone()));
+        workspaces.named = largest.into_iter().take(MOST_NAMED).map(|w| w.name.clone()).collect();
         workspaces
     }
 
+    /// Returns by what name metrics count a workspace: few are named, so that their number is bounded.
+    pub fn metric_name(&self, workspace: &str) -> &str {
+        self.named.get(workspace).map_or(UNNAMED, |name| name)
+    }
+
     fn add(&mut self, config: WorkspaceConfig, secret: &KeySecret) {
         let name = config.workspace.name.clone();
         if name.is_empty() {
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -254,7 +254,7 @@
     for i in 0..40 {
         let mut view = Ownership::new(node(&format!("me{i}"), 1), 0);
         heard(&mut view);
-        firsts.push(view.relays(1_000)[0].port() % 4 == 0);
+        firsts.push(view.relays(1_000)[0].port().is_multiple_of(4));
     }
     expect_that!(firsts.iter().filter(|&&fast| fast).count(), lt(30));
 }
--- a/crates/schedule/tests/workspaces.rs
+++ b/crates/schedule/tests/workspaces.rs
@@ -43,3 +43,22 @@
     assert!(workspaces.of_key("k0000x0000secreT", &secret).is_none());
     println!("{} keys: built in {built:?}, {each:?} a look-up", workspaces.keys());
 }
+
+/// Four hundred names on each node would be most of what operators scrape.
+#[test]
+fn metrics_name_the_largest_workspaces_only() {
+    let config = |w: u32| WorkspaceConfig {
+        workspace: Workspace {
+            name: format!("w{w}").into(),
+            weight: w + 1,
+            cap: Room::default(),
+            limited_since: 0,
+        },
+        keys: Vec::new(),
+    };
+    let workspaces = Workspaces::new((0..400).map(config).collect(), &KeySecret::new([7; 32]));
+    let named = (0..400).filter(|w| workspaces.metric_name(&format!("w{w}")) != "other");
+    assert_eq!(named.collect::<Vec<u32>>(), (368..400).collect::<Vec<u32>>());
+    assert_eq!(workspaces.metric_name(""), "other");
+    assert_eq!(workspaces.metric_name("unheard-of"), "other");
+}
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -221,6 +221,9 @@
         spec.times(),
         steady_ms().saturating_sub(began),
     );
+    let workspace = catalog.workspaces.metric_name(&spec.workspace).to_owned();
+    let outcome = format!("{written:?}");
+    counter!("thistle_submissions", "workspace" => workspace, "outcome" => outcome).increment(1);
     answer_written(written)
 }
 
--- a/crates/scheduler/src/owner/quota.rs
+++ b/crates/scheduler/src/owner/quota.rs
@@ -120,7 +120,10 @@
                 used.cpu,
                 used.mem_mb,
             );
-            counter!("thistle_held_by_caps", "pool" => self.log.pool.to_string()).increment(1);
+            let catalog = self.node.catalog.borrow();
+            let name = catalog.as_ref().map_or("", |c| c.workspaces.metric_name(&workspace));
+            let (pool, name) = (self.log.pool.to_string(), name.to_owned());
+            counter!("thistle_held_by_caps", "pool" => pool, "workspace" => name).increment(1);
         }
     }
 }
--- a/crates/scheduler/tests/keys.rs
+++ b/crates/scheduler/tests/keys.rs
@@ -112,6 +112,7 @@
     until_status(node, "no-such-key", 401).await;
     let path = format!("/quotes/{ID}");
     expect_that!(submit(node, &path, Some("key-a")).await, eq(200));
+    expect_that!(node.metrics().await, contains_substring("outcome=\"Kept\""));
     put(&system, 3, &["key-b"], &["key-n"]);
     until_status(node, "key-a", 401).await;
     expect_that!(submit(node, &path, Some("key-a")).await, eq(401));
