--- a/crates/scheduler/tests/relay.rs
+++ b/crates/scheduler/tests/relay.rs
@@ -2,7 +2,6 @@
 
 mod system;
 
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -15,11 +14,11 @@
 /// its own.
 async fn owner_behind_a_door(net: u8) -> (System, Door) {
     let mut system = System::start(net, 2, 0).await;
-    let door = system.platform.open_door(Ipv4Addr::new(127, 20, net, 2)).await;
+    let door = system.platform.open_door(system::ip(net, 2)).await;
     let door = door.expect("the door opens");
-    system.add_node_at(Ipv4Addr::new(127, 20, net, 10), door.addr);
+    system.add_node_at(system::ip(net, 10), door.addr);
     until("the first node owns the pool", async || system.owner() == Some(0)).await;
-    system.add_node(Ipv4Addr::new(127, 20, net, 11));
+    system.add_node(system::ip(net, 11));
     for node in &system.nodes {
         until("a node is ready", || node.is_ready()).await;
     }
--- a/crates/scheduler/tests/silence.rs
+++ b/crates/scheduler/tests/silence.rs
@@ -2,7 +2,7 @@
 
 mod system;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -19,11 +19,11 @@
 /// which it has many connections open.
 async fn owner_on_a_way(net: u8) -> (System, Path) {
     let mut system = System::start(net, 2, 0).await;
-    let from = (Ipv4Addr::new(127, 20, net, 2), PORT).into();
+    let from = (system::ip(net, 2), PORT).into();
     let path = Path::open(from, system.platform.store_addr()).await.expect("it opens");
-    system.add_node_at(Ipv4Addr::new(127, 20, net, 10), path.addr);
+    system.add_node_at(system::ip(net, 10), path.addr);
     until("the first node owns the pool", async || system.owner() == Some(0)).await;
-    system.add_node(Ipv4Addr::new(127, 20, net, 11));
+    system.add_node(system::ip(net, 11));
     for node in &system.nodes {
         until("a node is ready", || node.is_ready()).await;
     }
--- a/crates/scheduler/tests/slow_links.rs
+++ b/crates/scheduler/tests/slow_links.rs
@@ -2,7 +2,6 @@
 
 mod system;
 
-use std::net::Ipv4Addr;
 use std::time::Duration;
 
 use googletest::prelude::*;
@@ -46,9 +45,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_large_configuration_comes_into_force_through_another_node() {
     let mut system = System::start(51, 1, 1).await;
-    let door = system.platform.open_door(Ipv4Addr::new(127, 20, 51, 2)).await;
+    let door = system.platform.open_door(system::ip(51, 2)).await;
     let door = door.expect("the door opens");
-    system.add_node_at(Ipv4Addr::new(127, 20, 51, 11), door.addr);
+    system.add_node_at(system::ip(51, 11), door.addr);
     until("the second node is ready", || system.nodes[1].is_ready()).await;
     // The nodes hear of each other.
     tokio::time::sleep(Duration::from_secs(3)).await;
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -1,6 +1,6 @@
 //! Faults from outside, in series and overlapping, by one seed.
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use hyper::Method;
@@ -9,7 +9,7 @@
 use thistle_platform::standin::{Fault, Path, Silence};
 
 use super::callers::{Job, Told};
-use super::system::{System, send, state, until};
+use super::system::{System, ip, send, state, until};
 
 const VMS: u8 = 6;
 /// The number of the signal that tells of changed settings.
@@ -42,9 +42,9 @@
         let mut system = System::start(net, VMS, 0).await;
         let mut ways = Vec::new();
         for i in 0..nodes {
-            let from = (Ipv4Addr::new(127, 20, net, 50 + i), WAY_PORT).into();
+            let from = (ip(net, 50 + i), WAY_PORT).into();
             let way = Path::open(from, system.platform.store_addr()).await.expect("it opens");
-            system.add_node_at(Ipv4Addr::new(127, 20, net, 10 + i), way.addr);
+            system.add_node_at(ip(net, 10 + i), way.addr);
             ways.push(way);
         }
         for node in &system.nodes {
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -22,6 +22,13 @@
 /// The key that callers show; where there is no workspace nobody asks for it.
 pub const KEY: &str = "soak-key";
 
+/// Returns an address of a test's own part of the loopback net. Runs beside each other each have a part of it by
+/// `THISTLE_TEST_NET`, 20 to 120.
+pub fn ip(net: u8, host: u8) -> Ipv4Addr {
+    let part = std::env::var("THISTLE_TEST_NET").map_or(20, |part| part.parse().expect("a number"));
+    Ipv4Addr::new(127, part, net, host)
+}
+
 /// A node's process; it is killed when dropped.
 pub struct Node {
     pub name: String,
@@ -153,7 +160,7 @@
 impl System {
     /// Starts a platform with VMs and nodes; `net` is the test's own part of the loopback net.
     pub async fn start(net: u8, vms: u8, nodes: u8) -> Self {
-        let ip = |host: u8| Ipv4Addr::new(127, 20, net, host);
+        let ip = |host: u8| ip(net, host);
         let platform = Standin::start(ip(1)).await.expect("the fake starts");
         for i in 0..vms {
             let added = platform.machines.add(&format!("m-{i}"), POOL, ip(100 + i)).await;
