--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -21,6 +21,7 @@
     pub(super) fn take_end(&mut self, vm_key: VmKey, end: &RunEnd, now: Now) {
         let vm = &mut self.vms[vm_key];
         vm.strays.remove(&end.run);
+        vm.ends_taken = vm.ends_taken.max(end.sequence);
         let Some(run) = self.remove_run(vm_key, end.run) else { return };
         let vm = &mut self.vms[vm_key];
         match end.kind {
--- a/crates/schedule/src/pool/incarnation.rs
+++ b/crates/schedule/src/pool/incarnation.rs
@@ -46,6 +46,8 @@
     /// Runs that are not ours, with when they were last told to stop; nothing is started beside them, since their
     /// room is unknown.
     pub strays: HashMap<RunId, Ms>,
+    /// The highest number of an end that was taken in.
+    pub ends_taken: u64,
     strikes: Vec<JobId>,
     pub aside_until: Ms,
     /// Starts in a row that it turned away for want of room.
@@ -67,6 +69,7 @@
             used: Room::default(),
             runs: BTreeMap::new(),
             strays: HashMap::new(),
+            ends_taken: 0,
             strikes: Vec::new(),
             aside_until: 0,
             without_room: 0,
@@ -109,6 +112,11 @@
         Some(old)
     }
 
+    /// Returns whether a run counts as being there.
+    pub fn has_run(&self, run: RunId) -> bool {
+        self.runs.get(&run.task).is_some_and(|r| r.attempt == run.attempt)
+    }
+
     /// Removes a run and returns it, if it was there.
     pub fn remove_run(&mut self, run: RunId) -> Option<Run> {
         self.runs.get(&run.task).filter(|r| r.attempt == run.attempt)?;
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -47,6 +47,7 @@
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 pub use pace::Watch;
+pub use report::ReportNews;
 pub use suspects::GivenUp;
 pub use vms::{LostRun, VmSummary};
 
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -2,11 +2,12 @@
 
 use std::collections::HashSet;
 
+use super::job::Spot;
 use super::run::Run;
 use super::{JobKey, Now, Pool, VmKey};
 use crate::Ms;
 use crate::id::{RunId, TaskId, VmId};
-use crate::vm::{RunRow, VmReport};
+use crate::vm::{RunEnd, RunRow, VmReport};
 
 /// Ends listed at once at most; a longer list comes in parts, and a run that is not in one part
 /// may be in the next.
@@ -17,12 +18,25 @@
 /// A lasting task whose start is done, in percent, is at work.
 const STARTED: u32 = 100;
 
+/// What a report tells that is out of the ordinary.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReportNews {
+    /// Runs that were released as the report does not list them.
+    pub not_listed: Vec<RunId>,
+    /// Ends, heard for the first time, of runs that were given up before: the work was done in vain, or twice.
+    pub of_given_up: Vec<RunEnd>,
+}
+
 impl Pool {
     /// Takes in a VM's report, asked for under this owner's token.
-    pub fn report(&mut self, vm: &VmId, report: &VmReport, now: Now) {
+    pub fn report(&mut self, vm: &VmId, report: &VmReport, now: Now) -> ReportNews {
         self.resolve_silence(vm, false, now);
         let key = self.vm_key(vm);
+        let mut news = ReportNews::default();
         for end in &report.ended {
+            if self.is_of_given_up(key, end) {
+                news.of_given_up.push(end.clone());
+            }
             self.take_end(key, end, now);
         }
         if let Some(last) = report.ended.iter().map(|e| e.sequence).max() {
@@ -34,7 +48,7 @@
             self.take_row(key, row, report.asked_at, now);
         }
         if complete {
-            self.drop_missing(key, report, &listed, now);
+            news.not_listed = self.drop_missing(key, report, &listed, now);
         }
         self.pace(key, now);
         let listing_is_sound = self.listing_is_sound;
@@ -43,6 +57,18 @@
         vm.held |= complete;
         vm.strays.retain(|run, _| listed.contains(run));
         self.forget_vm_if_empty(key);
+        news
+    }
+
+    /// Returns whether an end is heard for the first time, and of a run that was given up: its task was put back to wait.
+    fn is_of_given_up(&self, key: VmKey, end: &RunEnd) -> bool {
+        let vm = &self.vms[key];
+        if end.sequence <= vm.ends_taken || vm.has_run(end.run) {
+            return false;
+        }
+        let job = self.job_key(end.run.task).and_then(|key| self.jobs.get(key));
+        let Some(task) = job.and_then(|job| job.task(end.run.task)) else { return false };
+        task.attempt != end.run.attempt || task.spot != Spot::Done
     }
 
     fn take_row(&mut self, key: VmKey, row: &RunRow, asked_at: Ms, now: Now) {
@@ -91,7 +117,13 @@
     }
 
     /// Drops the runs that a complete report would list if they were there.
-    fn drop_missing(&mut self, key: VmKey, report: &VmReport, listed: &HashSet<RunId>, now: Now) {
+    fn drop_missing(
+        &mut self,
+        key: VmKey,
+        report: &VmReport,
+        listed: &HashSet<RunId>,
+        now: Now,
+    ) -> Vec<RunId> {
         let vm = &self.vms[key];
         let first = !vm.held;
         let missing = |(&task, run): (&TaskId, &Run)| {
@@ -100,9 +132,10 @@
             ((first || answered_before) && !listed.contains(&id)).then_some(id)
         };
         let gone: Vec<RunId> = vm.runs.iter().filter_map(missing).collect();
-        for run in gone {
+        for &run in &gone {
             self.release(key, run, now);
         }
+        gone
     }
 
     pub(super) fn job_mut(&mut self, task: TaskId) -> Option<&mut super::Job> {
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -18,6 +18,9 @@
 /// has paused enough.
 const FAILED_AT_ONCE: Duration = Duration::from_millis(50);
 
+/// A start that waited for longer than this until those before it had come to something is told in the log.
+const LONG_WAIT: Duration = Duration::from_millis(200);
+
 /// Starts whose outcome is not known yet, and whether they were called off.
 #[derive(Debug, Default)]
 pub(super) struct PendingStarts(Mutex<HashMap<RunId, bool>>);
@@ -46,12 +49,28 @@
 /// Sends a start until its outcome is known or it is called off. Sending it again is harmless: the VM
 /// has a run once.
 pub(super) async fn start(link: &Shared, order: &StartOrder) -> Option<StartResult> {
+    let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
+    let waited = ordered_at.elapsed();
+    if waited >= LONG_WAIT {
+        let waited_ms = waited.as_millis();
+        log::info!(
+            "start step=had-its-turn run={} vm={} waited_ms={waited_ms}",
+            order.run,
+            link.vm
+        );
+    }
     let lapses = link.lapses.load(Ordering::Relaxed);
     let mut may_be_there = false;
     let mut deadline_ms = None;
     loop {
         if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
+            log::info!(
+                "start step=dropped run={} vm={} sent={may_be_there} link_closed={}",
+                order.run,
+                link.vm,
+                link.is_closed(),
+            );
             return None;
         }
         if link.pending_starts.is_called_off(order.run) {
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -28,7 +28,7 @@
 use progress::ProgressWriter;
 use quota::Quota;
 use report::Reporter;
-use tell::log_ends;
+use tell::{log_ends, log_report_news};
 
 pub use start::run;
 
@@ -149,7 +149,8 @@
             Event::Log(LogChange::Cancelled(id)) => self.pool.cancel(id, now),
             Event::Report(vm, report) => {
                 log_ends(&vm, &report);
-                self.pool.report(&vm, &report, now);
+                let news = self.pool.report(&vm, &report, now);
+                log_report_news(&vm, &news);
             }
             Event::Started(vm, run, result) => {
                 if result != StartResult::Started {
--- a/crates/scheduler/src/owner/tell.rs
+++ b/crates/scheduler/src/owner/tell.rs
@@ -1,8 +1,8 @@
 //! What an owner tells operators: metrics of its load, tasks given up, ends.
 
 use metrics::{counter, gauge};
-use thistle_schedule::pool::{GivenUp, Load};
-use thistle_schedule::{Harm, VmId, VmReport};
+use thistle_schedule::pool::{GivenUp, Load, ReportNews};
+use thistle_schedule::{EndKind, Harm, VmId, VmReport};
 
 use super::Owner;
 use crate::clock::now;
@@ -38,3 +38,21 @@
         counter!("thistle_ends", "how" => format!("{:?}", end.kind)).increment(1);
     }
 }
+
+/// Logs runs that a VM does not have after all, and ends of runs that were given up before: what was done there may be done twice.
+pub(super) fn log_report_news(vm: &VmId, news: &ReportNews) {
+    for run in &news.not_listed {
+        log::info!("run step=not-listed run={run} vm={vm}");
+    }
+    for end in &news.of_given_up {
+        let (run, how, number) = (end.run, end.kind, end.sequence);
+        if how == EndKind::Done {
+            log::warn!("run step=done-after-given-up run={run} vm={vm} number={number}");
+            counter!("thistle_done_after_given_up").increment(1);
+        } else {
+            log::info!(
+                "run step=ended-after-given-up run={run} vm={vm} how={how:?} number={number}"
+            );
+        }
+    }
+}
