An order that waits for its turn ends with its VM's lease: how often the VM was lost is counted when it is ordered

Callers saw one booking done twice. Two starts are under way to a VM at once, others wait; when the VM's lease was over the owner started all their tasks elsewhere, and those that waited went out as soon as the VM answered again, since they counted losses from the moment of their turn. Counted from the order, whatever was ordered before a loss ends with it: it is checked last before each copy, after the right to act as owner. Copies that are out already carry the deadline of the lease that is over. Stops that wait end the same way; what they were for is gone with the lease.

--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -47,7 +47,7 @@
     closed: AtomicBool,
     /// How long a call may wait for an end, in milliseconds.
     wait_ms: AtomicU64,
-    /// Counts how often the lease ran out: a start from before must not be repeated after it.
+    /// Counts how often the VM was lost: an order from before that must not go out after it, as its run was given up.
     lapses: AtomicU32,
     pending_starts: PendingStarts,
     starts: Semaphore,
@@ -113,8 +113,9 @@
     pub fn start(&self, order: StartOrder) {
         let shared = self.shared.clone();
         shared.pending_starts.add(order.run);
+        let lapses = shared.lapses.load(Ordering::Relaxed);
         tokio::spawn(async move {
-            let result = orders::start(&shared, &order).await;
+            let result = orders::start(&shared, &order, lapses).await;
             shared.pending_starts.remove(order.run);
             if let Some(result) = result {
                 shared.tell(Event::Started(shared.vm.clone(), order.run, result));
@@ -126,8 +127,9 @@
     pub fn stop(&self, run: RunId) {
         let shared = self.shared.clone();
         shared.pending_starts.call_off(run);
+        let lapses = shared.lapses.load(Ordering::Relaxed);
         tokio::spawn(async move {
-            if orders::stop(&shared, run).await.is_some() {
+            if orders::stop(&shared, run, lapses).await.is_some() {
                 shared.tell(Event::Stopped(shared.vm.clone(), run));
             }
         });
@@ -173,6 +175,11 @@
         false
     }
 
+    /// Returns whether the VM was lost since it had been lost `lapses` times.
+    fn was_lost_since(&self, lapses: u32) -> bool {
+        self.lapses.load(Ordering::Relaxed) != lapses
+    }
+
     /// Returns whether an error ends all dealings with this incarnation, and tells the owner so.
     fn is_over_with(&self, e: &OrderError) -> bool {
         match e {
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::sync::Mutex;
-use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use thistle_platform::worker::Start;
@@ -48,7 +47,10 @@
 
 /// Sends a start until its outcome is known or it is called off. Sending it again is harmless: the VM
 /// has a run once.
-pub(super) async fn start(link: &Shared, order: &StartOrder) -> Option<StartResult> {
+///
+/// It waits for its turn, and its VM may be lost meanwhile: `lapses` is how often that was so when it was ordered. Counted when its
+/// turn comes, it would go out after its task was started elsewhere.
+pub(super) async fn start(link: &Shared, order: &StartOrder, lapses: u32) -> Option<StartResult> {
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
     let waited = ordered_at.elapsed();
@@ -60,11 +62,10 @@
             link.vm
         );
     }
-    let lapses = link.lapses.load(Ordering::Relaxed);
     let mut may_be_there = false;
     let mut deadline_ms = None;
     loop {
-        if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
+        if !link.until_may_send().await || link.was_lost_since(lapses) {
             log::info!(
                 "start step=dropped run={} vm={} sent={may_be_there} link_closed={}",
                 order.run,
@@ -114,12 +115,11 @@
     }
 }
 
-/// Sends a stop until it is answered.
-pub(super) async fn stop(link: &Shared, run: RunId) -> Option<()> {
+/// Sends a stop until it is answered, or its VM is lost with all that runs there.
+pub(super) async fn stop(link: &Shared, run: RunId, lapses: u32) -> Option<()> {
     let _permit = link.stops.acquire().await.ok()?;
-    let lapses = link.lapses.load(Ordering::Relaxed);
     loop {
-        if !link.until_may_send().await || link.lapses.load(Ordering::Relaxed) != lapses {
+        if !link.until_may_send().await || link.was_lost_since(lapses) {
             return None;
         }
         let sent_at = Instant::now();
