No order that was decided before its VM was lost goes out after the loss: losses are numbered, and an order carries the newest that its owner knew

Callers would see a booking done twice: an owner that waited for the store sent what it had decided before that, and took in only then, from its queue, that the VM had been lost meanwhile, which gave the task up as its order was on its way. Each loss has a number, an order that of the newest loss that the owner had taken in as it was decided, and a link sends nothing that was decided before the newest loss it has told. That loss stands in the owner's queue or was taken in, and gives the run up. Checked after the lease was given and with no wait until the call, so that neither a process that is held up nor a VM that answers again comes between. Losses that the owner finds by the listing go the same way, so that starts which wait on a VM taken for replaced end too.

--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -3,7 +3,7 @@
 mod hold;
 mod orders;
 
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -15,6 +15,7 @@
 use tokio::task::AbortHandle;
 
 use super::Event;
+use super::losses::{LossNumber, Losses, NewestLoss};
 use crate::clock::steady_ms;
 use crate::node::Node;
 use orders::PendingStarts;
@@ -47,8 +48,8 @@
     closed: AtomicBool,
     /// How long a call may wait for an end, in milliseconds.
     wait_ms: AtomicU64,
-    /// Counts how often the VM was lost: an order from before that must not go out after it, as its run was given up.
-    lapses: AtomicU32,
+    losses: Arc<Losses>,
+    newest_loss: NewestLoss,
     pending_starts: PendingStarts,
     starts: Semaphore,
     stops: Semaphore,
@@ -58,6 +59,8 @@
 /// The link to one VM incarnation. Dropping it ends all that it does.
 pub struct Link {
     shared: Arc<Shared>,
+    /// The newest loss of the VM that the owner has taken in: what it orders now was decided after that one.
+    taken_in: LossNumber,
     holding: AbortHandle,
 }
 
@@ -69,8 +72,14 @@
 }
 
 impl Link {
-    /// Opens the link.
-    pub fn open(node: &Arc<Node>, vm: &VmFacts, token: u64, tx: UnboundedSender<Event>) -> Self {
+    /// Opens the link; `losses` numbers all losses that the owner is told.
+    pub fn open(
+        node: &Arc<Node>,
+        vm: &VmFacts,
+        token: u64,
+        tx: UnboundedSender<Event>,
+        losses: Arc<Losses>,
+    ) -> Self {
         let shared = Arc::new(Shared {
             node: node.clone(),
             vm: vm.id.clone(),
@@ -80,14 +89,25 @@
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
             wait_ms: AtomicU64::new(millis(WAIT)),
-            lapses: AtomicU32::new(0),
+            losses,
+            newest_loss: NewestLoss::default(),
             pending_starts: PendingStarts::default(),
             starts: Semaphore::new(ORDERS_AT_ONCE),
             stops: Semaphore::new(ORDERS_AT_ONCE),
             tx,
         });
         let holding = tokio::spawn(hold::run(shared.clone())).abort_handle();
-        Self { shared, holding }
+        Self { shared, taken_in: LossNumber::default(), holding }
+    }
+
+    /// Tells the owner that the VM is lost. Nothing that was decided before it takes that in goes out any more.
+    pub fn lose(&self, loss: VmLoss) {
+        self.shared.lost(loss);
+    }
+
+    /// Takes in that the owner has given up what ran on the VM.
+    pub fn take_in_loss(&mut self, loss: LossNumber) {
+        self.taken_in = self.taken_in.max(loss);
     }
 
     /// Lets the VM forget ends up to a number.
@@ -113,9 +133,9 @@
     pub fn start(&self, order: StartOrder) {
         let shared = self.shared.clone();
         shared.pending_starts.add(order.run);
-        let lapses = shared.lapses.load(Ordering::Relaxed);
+        let taken_in = self.taken_in;
         tokio::spawn(async move {
-            let result = orders::start(&shared, &order, lapses).await;
+            let result = orders::start(&shared, &order, taken_in).await;
             shared.pending_starts.remove(order.run);
             if let Some(result) = result {
                 shared.tell(Event::Started(shared.vm.clone(), order.run, result));
@@ -127,9 +147,9 @@
     pub fn stop(&self, run: RunId) {
         let shared = self.shared.clone();
         shared.pending_starts.call_off(run);
-        let lapses = shared.lapses.load(Ordering::Relaxed);
+        let taken_in = self.taken_in;
         tokio::spawn(async move {
-            if orders::stop(&shared, run, lapses).await.is_some() {
+            if orders::stop(&shared, run, taken_in).await.is_some() {
                 shared.tell(Event::Stopped(shared.vm.clone(), run));
             }
         });
@@ -175,11 +195,6 @@
         false
     }
 
-    /// Returns whether the VM was lost since it had been lost `lapses` times.
-    fn was_lost_since(&self, lapses: u32) -> bool {
-        self.lapses.load(Ordering::Relaxed) != lapses
-    }
-
     /// Returns whether an error ends all dealings with this incarnation, and tells the owner so.
     fn is_over_with(&self, e: &OrderError) -> bool {
         match e {
@@ -194,8 +209,9 @@
     }
 
     fn lost(&self, loss: VmLoss) {
-        self.lapses.fetch_add(1, Ordering::Relaxed);
-        self.tell(Event::Lost(self.vm.clone(), loss));
+        let number = self.losses.next();
+        self.newest_loss.note(number);
+        self.tell(Event::Lost(self.vm.clone(), loss, number));
     }
 }
 
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -9,6 +9,7 @@
 use thistle_schedule::RunId;
 use thistle_schedule::pool::{StartOrder, StartResult};
 
+use super::super::losses::LossNumber;
 use super::{RETRY, Shared};
 use crate::clock::steady_ms;
 use crate::locks::lock;
@@ -48,9 +49,13 @@
 /// Sends a start until its outcome is known or it is called off. Sending it again is harmless: the VM
 /// has a run once.
 ///
-/// It waits for its turn, and its VM may be lost meanwhile: `lapses` is how often that was so when it was ordered. Counted when its
-/// turn comes, it would go out after its task was started elsewhere.
-pub(super) async fn start(link: &Shared, order: &StartOrder, lapses: u32) -> Option<StartResult> {
+/// It may wait for the store, and for its turn, and its VM may be lost meanwhile: `taken_in` is the newest loss that the owner
+/// knew of as it decided. Sent after a later one, it would start a task that the owner starts elsewhere.
+pub(super) async fn start(
+    link: &Shared,
+    order: &StartOrder,
+    taken_in: LossNumber,
+) -> Option<StartResult> {
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
     let waited = ordered_at.elapsed();
@@ -65,13 +70,19 @@
     let mut may_be_there = false;
     let mut deadline_ms = None;
     loop {
-        if !link.until_may_send().await || link.was_lost_since(lapses) {
-            log::info!(
-                "start step=dropped run={} vm={} sent={may_be_there} link_closed={}",
-                order.run,
-                link.vm,
-                link.is_closed(),
-            );
+        if !link.until_may_send().await {
+            log_dropped(link, order.run, may_be_there);
+            return None;
+        }
+        // Sent again it gives no longer lease. The first time, a VM that has fallen silent gets none, and
+        // the order is not sent.
+        let Some(until) = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms())) else {
+            return Some(StartResult::NotTaken);
+        };
+        deadline_ms = Some(until);
+        // After the lease was given: one that was given after a loss would make up for it.
+        if link.newest_loss.is_after(taken_in) {
+            log_dropped(link, order.run, may_be_there);
             return None;
         }
         if link.pending_starts.is_called_off(order.run) {
@@ -81,12 +92,6 @@
             return (!may_be_there).then_some(StartResult::NotTaken);
         }
         let sent_at = Instant::now();
-        // Sent again it gives no longer lease. The first time, a VM that has fallen silent gets none, and
-        // the order is not sent.
-        let Some(until) = deadline_ms.or_else(|| lock(&link.lease).give(steady_ms())) else {
-            return Some(StartResult::NotTaken);
-        };
-        deadline_ms = Some(until);
         let start = Start {
             run: order.run,
             text: &order.spec.text,
@@ -116,10 +121,10 @@
 }
 
 /// Sends a stop until it is answered, or its VM is lost with all that runs there.
-pub(super) async fn stop(link: &Shared, run: RunId, lapses: u32) -> Option<()> {
+pub(super) async fn stop(link: &Shared, run: RunId, taken_in: LossNumber) -> Option<()> {
     let _permit = link.stops.acquire().await.ok()?;
     loop {
-        if !link.until_may_send().await || link.was_lost_since(lapses) {
+        if !link.until_may_send().await || link.newest_loss.is_after(taken_in) {
             return None;
         }
         let sent_at = Instant::now();
@@ -132,6 +137,11 @@
     }
 }
 
+fn log_dropped(link: &Shared, run: RunId, sent: bool) {
+    let closed = link.is_closed();
+    log::info!("start step=dropped run={run} vm={} sent={sent} link_closed={closed}", link.vm);
+}
+
 /// Waits before an order that failed is sent again.
 async fn pause_after(sent_at: Instant) {
     if sent_at.elapsed() < FAILED_AT_ONCE {
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod advisor;
 mod link;
+mod losses;
 mod progress;
 mod purge;
 mod quota;
@@ -25,6 +26,7 @@
 use crate::pool_log::PoolLog;
 use advisor::Advisor;
 use link::Link;
+use losses::{LossNumber, Losses};
 use progress::ProgressWriter;
 use quota::Quota;
 use report::Reporter;
@@ -50,8 +52,8 @@
     Stopped(VmId, RunId),
     /// A VM answers, or does not.
     Reachable(VmId, bool),
-    /// Nothing runs on a VM any more.
-    Lost(VmId, VmLoss),
+    /// Nothing runs on a VM any more; the number of this loss.
+    Lost(VmId, VmLoss, LossNumber),
     /// A VM has seen a higher token.
     Fenced(VmId),
     /// A question about a step was answered, or not.
@@ -74,6 +76,7 @@
     journal: Journal,
     writer: ProgressWriter,
     links: HashMap<VmId, Link>,
+    losses: Arc<Losses>,
     /// When runs on VMs that cannot be asked are surely over.
     orphans: HashMap<VmId, Ms>,
     tx: UnboundedSender<Event>,
@@ -166,7 +169,12 @@
                     self.look_for_successor(&vm);
                 }
             }
-            Event::Lost(vm, loss) => self.lose_vm(&vm, loss),
+            Event::Lost(vm, loss, number) => {
+                if let Some(link) = self.links.get_mut(&vm) {
+                    link.take_in_loss(number);
+                }
+                self.lose_vm(&vm, loss);
+            }
             Event::Advised(step, answer) => {
                 let good = answer.as_ref().map(|(tickets, _)| tickets.len());
                 log::info!(
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -45,6 +45,7 @@
         journal,
         writer: ProgressWriter::new(token, spilled, further_told),
         links: HashMap::new(),
+        losses: Arc::default(),
         orphans: HashMap::new(),
         tx: tx.clone(),
         purged_at: steady_ms(),
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -21,7 +21,8 @@
             }
             self.orphans.remove(&facts.id);
             if !self.links.contains_key(&facts.id) {
-                let link = Link::open(&self.node, facts, self.token, self.tx.clone());
+                let (tx, losses) = (self.tx.clone(), self.losses.clone());
+                let link = Link::open(&self.node, facts, self.token, tx, losses);
                 self.links.insert(facts.id.clone(), link);
             }
         }
@@ -37,7 +38,7 @@
         // One that fell silent under a task may be back in another pool.
         for (vm, name) in self.pool.silent_losses() {
             if !name.is_empty() && table.values().any(|f| *f.name == *name && f.id != vm) {
-                let _ = self.tx.send(Event::Lost(vm, VmLoss::Replaced));
+                self.tell_replaced(&vm);
             }
         }
         self.watch_orphans();
@@ -58,11 +59,20 @@
     fn note_if_reborn(&self, vm: &VmSummary, table: &VmTable) {
         let answers = vm.reachable && self.links.contains_key(&vm.id);
         if !answers && table.values().any(|facts| is_reborn(facts, vm)) {
-            // It is taken in when this step is done.
-            let _ = self.tx.send(Event::Lost(vm.id.clone(), VmLoss::Replaced));
+            self.tell_replaced(&vm.id);
         }
     }
 
+    /// Has it taken in, when this step is done, that another incarnation of a VM is there.
+    fn tell_replaced(&self, vm: &VmId) {
+        if let Some(link) = self.links.get(vm) {
+            link.lose(VmLoss::Replaced);
+            return;
+        }
+        // This owner takes it in itself.
+        let _ = self.tx.send(Event::Lost(vm.clone(), VmLoss::Replaced, self.losses.next()));
+    }
+
     /// Notes runs on VMs to which there is no link: they count until their lease is over.
     fn watch_orphans(&mut self) {
         let over_at = steady_ms() + lease_bound(self.node.task_lease());
