An owner that has ended by itself is begun again under a new token only

Callers saw a booking done twice, or a job that was done and never shown so. An owner that ended by a panic, or by a VM's mistaken word of a higher token, was begun again by its node under the token that it had. Its records were numbered from 1 again and passed for older than those of the first; its appends were taken for copies; its first lists released tasks whose orders were still under way. The token of an owner that has ended is spent: the node claims the pool anew, by a conditional append like any other, 0.2 s after the end, and after pauses that double to 3.2 s while owners end within 10 s of their claim (an owner that panicked at once was begun again every 100 ms). Everything that tells owners apart (epoch, number, VMs' fence) then works as it does for a change of owner. Weighed: going on numbering within the token (orders under way would still not be barred).

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -41,6 +41,14 @@
 /// How long a new node listens before it takes pools that nobody had, so that others are known.
 const LISTEN_MS: Ms = 800;
 
+/// How long a node waits before it claims a pool again whose owner has ended by itself, in milliseconds; it doubles with
+/// each end in a row.
+const ENDED_PAUSE_MS: Ms = 200;
+/// How often that time doubles at most, up to 3.2 s: others would take the pool from a silent node after 2.7 s.
+const MOST_ENDED_DOUBLINGS: u32 = 4;
+/// An owner that has worked for so long does not end in a row with the one before, in milliseconds.
+const LASTED_MS: Ms = 10_000;
+
 /// One life of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct NodeLife {
@@ -95,6 +103,20 @@
     was_given_up: bool,
 }
 
+/// An owner of this node that ended by itself, though nobody took its pool.
+#[derive(Clone, Copy, Debug)]
+struct Ended {
+    token: u64,
+    at: Ms,
+    in_a_row: u32,
+}
+
+impl Ended {
+    fn claim_again_at(self) -> Ms {
+        self.at + (ENDED_PAUSE_MS << self.in_a_row.min(MOST_ENDED_DOUBLINGS))
+    }
+}
+
 /// What one node knows of owners and members.
 #[derive(Debug)]
 pub struct Ownership {
@@ -108,6 +130,8 @@
     further_lanes: HashSet<Arc<str>>,
     /// Since when pools are known to have no owner.
     vacant_since: HashMap<Arc<str>, Ms>,
+    /// The last owner of each pool on this node that ended by itself.
+    ended: HashMap<Arc<str>, Ended>,
 }
 
 impl Ownership {
@@ -122,6 +146,7 @@
             claims,
             further_lanes: HashSet::new(),
             vacant_since,
+            ended: HashMap::new(),
         }
     }
 
@@ -238,10 +263,25 @@
         self.claims.get(pool).is_some_and(|o| o.was_given_up)
     }
 
-    /// Returns this node's token for a pool, if the newest claim read is its own.
+    /// Returns this node's token for a pool, if the newest claim read is its own and no owner has worked under it and ended.
     pub fn my_token(&self, pool: &str) -> Option<u64> {
         let owned = self.claims.get(pool)?;
-        (owned.claim.owner == self.me && !owned.claim.released).then_some(owned.token)
+        let mine = owned.claim.owner == self.me && !owned.claim.released;
+        (mine && !self.is_spent(pool, owned.token)).then_some(owned.token)
+    }
+
+    /// Takes in that this node's owner of a pool has ended by itself. Its token is spent: what the next one writes and
+    /// orders could not be told from what is still on its way of this one.
+    pub fn owner_ended(&mut self, pool: &Arc<str>, token: u64, now: Ms) {
+        let Some(owned) = self.claims.get(pool).filter(|o| o.token == token) else { return };
+        let lasted = now.saturating_sub(owned.seen_at) >= LASTED_MS;
+        let before = self.ended.get(pool).filter(|_| !lasted);
+        let in_a_row = before.map_or(0, |ended| ended.in_a_row + 1);
+        self.ended.insert(pool.clone(), Ended { token, at: now, in_a_row });
+    }
+
+    fn is_spent(&self, pool: &str, token: u64) -> bool {
+        self.ended.get(pool).is_some_and(|ended| ended.token == token)
     }
 
     /// Returns whether this node owns anything, by the claims that it has read.
@@ -283,6 +323,7 @@
             let due = match vacancy {
                 // The node that had it has its VMs' connections and state at hand soonest.
                 Vacancy::MineBefore => 0,
+                Vacancy::Ended(ended) => ended.claim_again_at(),
                 Vacancy::Restarted => since + 2 * RANK_STEP_MS + self.rank(pool, now, &wanted),
                 Vacancy::Released | Vacancy::Silent => since + self.rank(pool, now, &wanted),
                 Vacancy::Never => {
@@ -297,11 +338,15 @@
     }
 
     fn vacancy(&self, pool: &str, now: Ms) -> Option<Vacancy> {
-        let Some(Owned { claim, seen_at, .. }) = self.claims.get(pool) else {
+        let Some(Owned { claim, token, seen_at, .. }) = self.claims.get(pool) else {
             return Some(Vacancy::Never);
         };
         if claim.owner == self.me {
-            return claim.released.then_some(Vacancy::Released);
+            let ended = self.ended.get(pool).filter(|ended| ended.token == *token);
+            return match claim.released {
+                true => Some(Vacancy::Released),
+                false => ended.copied().map(Vacancy::Ended),
+            };
         }
         if claim.released {
             return Some(Vacancy::Released);
@@ -348,11 +393,12 @@
     }
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug)]
 enum Vacancy {
     Never,
     Released,
     MineBefore,
+    Ended(Ended),
     Restarted,
     Silent,
 }
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -258,3 +258,58 @@
     }
     expect_that!(firsts.iter().filter(|&&fast| fast).count(), lt(30));
 }
+
+/// An owner ended by itself, by a panic or a VM's mistaken word, and was begun again under its token. It numbered its records from 1 again, so that
+/// newer ones passed for older, and orders of before were not barred: tasks that were done were started again.
+#[gtest]
+fn an_owner_that_has_ended_by_itself_is_begun_again_under_a_new_token_only() {
+    let mut view = Ownership::new(node("a", 1), 0);
+    let desk: Arc<str> = "desk".into();
+    view.claimed(&desk, claim("a", 1), 0, 1_000);
+    expect_that!(claims_of(&mut view, &["desk"], 1_000), is_empty());
+    view.owner_ended(&desk, 1, 2_000);
+    expect_that!(view.my_token("desk"), none());
+    expect_that!(claims_of(&mut view, &["desk"], 2_200), len(eq(1)));
+    // The claim of before, read once more, changes nothing.
+    view.claimed(&desk, claim("a", 1), 0, 2_200);
+    expect_that!(view.my_token("desk"), none());
+    view.claimed(&desk, claim("a", 1), 7, 2_300);
+    expect_that!(view.my_token("desk"), some(eq(8)));
+    expect_that!(claims_of(&mut view, &["desk"], 2_300), is_empty());
+}
+
+#[gtest]
+fn a_pool_whose_owner_ended_is_left_to_another_node_that_claimed_it() {
+    let mut view = Ownership::new(node("a", 1), 0);
+    let desk: Arc<str> = "desk".into();
+    view.claimed(&desk, claim("a", 1), 0, 1_000);
+    view.owner_ended(&desk, 1, 2_000);
+    view.claimed(&desk, claim("b", 1), 3, 2_050);
+    view.heard("b", &beat(1, 1), 2_200);
+    expect_that!(claims_of(&mut view, &["desk"], 2_300), is_empty());
+}
+
+#[gtest]
+fn owners_that_end_again_and_again_are_begun_ever_more_seldom() {
+    let mut view = Ownership::new(node("a", 1), 0);
+    let desk: Arc<str> = "desk".into();
+    let (mut now, mut claims) = (1_000, 0);
+    while now < 61_000 {
+        now += 100;
+        let owns = view.my_token("desk").is_some();
+        if owns {
+            view.owner_ended(&desk, claims, now);
+        }
+        if !claims_of(&mut view, &["desk"], now).is_empty() {
+            view.claimed(&desk, claim("a", 1), claims, now);
+            claims += 1;
+        }
+    }
+    // Every 100 ms it was 600 times in a minute.
+    expect_that!(claims, le(25));
+    view.owner_ended(&desk, claims, now);
+    // One that has worked for long is begun again soon.
+    view.claimed(&desk, claim("a", 1), claims, now);
+    view.owner_ended(&desk, claims + 1, now + 20_000);
+    expect_that!(claims_of(&mut view, &["desk"], now + 20_200), len(eq(1)));
+}
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -169,9 +169,12 @@
     shard: &Arc<str>,
     log: Option<&Arc<PoolLog>>,
 ) {
+    if let Some((token, _)) = running.get(shard).filter(|(_, task)| task.is_finished()) {
+        // Begun again under its token, it would number its records anew, and orders of before would not be barred.
+        lock(&node.ownership).owner_ended(shard, *token, steady_ms());
+    }
     let token = lock(&node.ownership).my_token(shard);
-    let same = running.get(shard).is_some_and(|(t, task)| Some(*t) == token && !task.is_finished());
-    if same {
+    if running.get(shard).is_some_and(|(t, _)| Some(*t) == token) {
         return;
     }
     if let Some((old, task)) = running.remove(shard) {
