A VM counts as replaced only by an incarnation that was first listed after it

Callers saw tasks done twice. The runs on a VM that the store does not list and that does not answer were given up at once if any other incarnation of its name was listed. The entry of an older one, which has crashed, stands on for three heartbeats; with it a VM whose own entry had lapsed and whose answers were lost for a moment passed for gone, while it worked on. An owner now notes in which listing it first saw each incarnation, and keeps that for as long as the VM may have runs. Of two that it saw first in one listing (a new owner) it knows nothing, and waits for the lease. By the platform's word a later life of a VM begins only when the one before has ended.

--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -2,6 +2,7 @@
 
 mod advisor;
 mod link;
+mod lives;
 mod losses;
 mod progress;
 mod purge;
@@ -26,6 +27,7 @@
 use crate::pool_log::PoolLog;
 use advisor::Advisor;
 use link::Link;
+use lives::Lives;
 use losses::{LossNumber, Losses};
 use progress::ProgressWriter;
 use quota::Quota;
@@ -77,6 +79,7 @@
     writer: ProgressWriter,
     links: HashMap<VmId, Link>,
     losses: Arc<Losses>,
+    lives: Lives,
     /// When runs on VMs that cannot be asked are surely over.
     orphans: HashMap<VmId, Ms>,
     tx: UnboundedSender<Event>,
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::advisor::Advisor;
+use super::lives::Lives;
 use super::progress::ProgressWriter;
 use super::quota::Quota;
 use super::report::Reporter;
@@ -46,6 +47,7 @@
         writer: ProgressWriter::new(token, spilled, further_told),
         links: HashMap::new(),
         losses: Arc::default(),
+        lives: Lives::default(),
         orphans: HashMap::new(),
         tx: tx.clone(),
         purged_at: steady_ms(),
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -15,6 +15,7 @@
     /// Takes in the VMs as the store lists them now.
     pub(super) fn list_vms(&mut self, table: &VmTable) {
         let listed = self.pool.vm_summaries();
+        self.lives.take_in(table, |id| listed.iter().any(|vm| vm.id == *id));
         for facts in table.values().filter(|f| f.pool == self.log.pool) {
             if self.pool.list_vm(facts.clone()) {
                 log_listed(facts);
@@ -54,11 +55,14 @@
         }
     }
 
-    /// Gives up an unlisted incarnation if another one of its VM has come up. One that still answers is none that is gone,
-    /// whatever an entry says that names its VM.
+    /// Gives up an unlisted incarnation if a later one of its VM has come up. One that still answers is none that is gone,
+    /// whatever an entry says that names its VM; and the entry of an earlier one, which stands on for a while after its end, says
+    /// nothing of this one.
     fn note_if_reborn(&self, vm: &VmSummary, table: &VmTable) {
         let answers = vm.reachable && self.links.contains_key(&vm.id);
-        if !answers && table.values().any(|facts| is_reborn(facts, vm)) {
+        let came_later =
+            |facts: &VmFacts| is_reborn(facts, vm) && self.lives.is_later(&facts.id, &vm.id);
+        if !answers && table.values().any(|facts| came_later(facts)) {
             self.tell_replaced(&vm.id);
         }
     }
