--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -143,6 +143,8 @@
     pub nodes: Vec<Node>,
     /// What the one workspace of further configurations may run, in thousandths of a core; without it there is no workspace.
     pub cap: Option<u32>,
+    /// Lines that stand in the settings of nodes that are added from now on, beside the usual ones.
+    pub further_settings: String,
     dir: PathBuf,
 }
 
@@ -168,7 +170,8 @@
         }
         let dir = std::env::temp_dir().join(format!("thistle-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the folder is made");
-        let mut system = Self { platform, nodes: Vec::new(), cap: None, dir };
+        let further_settings = String::new();
+        let mut system = Self { platform, nodes: Vec::new(), cap: None, further_settings, dir };
         system.put_config(1, &["/quotes/"]);
         for i in 0..nodes {
             system.add_node(ip(10 + i));
@@ -190,8 +193,9 @@
         let text = format!(
             "name: {name}\nhall: hall-a\nlisten: {ip}:8080\nreadiness_listen: {ip}:8081\n\
              metrics_listen: {ip}:9464\nrelay_listen: {ip}:7060\nstore: {store}\n\
-             machine_service: {}\nlog:\n  output: stdout\n",
+             machine_service: {}\nlog:\n  output: stdout\n{}",
             self.platform.machines_addr(),
+            self.further_settings,
         );
         std::fs::write(&settings, text).expect("the settings are written");
         let mut node = Node { name, ip, settings, child: None };
