Test that fails: a settled job is run again whose submission the spare partition did not drop

The drop in the first partition makes everybody forget the job with its progress (JobLog::apply), also where its submission stands in the spare one; the append there failed, and as the owner knows of no such job any more it does not try again. After ten seconds without a read of the spare partition its newest records are read, and the submission is new. By reading: the same where a node reads the drop of the first partition and then the submission of the spare one from its newest records.

--- a/crates/scheduler/tests/dropped_records.rs
+++ b/crates/scheduler/tests/dropped_records.rs
@@ -5,13 +5,17 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use system::{System, job, submit, until, until_state};
+use system::{Node, System, job, submit, until, until_state};
+use thistle_platform::standin::Fault;
 
 const ID: &str = "5c0e7a21d94b36f8";
 const TOPIC: &str = "jobs.desk";
 const SUBMISSIONS: u32 = 0;
+const SPARE: u32 = 2;
 /// What a node tells as it drops the records of settled jobs.
 const DROPPED: &str = "jobs step=dropped";
+/// So long a partition must not have been read for its newest records to be read, and a little more.
+const NOT_READ: Duration = Duration::from_secs(11);
 
 /// Starts nodes that drop settled jobs as soon as they may: half a minute after they were settled.
 async fn start(net: u8, nodes: u8) -> System {
@@ -30,6 +34,40 @@
     system
 }
 
+async fn until_dropped(node: &Node, times: usize) {
+    until("records were dropped", async || node.log().matches(DROPPED).count() >= times).await;
+}
+
+/// A job that was completed was run again. It stood in the spare partition, which took no records as its job was dropped: the owner
+/// had dropped it in the first partition by then, and whoever reads that forgets the job and its progress, the owner too, so that
+/// it did not try again. Once the spare partition had not been read for ten seconds it was read from its newest records, and the
+/// submission there was taken for a new one:
+///
+///     05:20:05.375 INFO end run=JOB.0.0.0#1 vm=i-m-1-1 how=Done number=3
+///     05:20:40.650 INFO jobs step=dropped pool=desk count=1
+///     05:20:52.336 INFO start step=ordered run=JOB.0.0.0#1 vm=i-m-1-1 queue=r/quotes/ token=1 free_cpu=15500
+///     05:20:52.337 INFO start step=refused run=JOB.0.0.0#1 vm=i-m-1-1 answer=Old
+///     05:20:52.343 INFO start step=ordered run=JOB.0.0.0#2 vm=i-m-0-1 queue=r/quotes/ token=1 free_cpu=15500
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_settled_job_stays_settled_though_the_spare_partition_does_not_take_its_being_dropped() {
+    let system = start(110, 1).await;
+    let node = &system.nodes[0];
+    until_dropped(node, 1).await;
+    system.platform.store.set_part_fault(TOPIC, SUBMISSIONS, Fault::Busy);
+    expect_that!(submit(node, ID, &job(2, 100)).await.status, eq(200));
+    until_state(node, ID, "completed").await;
+    system.platform.store.set_part_fault(TOPIC, SUBMISSIONS, Fault::None);
+    tokio::time::sleep(Duration::from_secs(20)).await;
+    system.platform.store.set_part_fault(TOPIC, SPARE, Fault::Busy);
+    until_dropped(node, 2).await;
+    tokio::time::sleep(NOT_READ).await;
+    system.platform.store.set_part_fault(TOPIC, SPARE, Fault::None);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let starts = system.starts_of(ID);
+    expect_that!(starts.values().all(|&n| n == 1), eq(true), "{starts:?}");
+}
+
 /// A job that was completed was run again by a node that had read it while it ran and then read nothing until its records were
 /// dropped. Such a node reads the newest record of each key, among which there is none of that job any more, and keeps what it knew
 /// of it: that its tasks run. When it came to own the pool their VM did not list them, and they were started:
