A job is forgotten when its submission stands in no partition any more, and not while one still holds it

Callers saw a job that was done, and told as done, run once more as a whole, two and a half minutes later. Two ways, one cause: one partition's word decided what is known of a job that stands in two. (a) The drop in the first partition forgot the job with its progress while the spare one, which took no records, still held it; read anew it was a new job. (b) A node that had not read for ten seconds took the newest record of each key for additions, kept a job that had been settled and dropped meanwhile, and started it as its next owner. Now it is known where a submission stands. A drop forgets the job with the last place, so that the owner's next round tries again what failed, and the first partition is dropped last, as other nodes read it first. What the newest records lack is put out of sight, and forgotten the next time; read all the same, it comes back with its progress. Weighed: keeping settled jobs for longer (the same later).

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -4,6 +4,8 @@
 //! to a third: progress, and to a fourth while the third does not take it. All are folded by job,
 //! newest record first come or last, so that a record that is read twice changes nothing.
 
+mod parts;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
@@ -11,6 +13,7 @@
 use crate::progress::{JobState, Phase, Progress};
 use crate::spec::JobSpec;
 use crate::workspace::Caller;
+pub use parts::Parts;
 
 /// What a record's key starts with.
 const SUBMIT: &str = "j";
@@ -34,6 +37,11 @@
     format!("{PROGRESS}{id}")
 }
 
+/// Returns the job whose submission a key is about.
+pub fn job_of_submit_key(key: &str) -> Option<JobId> {
+    key.strip_prefix(SUBMIT)?.parse().ok()
+}
+
 /// Returns the job whose progress a key is about.
 pub fn job_of_progress_key(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
@@ -141,6 +149,10 @@
     pub progress: Progress,
     /// Which record told so.
     pub version: Version,
+    /// Where its submission stands, as far as that was read.
+    pub stands_in: Parts,
+    /// The partition from which its submission was found to be gone, if it stands in none.
+    pub gone_from: Option<u32>,
 }
 
 impl JobEntry {
@@ -176,12 +188,12 @@
 impl JobLog {
     /// Returns what is known of a job.
     pub fn get(&self, id: JobId) -> Option<&JobEntry> {
-        self.jobs.get(&id)
+        self.jobs.get(&id).filter(|entry| !entry.is_gone())
     }
 
     /// Returns all jobs.
     pub fn iter(&self) -> impl Iterator<Item = (JobId, &JobEntry)> {
-        self.jobs.iter().map(|(&id, entry)| (id, entry))
+        self.jobs.iter().filter(|(_, entry)| !entry.is_gone()).map(|(&id, entry)| (id, entry))
     }
 
     /// Returns how many jobs are held.
@@ -199,7 +211,7 @@
         let is_pending = |e: &&JobEntry| {
             e.state() == Some(JobState::Queued) && e.spec.as_ref().is_some_and(|s| s.queue == queue)
         };
-        self.jobs.values().filter(is_pending).count()
+        self.iter().map(|(_, entry)| entry).filter(is_pending).count()
     }
 
     /// Returns whether some open job has progress though its submission has not been read.
@@ -209,18 +221,28 @@
         self.jobs.values().any(begun)
     }
 
-    /// Applies one record of any partition; a record without a value was dropped.
+    /// Applies one record where it does not matter from which partition it is.
     pub fn apply(
         &mut self,
         key: &str,
         value: Option<&[u8]>,
+    ) -> Result<Option<LogChange>, BadRecord> {
+        self.apply_from(0, key, value)
+    }
+
+    /// Applies one record of a partition; a record without a value was dropped there.
+    pub fn apply_from(
+        &mut self,
+        part: u32,
+        key: &str,
+        value: Option<&[u8]>,
     ) -> Result<Option<LogChange>, BadRecord> {
         let bad = || BadRecord(key.to_owned());
         let (kind, id) = key.split_at_checked(1).ok_or_else(bad)?;
         let id: JobId = id.parse().map_err(|_| bad())?;
         let Some(value) = value else {
             if kind == SUBMIT {
-                self.jobs.remove(&id);
+                self.drop_submission(part, id);
             }
             return Ok(None);
         };
@@ -229,7 +251,7 @@
                 let spec = decode_spec(value).map_err(|_| bad())?;
                 // Whoever folded a job that cannot be would fail on it, one owner after the other.
                 spec.check().map_err(|e| BadRecord(format!("{key}: {e}")))?;
-                Ok(self.submit(id, spec))
+                Ok(self.submit(part, id, spec))
             }
             CANCEL => {
                 let caller = decode_cancel(value).map_err(|_| bad())?;
@@ -270,10 +292,12 @@
     }
 
     /// Keeps the first submission of an ID; later ones are copies.
-    fn submit(&mut self, id: JobId, spec: JobSpec) -> Option<LogChange> {
+    fn submit(&mut self, part: u32, id: JobId, spec: JobSpec) -> Option<LogChange> {
         let entry = self.jobs.entry(id).or_default();
+        entry.stands_in.insert(part);
+        let was_gone = entry.gone_from.take().is_some();
         if entry.spec.is_some() {
-            return None;
+            return was_gone.then_some(LogChange::Submitted(id));
         }
         let early = std::mem::take(&mut entry.cancelled_by);
         entry.cancelled |= early.iter().any(|by| by.as_ref().is_none_or(|c| c.may_see(&spec)));
--- /dev/null
+++ b/crates/schedule/tests/dropped_submissions.rs
@@ -0,0 +1,70 @@
+//! Jobs whose submission is dropped, or found to be gone, while it may stand in another partition.
+//!
+//! A settled job was run again: its submission was dropped in one partition, and with it all that was known of its progress, while it stood in the other. Another
+//! one was: a node that had not read for a while took the newest records for additions to what it knew.
+
+mod common;
+
+use std::collections::HashSet;
+
+use common::{JOB, job, step};
+use googletest::prelude::*;
+use thistle_schedule::job_log::{Version, encode, progress_key, submit_key};
+use thistle_schedule::{JobLog, LogChange, Phase, Progress};
+
+const FIRST: u32 = 0;
+const SPARE: u32 = 2;
+
+fn submit(log: &mut JobLog, part: u32) -> Option<LogChange> {
+    let spec = encode(job(vec![step(1, 500)]).as_ref());
+    log.apply_from(part, &submit_key(JOB), Some(&spec)).expect("it can be read")
+}
+
+fn complete(log: &mut JobLog) {
+    let progress = Progress { phase: Phase::Completed, ..Progress::default() };
+    let record = encode(&(Version { token: 1, number: 1 }, progress));
+    expect_that!(log.apply(&progress_key(JOB), Some(&record)), ok(none()));
+}
+
+fn phase(log: &JobLog) -> Option<Phase> {
+    log.get(JOB).map(|entry| entry.progress.phase)
+}
+
+#[gtest]
+fn a_job_is_known_until_its_submission_is_dropped_wherever_it_stands() {
+    let mut log = JobLog::default();
+    submit(&mut log, FIRST);
+    submit(&mut log, SPARE);
+    complete(&mut log);
+    for part in [FIRST, SPARE] {
+        expect_that!(phase(&log), some(eq(Phase::Completed)));
+        expect_that!(log.apply_from(part, &submit_key(JOB), None), ok(none()));
+    }
+    expect_that!(phase(&log), none());
+}
+
+#[gtest]
+fn a_job_that_the_newest_records_lack_is_out_of_sight_and_comes_back_with_its_progress() {
+    let mut log = JobLog::default();
+    submit(&mut log, FIRST);
+    complete(&mut log);
+    log.reloaded(SPARE, &HashSet::new());
+    expect_that!(phase(&log), some(eq(Phase::Completed)), "it never stood in the spare partition");
+    log.reloaded(FIRST, &HashSet::new());
+    expect_that!(phase(&log), none());
+    expect_that!(log.iter().count(), eq(0));
+    log.reloaded(SPARE, &HashSet::new());
+    expect_that!(submit(&mut log, FIRST), some(eq(LogChange::Submitted(JOB))));
+    expect_that!(phase(&log), some(eq(Phase::Completed)));
+}
+
+#[gtest]
+fn a_job_that_the_newest_records_lack_twice_is_forgotten() {
+    let mut log = JobLog::default();
+    submit(&mut log, FIRST);
+    log.reloaded(FIRST, &HashSet::from([JOB]));
+    expect_that!(log.len(), eq(1));
+    log.reloaded(FIRST, &HashSet::new());
+    log.reloaded(FIRST, &HashSet::new());
+    expect_that!(log.len(), eq(0));
+}
--- a/crates/scheduler/src/owner/purge.rs
+++ b/crates/scheduler/src/owner/purge.rs
@@ -53,7 +53,8 @@
             [KeyedRecord::dropping(cancel_key(id)), KeyedRecord::dropping(submit_key(id))]
         };
         let records: Vec<KeyedRecord> = old.iter().flat_map(drop_both).collect();
-        for part in LANES {
+        // The first partition last: who reads of the drop there may read the spare one later, and must not find the job in it.
+        for part in LANES.into_iter().rev() {
             if part == SPARE && !self.log.spare_was_used().await {
                 continue;
             }
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use thistle_platform::{KeyedRecord, Stored};
-use thistle_schedule::job_log::{Version, job_of_progress_key};
+use thistle_schedule::job_log::{Version, job_of_progress_key, job_of_submit_key};
 use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
 use tokio::sync::mpsc::UnboundedSender;
 
@@ -175,15 +175,25 @@
         lock(&self.spilled).clone()
     }
 
-    fn apply(&self, records: Vec<Stored>) {
+    fn apply(&self, part: u32, records: &[Stored]) {
         let mut jobs = self.jobs();
         for Stored { offset, record } in records {
-            self.apply_one(&mut jobs, offset, &record);
+            self.apply_one(&mut jobs, part, *offset, record);
         }
     }
 
-    fn apply_one(&self, jobs: &mut JobLog, offset: u64, record: &KeyedRecord) {
-        match jobs.apply(&record.key, record.value()) {
+    /// Takes in the newest record of each key of a partition: what it lacks was dropped.
+    fn reload(&self, part: u32, records: &[Stored]) {
+        if LANES.contains(&part) {
+            let newest = records.iter().filter(|stored| stored.record.value().is_some());
+            let there = newest.filter_map(|stored| job_of_submit_key(&stored.record.key)).collect();
+            self.jobs().reloaded(part, &there);
+        }
+        self.apply(part, records);
+    }
+
+    fn apply_one(&self, jobs: &mut JobLog, part: u32, offset: u64, record: &KeyedRecord) {
+        match jobs.apply_from(part, &record.key, record.value()) {
             Ok(Some(change)) => self.pass_on(change),
             Ok(None) => (),
             Err(e) => {
@@ -217,7 +227,7 @@
             cursor.next = Some(end);
             let mut jobs = self.jobs();
             for (offset, record) in (offset..).zip(records) {
-                self.apply_one(&mut jobs, offset, record);
+                self.apply_one(&mut jobs, part, offset, record);
             }
             return;
         }
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -55,7 +55,7 @@
         let Some(from) = cursor.next.filter(|_| !is_old || cursor.read_at == 0) else {
             let newest = node.store.newest(&self.topic, part).await?;
             self.note_spilled(part, &newest.records);
-            self.apply(newest.records);
+            self.reload(part, &newest.records);
             (cursor.next, cursor.read_at) = (Some(newest.end), 0);
             return Ok(());
         };
@@ -64,7 +64,7 @@
                 let next = from + batch.records.len() as u64;
                 let reached_end = next >= batch.end;
                 self.note_spilled(part, &batch.records);
-                self.apply(batch.records);
+                self.apply(part, &batch.records);
                 cursor.next = Some(next);
                 if reached_end {
                     cursor.read_at = began;
@@ -110,7 +110,7 @@
         cursor.failures.end(&self.topic, SUBMISSIONS);
         let next = from + batch.records.len() as u64;
         if cursor.next.is_some_and(|known| known < next) {
-            self.apply(batch.records);
+            self.apply(SUBMISSIONS, &batch.records);
             cursor.next = Some(next);
         }
         if cursor.next.is_some_and(|known| known >= batch.end) {
