--- a/crates/schedule/tests/job_records.rs
+++ b/crates/schedule/tests/job_records.rs
@@ -16,6 +16,7 @@
     JobEntry, Version, cancel_key, encode_cancel, encode_progress, encode_spec, progress_key,
     submit_key,
 };
+use thistle_schedule::pool::Now;
 use thistle_schedule::progress::{Place, TaskRecord};
 use thistle_schedule::{
     Caller, EndKind, JobLog, JobSpec, LogChange, Phase, Pool, Progress, Repeats,
@@ -229,3 +230,28 @@
     times.sort_unstable();
     expect_that!(times, not(contains(eq(&0))));
 }
+
+/// A repetition that waited beside a later one, which had been started, was never opened by the next owner: the clock of that one's node was
+/// behind by more than the time between them, and the records of what waits for its first start name nothing. The job was told
+/// as completed without it.
+#[gtest]
+fn a_repetition_that_waits_is_not_passed_over_by_an_owner_whose_clock_is_behind() {
+    let started_later = TaskRecord {
+        time: 3,
+        step: 0,
+        index: 0,
+        place: Place::Waiting,
+        attempt: 1,
+        failures: 1,
+        checkpoint: String::new(),
+    };
+    let tasks = vec![started_later];
+    let progress = Progress { begun: true, done_times: vec![1], tasks, ..Progress::default() };
+    let entry = JobEntry { spec: Some(repeating()), progress, ..JobEntry::default() };
+    let mut after = pool_with(&["a"]);
+    // Only the first repetition is due by this clock.
+    after.adopt(JOB, &entry, Now { steady: 4_000, wall: WALL + 500 });
+    let mut times = times_run(&mut after, 5_000);
+    times.sort_unstable();
+    expect_that!(times, eq(&vec![0, 2, 3, 4]));
+}
