A new owner opens every repetition before one that has begun, whatever its clock says

Callers of a job that repeats would be told that it is completed though a repetition never ran: that one waited for its first start, of which no record tells, beside a later one that had begun, and the next owner's clock was behind. It went on after the later one. What has begun was due, and so was all before it: all of these are opened unless they are done, of which the record tells. Before: repetition 2 of 0 to 4 never opened; after: all.

--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -1,6 +1,6 @@
 //! A job within a pool's schedule.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 
 use super::{Now, VmKey};
@@ -171,6 +171,16 @@
         }
     }
 
+    /// Opens all repetitions up to one that are not done.
+    pub fn open_times_up_to(&mut self, last: u32) {
+        let done: HashSet<u32> = self.done_times.iter().copied().collect();
+        for time in (self.next_time..=last).filter(|time| !done.contains(time)) {
+            let spec = &self.spec;
+            self.times.entry(time).or_insert_with(|| TimeRun::new(spec));
+        }
+        self.next_time = self.next_time.max(last + 1);
+    }
+
     pub fn next_due(&self, now: Now) -> Option<Ms> {
         let waits_for_others = self.times.len() >= MOST_OPEN_TIMES;
         if self.phase != Phase::Open || self.next_time >= self.spec.times() || waits_for_others {
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -34,9 +34,9 @@
         job.begun = entry.progress.begun;
         job.done_times.clone_from(&entry.progress.done_times);
         job.begin_due(now);
-        for record in &entry.progress.tasks {
-            job.open_time(record.time);
-            job.next_time = job.next_time.max(record.time + 1);
+        if let Some(last) = entry.progress.tasks.iter().map(|record| record.time).max() {
+            // Those before one that has begun were due as well, whatever this node's clock says.
+            job.open_times_up_to(last);
         }
         for HarmRecord { time, step, index, harm } in &entry.progress.harms {
             let task = TaskId { job: id, time: *time, step: *step, index: *index };
