The record of a settled job names the runs that it may still have, and the next owner counts and stops them

A workspace got twice its cap: its job had been cancelled, and the owner of the pool was replaced before the stops were carried out. The record of a settled job named no runs, so that the next owner counted nothing of what VMs still listed, and started the whole cap on other VMs. Such a job's record now keeps the runs that may be there and is written again as each is gone; the next owner takes them for running, counts them, and has them stopped as their VMs list them. It costs an append for each step in which runs of a cancelled job end.

--- a/crates/schedule/src/pool/ends.rs
+++ b/crates/schedule/src/pool/ends.rs
@@ -63,9 +63,7 @@
 
     fn settle_run(&mut self, key: JobKey, vm: VmKey, end: &RunEnd, now: Now) {
         let Some(job) = self.jobs.get_mut(key) else { return };
-        if job.phase != Phase::Open {
-            return;
-        }
+        let open = job.phase == Phase::Open;
         let spec = job.spec.clone();
         let Some(shape) = spec.steps.get(usize::from(end.run.task.step)) else { return };
         let Some((step, index)) = job.step_mut(end.run.task) else { return };
@@ -73,6 +71,11 @@
         if task.attempt != end.run.attempt || task.spot != Spot::On(vm) {
             return;
         }
+        if !open {
+            step.set(index, Spot::Waiting);
+            self.touch(key);
+            return;
+        }
         if !end.checkpoint.is_empty() {
             task.checkpoint.clone_from(&end.checkpoint);
         }
--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -243,15 +243,20 @@
             harms: self.harm.iter().map(harm).collect(),
             ..Progress::default()
         };
-        if self.phase != Phase::Open {
-            return progress;
+        let open = self.phase == Phase::Open;
+        if open {
+            progress.done_times.clone_from(&self.done_times);
         }
-        progress.done_times.clone_from(&self.done_times);
         for (&time, run) in &self.times {
             for (step, step_run) in (0..).zip(&run.steps) {
                 let tasks = (0..).zip(&step_run.tasks);
-                for (index, task) in tasks.filter(|(_, t)| t.spot != Spot::Waiting || t.attempt > 0)
-                {
+                // Of a settled job only what may still run is of interest: the next owner counts it and stops it.
+                let counts = |t: &Task| match t.spot {
+                    Spot::On(_) => true,
+                    Spot::Done => open,
+                    Spot::Waiting => open && t.attempt > 0,
+                };
+                for (index, task) in tasks.filter(|(_, t)| counts(t)) {
                     let place = match task.spot {
                         Spot::Waiting => Place::Waiting,
                         Spot::Done => Place::Done,
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -8,7 +8,8 @@
 use crate::harm::HarmRecord;
 use crate::id::{JobId, TaskId, VmId};
 use crate::job_log::JobEntry;
-use crate::progress::{Phase, Place, TaskRecord};
+use crate::progress::{Phase, Place, Progress, TaskRecord};
+use crate::spec::JobSpec;
 
 /// A job that is read within this time of its acceptance counts for the rate at which jobs come, in
 /// milliseconds; a new owner reads older ones all at once.
@@ -24,7 +25,11 @@
     /// until that VM has answered under this owner's token, or its lease is over.
     pub fn adopt(&mut self, id: JobId, entry: &JobEntry, now: Now) {
         let Some(spec) = &entry.spec else { return };
-        if entry.progress.phase != Phase::Open || self.job_keys.contains_key(&id) {
+        if self.job_keys.contains_key(&id) {
+            return;
+        }
+        if entry.progress.phase != Phase::Open {
+            self.adopt_settled(id, spec, &entry.progress, now);
             return;
         }
         let mut job = self.new_job(id, spec.clone(), now);
@@ -53,6 +58,28 @@
         }
     }
 
+    /// Takes in what a settled job may still have running, which counts and is to be stopped.
+    fn adopt_settled(&mut self, id: JobId, spec: &Arc<JobSpec>, progress: &Progress, now: Now) {
+        if progress.tasks.is_empty() {
+            return;
+        }
+        let mut job = self.new_job(id, spec.clone(), now);
+        (job.phase, job.settled_ms, job.begun) = (progress.phase, progress.settled_ms, true);
+        for record in &progress.tasks {
+            job.open_time(record.time);
+        }
+        let key = self.jobs.insert(job);
+        self.job_keys.insert(id, key);
+        for record in &progress.tasks {
+            self.adopt_task(id, record, now);
+        }
+        // They are told to stop as their VMs list them.
+        for vm in self.vms.values_mut() {
+            let of_job = vm.runs.iter_mut().filter(|(task, _)| task.job == id);
+            of_job.for_each(|(_, run)| run.stopping = true);
+        }
+    }
+
     fn adopt_task(&mut self, job_id: JobId, record: &TaskRecord, now: Now) {
         let id = TaskId { job: job_id, time: record.time, step: record.step, index: record.index };
         let spot = match &record.place {
--- a/crates/schedule/src/progress.rs
+++ b/crates/schedule/src/progress.rs
@@ -85,8 +85,8 @@
     pub settled_ms: u64,
     /// Repetitions whose tasks are all done.
     pub done_times: Vec<u32>,
-    /// Tasks that are not as they were at first, of repetitions that are not done; none once the
-    /// job is settled.
+    /// Tasks that are not as they were at first, of repetitions that are not done; once the job is settled, those that
+    /// may still run.
     pub tasks: Vec<TaskRecord>,
     /// What speaks against tasks under which VMs were lost, also once the job is settled. In a record it follows
     /// all else, so that programs from before it read the rest.
