--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -80,6 +80,12 @@
     orders.iter().filter_map(stop).collect()
 }
 
+/// Returns the start that is the only one.
+pub fn start_of_only(starts: &[StartOrder]) -> StartOrder {
+    assert_eq!(starts.len(), 1, "{starts:?}");
+    starts[0].clone()
+}
+
 /// Plans and confirms every start.
 pub fn plan_and_start(pool: &mut Pool, now: Ms) -> Vec<StartOrder> {
     let started = starts(&pool.plan(at(now)));
--- /dev/null
+++ b/crates/schedule/tests/late_ends.rs
@@ -0,0 +1,65 @@
+//! Ends `done` of runs that were given up.
+//!
+//! A VM was silent until its lease was over, and its task was given up and waited for room. The VM answered again and listed the run as done before
+//! its lease was over: the end was acknowledged and forgotten, and the task was done a second time.
+
+mod common;
+
+use common::{
+    JOB, at, end, job, plan_and_start, pool_with, report, start_of_only, starts, step, vm,
+};
+use googletest::prelude::*;
+use thistle_schedule::pool::StartOrder;
+use thistle_schedule::{EndKind, Phase, Pool, Step, VmLoss};
+
+/// Returns a pool whose only VM was lost with the one task of a job, and the start of that task.
+fn given_up(step: Step) -> (Pool, StartOrder) {
+    let mut pool = pool_with(&["a"]);
+    pool.submit(JOB, job(vec![step]), at(0));
+    let start = start_of_only(&plan_and_start(&mut pool, 10));
+    pool.vm_lost(&start.vm, VmLoss::LeaseOver, at(7_000));
+    expect_that!(starts(&pool.plan(at(7_010))), is_empty());
+    pool.take_records();
+    (pool, start)
+}
+
+fn phase(pool: &mut Pool) -> Option<Phase> {
+    pool.take_records().into_iter().rfind(|(id, _)| *id == JOB).map(|(_, progress)| progress.phase)
+}
+
+#[gtest]
+fn a_task_that_waits_is_done_by_the_end_of_its_last_run() {
+    let (mut pool, start) = given_up(step(1, 500));
+    let ended = vec![end(1, start.run, EndKind::Done)];
+    pool.report(&start.vm, &report(7_100, vec![], ended), at(7_110));
+    expect_that!(starts(&pool.plan(at(7_120))), is_empty());
+    expect_that!(phase(&mut pool), some(eq(Phase::Completed)));
+}
+
+#[gtest]
+fn a_task_that_was_started_elsewhere_goes_on_there() {
+    let (mut pool, start) = given_up(step(1, 500));
+    let other = vm("b", 1);
+    pool.list_vm(other.clone());
+    pool.report(&other.id, &report(7_020, vec![], vec![]), at(7_030));
+    let again = start_of_only(&plan_and_start(&mut pool, 7_040));
+    let ended = vec![end(1, start.run, EndKind::Done)];
+    pool.report(&start.vm, &report(7_100, vec![], ended), at(7_110));
+    expect_that!(phase(&mut pool), not(some(eq(Phase::Completed))));
+    let ended = vec![end(1, again.run, EndKind::Done)];
+    pool.report(&again.vm, &report(8_100, vec![], ended), at(8_110));
+    expect_that!(phase(&mut pool), some(eq(Phase::Completed)));
+}
+
+#[gtest]
+fn an_end_that_is_not_done_and_a_lasting_task_change_nothing() {
+    for (kind, step) in [
+        (EndKind::Lapsed, step(1, 500)),
+        (EndKind::Done, Step { lasting: true, ..step(1, 500) }),
+        (EndKind::Done, Step { gang: true, ..step(1, 500) }),
+    ] {
+        let (mut pool, start) = given_up(step);
+        pool.report(&start.vm, &report(7_100, vec![], vec![end(1, start.run, kind)]), at(7_110));
+        expect_that!(starts(&pool.plan(at(7_120))), len(eq(1)), "{kind:?}");
+    }
+}
