Random runs with links as the real ones are, and calls that take their time

The older world carries a call out and answers it in one step. Here each call is sent, arrives, is carried out and answered on its own: two starts and two stops under way to a VM and others waiting, patience as the client's, the real lease on a clock that is up to 2% slow, answers that are lost or pass each other, calls carried out up to 12 s later, VMs that turn calls away, an owner that writes for up to 12 s between what it decides and what it orders while what it is told piles up, rooms that shrink, and VMs that are unlisted for a while. Both changes that are being made to the real link are in the model: a start ends with its VM's lease counted from its order, and one decided before a loss that was told since is not sent.

Room is not judged on the tests with rooms that shrink: a VM over a room that shrank under its runs is no fault.

--- /dev/null
+++ b/crates/schedule/tests/late_calls.rs
@@ -0,0 +1,93 @@
+//! Random runs of a pool's schedule with links as the real ones are, and calls that take their time.
+
+mod common;
+mod link_world;
+
+use link_world::{Troubles, World};
+use rand::Rng;
+use thistle_schedule::JobId;
+
+const TICKS: u64 = 6_500;
+/// After these, nothing fails any more and all jobs must come to an end.
+const CALM_AFTER: u64 = 2_500;
+const SEEDS: u64 = 60;
+
+fn play(seed: u64, troubles: Troubles) {
+    let mut world = World::new(seed, troubles);
+    let mut next = 1;
+    for tick in 0..TICKS {
+        let calm = tick >= CALM_AFTER;
+        if tick == CALM_AFTER {
+            world.calm_down();
+        }
+        if !calm && world.rng.random_bool(0.02) {
+            world.submit(next);
+            next += 1;
+        }
+        if !calm && next > 2 && world.rng.random_bool(0.002) {
+            let id = JobId(world.rng.random_range(1..next));
+            world.cancel(id);
+        }
+        if !calm && tick % 5 == 0 {
+            world.trouble();
+        }
+        world.tick(calm);
+    }
+    world.check_settled();
+}
+
+/// Plays all seeds, so that all that break are told: `THISTLE_SEED` plays one alone and tells all that happens.
+fn broken_seeds(troubles: Troubles) -> Vec<u64> {
+    if let Some(seed) = std::env::var("THISTLE_SEED").ok().and_then(|seed| seed.parse().ok()) {
+        play(seed, troubles);
+        return Vec::new();
+    }
+    let seeds = if std::env::var_os("THISTLE_LONG_RUN").is_some() { SEEDS * 50 } else { SEEDS };
+    (0..seeds).filter(|&seed| std::panic::catch_unwind(|| play(seed, troubles)).is_err()).collect()
+}
+
+fn assert_promises_hold(troubles: Troubles) {
+    let broken = broken_seeds(troubles);
+    assert!(broken.is_empty(), "{} seeds: {broken:?}", broken.len());
+}
+
+#[test]
+fn promises_hold_through_cuts_lost_answers_crashes_and_changes_of_owner() {
+    assert_promises_hold(Troubles::default());
+}
+
+#[test]
+fn promises_hold_when_calls_are_carried_out_late() {
+    assert_promises_hold(Troubles { late_copies: true, ..Troubles::default() });
+}
+
+#[test]
+fn promises_hold_with_a_slow_store() {
+    assert_promises_hold(Troubles { late_copies: true, slow_store: true, ..Troubles::default() });
+}
+
+#[test]
+fn promises_hold_while_the_listing_lapses() {
+    assert_promises_hold(Troubles {
+        late_copies: true,
+        listing_lapses: true,
+        ..Troubles::default()
+    });
+}
+
+#[test]
+fn promises_hold_while_rooms_shrink() {
+    assert_promises_hold(Troubles { late_copies: true, rooms_shrink: true, ..Troubles::default() });
+}
+
+#[test]
+fn promises_hold_through_all_that_the_pages_allow_with_vms_that_start_whatever_they_are_told() {
+    let troubles = Troubles {
+        late_copies: true,
+        slow_store: true,
+        listing_lapses: true,
+        rooms_shrink: true,
+        ..Troubles::default()
+    };
+    assert_promises_hold(troubles);
+}
--- /dev/null
+++ b/crates/schedule/tests/link_world/machines.rs
@@ -0,0 +1,198 @@
+//! What calls do at the VMs, and what VMs do by themselves.
+
+use super::*;
+
+impl World {
+    pub(super) fn arrive(&mut self, message: Message) {
+        let now = self.now;
+        let Some(name) =
+            self.vms.iter().find(|(_, v)| v.id == message.vm).map(|(name, _)| name.clone())
+        else {
+            // Another incarnation is up at its address, and says so.
+            self.answer(&message, Answer::Gone);
+            return;
+        };
+        let Some(vm) = self.vms.get_mut(&name) else { return };
+        if vm.way == Way::Unhealthy && message.answered {
+            self.answer(&message, Answer::Unhealthy);
+            return;
+        }
+        if message.token < vm.fence {
+            self.answer(&message, Answer::Fenced);
+            return;
+        }
+        vm.fence = message.token;
+        match message.call.clone() {
+            Call::Hold { deadline, last_seen, wait } => {
+                if message.waits_until.is_none() {
+                    vm.renew(deadline.unwrap_or(0), now);
+                    self.acknowledge(&name, last_seen);
+                }
+                let vm = &self.vms[&name];
+                let until = message.waits_until.unwrap_or(now + wait);
+                if vm.lists_an_end(now) || until <= now {
+                    let answer = vm.held(now);
+                    self.answer(&message, answer);
+                } else {
+                    let waits_until = Some(until);
+                    self.messages.push(Message { arrives: now + TICK, waits_until, ..message });
+                }
+            }
+            Call::Start { order, deadline } => self.arrive_start(&name, &message, &order, deadline),
+            Call::Stop { run } => {
+                vm.bar(run);
+                let there = vm.runs.get(&run.task).map(|r| r.attempt);
+                if let Some(attempt) = there.filter(|&a| a <= run.attempt) {
+                    self.end_run(&name, RunId { task: run.task, attempt }, EndKind::Stopped);
+                }
+                self.answer(&message, Answer::Stopped);
+            }
+        }
+    }
+
+    pub(super) fn arrive_start(
+        &mut self,
+        name: &str,
+        message: &Message,
+        order: &StartOrder,
+        deadline: u64,
+    ) {
+        let (now, run) = (self.now, order.run);
+        let lasts = self.rng.random_range(200..2_000);
+        let fails = self.rng.random_bool(0.05);
+        let demand = self.steps[&run.task.job][usize::from(run.task.step)].room();
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        if deadline >= vm.clock(now) {
+            vm.renew(deadline, now);
+        }
+        if let Some(answer) = vm.refuses(run, deadline, demand, now) {
+            self.tell(|| {
+                format!("start {run} on {} of token {}: {answer:?}", order.vm, message.token)
+            });
+            self.answer(message, answer);
+            return;
+        }
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        vm.runs.insert(run.task, Run { attempt: run.attempt, ends_at: now + lasts, fails, demand });
+        let (room, used) = (vm.room, vm.used());
+        let heard = message.answered;
+        self.tell(|| {
+            format!(
+                "start {run} on {} of token {} begins, answer heard {heard}",
+                order.vm, message.token
+            )
+        });
+        let given = Given { token: message.token, at: message.sent };
+        self.runs.note_start(&order.vm, run, given, now);
+        self.check_start(run);
+        assert!(
+            room.holds(used) || self.troubles.rooms_shrink,
+            "LIMIT: over room on {name} at {now}: {used:?}"
+        );
+        self.answer(message, Answer::Started);
+    }
+
+    pub(super) fn check_start(&self, run: RunId) {
+        let task = run.task;
+        let shape = &self.steps[&task.job][usize::from(task.step)];
+        for &on in &shape.depends_on {
+            let count = self.steps[&task.job][usize::from(on)].count;
+            let all =
+                (0..count).all(|index| self.done.contains(&TaskId { step: on, index, ..task }));
+            assert!(all, "ORDER: {run} starts at {} before step {on} is done", self.now);
+        }
+        let failed = self.failures.get(&task).copied().unwrap_or(0);
+        assert!(failed < 2, "BUDGET: {run} starts at {} after {failed} failures", self.now);
+    }
+
+    pub(super) fn answer(&mut self, message: &Message, answer: Answer) {
+        if message.answered {
+            let way = self.vms.values().find(|v| v.id == message.vm).map(|v| v.way);
+            let most = if way == Some(Way::Slow) { 300 } else { 30 };
+            let delay = self.rng.random_range(0..most);
+            self.answers.push((self.now + delay, message.id, answer));
+        }
+    }
+
+    pub(super) fn end_run(&mut self, name: &str, run: RunId, kind: EndKind) {
+        let late = self.troubles.ends_listed_late && kind == EndKind::Done;
+        let listed_from = self.now + if late { self.rng.random_range(10..100) } else { 0 };
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        let (id, sequence) = (vm.id.clone(), vm.end(run, kind, listed_from));
+        self.runs.note_end(&id, run, kind, sequence, self.now);
+        if kind == EndKind::Done {
+            self.done.insert(run.task);
+        }
+        self.tell(|| format!("run {run} on {id} ends {kind:?}"));
+    }
+
+    pub(super) fn run_vms(&mut self) {
+        let now = self.now;
+        let names: Vec<String> = self.vms.keys().cloned().collect();
+        for name in names {
+            let Some(vm) = self.vms.get_mut(&name) else { continue };
+            if vm.way_until <= now {
+                vm.way = Way::Clear;
+            }
+            let over = vm.runs.iter().filter(|(_, r)| r.ends_at <= now);
+            let over: Vec<(RunId, EndKind)> = over
+                .map(|(&task, r)| {
+                    let kind = if r.fails { EndKind::Failed } else { EndKind::Done };
+                    (RunId { task, attempt: r.attempt }, kind)
+                })
+                .collect();
+            let lapsed = vm.leased_until <= vm.clock(now);
+            for (run, kind) in over {
+                self.end_run(&name, run, kind);
+            }
+            if lapsed {
+                self.lapse(&name);
+            }
+            self.list_again(&name);
+        }
+    }
+
+    pub(super) fn lapse(&mut self, name: &str) {
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        vm.void_up_to = vm.next_end - 1;
+        self.runs.note_lapse(&vm.id.clone());
+        let runs: Vec<RunId> =
+            vm.runs.iter().map(|(&task, r)| RunId { task, attempt: r.attempt }).collect();
+        for run in runs {
+            self.end_run(name, run, EndKind::Lapsed);
+        }
+    }
+
+    pub(super) fn list_again(&mut self, name: &str) {
+        let now = self.now;
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        if !vm.listed && vm.listed_again_at <= now {
+            vm.listed = true;
+            self.tell(|| format!("{name} is listed"));
+            self.list_vms();
+        }
+    }
+
+    pub(super) fn acknowledge(&mut self, name: &str, last_seen: u64) {
+        let Some(vm) = self.vms.get_mut(name) else { return };
+        let (seen, left): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut vm.ended).into_iter().partition(|(_, e)| e.sequence <= last_seen);
+        vm.ended = left;
+        let id = vm.id.clone();
+        let void_up_to = vm.void_up_to;
+        let counts = |e: &RunEnd| e.kind == EndKind::Failed && e.sequence > void_up_to;
+        for (_, end) in seen.iter().filter(|(_, e)| counts(e)) {
+            *self.failures.entry(end.run.task).or_default() += 1;
+        }
+        if !seen.is_empty() {
+            self.runs.note_acknowledged(&id, last_seen, self.now);
+        }
+    }
+
+    pub(super) fn new_vm(&mut self, name: &str, life: u32) -> SimVm {
+        let speed = self.rng.random_range(980..=1_000);
+        let mut vm = SimVm::new(id_of(name, life), life, room(), speed, self.now);
+        vm.guards_room = self.troubles.room_is_guarded;
+        vm
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/link_world/mod.rs
@@ -0,0 +1,251 @@
+//! A pool's schedule, links and VMs with calls that take their time: each call is sent, arrives, is carried out and
+//! answered on its own, and the owner takes in what it is told, decides, writes and orders one after the other.
+
+mod link;
+mod machines;
+mod owner;
+mod trouble;
+#[path = "../world/twice.rs"]
+mod twice;
+mod vm;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use thistle_schedule::job_log::{
+    Version, cancel_key, encode, encode_progress, progress_key, submit_key,
+};
+use thistle_schedule::pool::{Order, StartOrder, StartResult};
+use thistle_schedule::{
+    EndKind, JobId, JobLog, Ms, Phase, Pool, Progress, Room, RunEnd, RunId, Step, TaskId, VmFacts,
+    VmId, VmLoss, VmReport,
+};
+
+use self::link::Link;
+use self::twice::{Given, Runs};
+use self::vm::{Answer, Call, Run, SimVm, Way};
+use crate::common::{at, job, step, vm as vm_facts};
+
+const TICK: Ms = 10;
+const LEASE: Ms = 6_000;
+/// Runs on VMs to which there is no link are surely over after this.
+const ORPHANS_OVER: Ms = LEASE * 103 / 100 + 200;
+/// An owner looks at its schedule at least so often.
+const LOOK_EVERY: Ms = 50;
+
+/// What happens beside cuts, crashes, lost answers and changes of owner.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Troubles {
+    /// VMs reject what does not fit, and have less for a while than they tell.
+    pub room_is_guarded: bool,
+    /// Calls without an answer are carried out up to 12 s later.
+    pub late_copies: bool,
+    /// The store takes up to 12 s: what the owner is told waits, and what it decided goes out, so late.
+    pub slow_store: bool,
+    /// The owner is begun again under its old token.
+    pub same_token: bool,
+    /// One that is begun again numbers its records from the beginning.
+    pub numbered_anew: bool,
+    /// VMs are unlisted for a while and listed again.
+    pub listing_lapses: bool,
+    /// The room that VMs tell shrinks and grows.
+    pub rooms_shrink: bool,
+    /// An end is listed some 10 to 100 ms after its run is not listed as running any more.
+    pub ends_listed_late: bool,
+}
+
+/// What the owner is told.
+#[derive(Clone, Debug)]
+pub enum Event {
+    Report(VmId, VmReport),
+    Started(VmId, RunId, StartResult),
+    Stopped(VmId, RunId),
+    Reachable(VmId, bool),
+    Lost(VmId, VmLoss),
+}
+
+/// A call on its way to a VM, or waiting there for an end.
+#[derive(Clone, Debug)]
+struct Message {
+    id: u64,
+    arrives: Ms,
+    sent: Ms,
+    vm: VmId,
+    token: u64,
+    call: Call,
+    answered: bool,
+    /// It has arrived and waits for an end until then.
+    waits_until: Option<Ms>,
+}
+
+/// What was decided and is being written.
+struct Decided {
+    until: Ms,
+    records: Vec<(JobId, Progress)>,
+    acks: Vec<(VmId, u64)>,
+    orders: Vec<Order>,
+}
+
+pub struct World {
+    pub rng: StdRng,
+    pub now: Ms,
+    troubles: Troubles,
+    vms: BTreeMap<String, SimVm>,
+    messages: Vec<Message>,
+    answers: Vec<(Ms, u64, Answer)>,
+    next_call: u64,
+    links: BTreeMap<VmId, Link>,
+    events: Vec<Event>,
+    orphans: BTreeMap<VmId, Ms>,
+    writing: Option<Decided>,
+    looked_at: Ms,
+    log: JobLog,
+    token: u64,
+    number: u64,
+    pool: Pool,
+    steps: BTreeMap<JobId, Vec<Step>>,
+    done: BTreeSet<TaskId>,
+    failures: BTreeMap<TaskId, u32>,
+    runs: Runs,
+    loud: bool,
+}
+
+fn room() -> Room {
+    Room { cpu: 4_000, mem_mb: 10_000, gpu: 0 }
+}
+
+fn id_of(name: &str, life: u32) -> VmId {
+    vm_facts(name, life).id.clone()
+}
+
+impl World {
+    pub fn new(seed: u64, troubles: Troubles) -> Self {
+        let mut world = Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: 0,
+            troubles,
+            vms: BTreeMap::new(),
+            messages: Vec::new(),
+            answers: Vec::new(),
+            next_call: 0,
+            links: BTreeMap::new(),
+            events: Vec::new(),
+            orphans: BTreeMap::new(),
+            writing: None,
+            looked_at: 0,
+            log: JobLog::default(),
+            token: 1,
+            number: 0,
+            pool: Pool::new(),
+            steps: BTreeMap::new(),
+            done: BTreeSet::new(),
+            failures: BTreeMap::new(),
+            runs: Runs::default(),
+            loud: std::env::var_os("THISTLE_SEED").is_some(),
+        };
+        for name in ["a", "b", "c", "d"] {
+            let vm = world.new_vm(name, 1);
+            world.vms.insert(name.to_owned(), vm);
+        }
+        world.list_vms();
+        world
+    }
+
+    fn tell(&self, what: impl FnOnce() -> String) {
+        if self.loud {
+            println!("{} {}", self.now, what());
+        }
+    }
+
+    pub fn submit(&mut self, n: u64) {
+        let width = self.rng.random_range(1..5);
+        let steps = match self.rng.random_range(0..4) {
+            0 => vec![Step { gang: true, ..step(2, 1_000) }],
+            1 => vec![step(width, 700)],
+            _ => vec![step(width, 700), Step { depends_on: vec![0], ..step(width, 900) }],
+        };
+        let id = JobId(n);
+        self.steps.insert(id, steps.clone());
+        let spec = encode(job(steps).as_ref());
+        assert!(matches!(self.log.apply(&submit_key(id), Some(&spec)), Ok(Some(_))));
+        if let Some(entry) = self.log.get(id) {
+            self.pool.adopt(id, entry, at(self.now));
+        }
+    }
+
+    pub fn cancel(&mut self, id: JobId) {
+        assert!(self.log.apply(&cancel_key(id), Some(&[1])).is_ok());
+        self.pool.cancel(id, at(self.now));
+    }
+
+    pub fn tick(&mut self, calm: bool) {
+        self.now += TICK;
+        self.run_vms();
+        self.deliver();
+        self.run_links();
+        self.own(calm);
+    }
+
+    fn run_links(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.answers).into_iter().partition(|(at, ..)| *at <= now);
+        self.answers = later;
+        let mut links = std::mem::take(&mut self.links);
+        let mut events = std::mem::take(&mut self.events);
+        for (_, call, answer) in due {
+            for link in links.values_mut() {
+                link.take(call, Some(answer.clone()), now, &mut events);
+            }
+        }
+        for link in links.values_mut() {
+            let (vm, token) = (link.vm.clone(), link.token);
+            link.send_due(now, &mut events, &mut |call| self.send(&vm, token, call));
+        }
+        (self.links, self.events) = (links, events);
+    }
+
+    /// Sends a call; what becomes of it depends on the way to its VM.
+    fn send(&mut self, vm: &VmId, token: u64, call: Call) -> u64 {
+        self.next_call += 1;
+        let way = self.vms.values().find(|v| v.id == *vm).map_or(Way::Clear, |v| v.way);
+        let late = way == Way::Late && self.rng.random_bool(0.5);
+        let delay = match way {
+            _ if late => self.rng.random_range(100..12_000),
+            Way::Slow => self.rng.random_range(0..300),
+            _ => 0,
+        };
+        let answered = !late && way != Way::AnswersLost;
+        if way != Way::Cut {
+            self.messages.push(Message {
+                id: self.next_call,
+                arrives: self.now + delay,
+                sent: self.now,
+                vm: vm.clone(),
+                token,
+                call,
+                answered,
+                waits_until: None,
+            });
+        }
+        self.next_call
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.messages).into_iter().partition(|m| m.arrives <= now);
+        self.messages = later;
+        for message in due {
+            self.arrive(message);
+        }
+    }
+
+    pub fn check_settled(&self) {
+        for (id, entry) in self.log.iter() {
+            let settled = entry.progress.phase != Phase::Open;
+            assert!(settled || entry.cancelled, "{id} is still open: {:?}", entry.progress);
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/link_world/owner.rs
@@ -0,0 +1,196 @@
+//! The owner: it takes in what it is told, decides, writes, and only then orders and acknowledges.
+
+use super::*;
+
+impl World {
+    /// Another owner begins, from the records only. What the one before has sent stays under way.
+    pub(super) fn replace_owner(&mut self, same_token: bool) {
+        // What it was writing is there, or is not.
+        if let Some(step) = self.writing.take()
+            && self.rng.random_bool(0.5)
+        {
+            self.write(step.records);
+        }
+        if !same_token {
+            self.token += 1;
+        }
+        if !same_token || self.troubles.numbered_anew {
+            self.number = 0;
+        }
+        self.tell(|| format!("an owner begins, token {}", self.token));
+        self.pool = Pool::new();
+        self.links.clear();
+        self.events.clear();
+        self.orphans.clear();
+        for (id, entry) in self.log.iter() {
+            self.pool.adopt(id, entry, at(self.now));
+        }
+        self.list_vms();
+    }
+
+    /// The owner reads which VMs there are.
+    pub(super) fn list_vms(&mut self) {
+        let names: Vec<String> = self.vms.keys().cloned().collect();
+        let listed = self.pool.vm_summaries();
+        let mut there = BTreeMap::new();
+        for name in names.iter().filter(|n| self.vms[*n].listed) {
+            let facts = self.facts(name);
+            there.insert(facts.id.clone(), name.clone());
+            self.orphans.remove(&facts.id);
+            let (id, now, token) = (facts.id.clone(), self.now, self.token);
+            self.pool.list_vm(facts);
+            self.links.entry(id.clone()).or_insert_with(|| Link::new(id, token, now));
+        }
+        for vm in listed.iter().filter(|vm| !there.contains_key(&vm.id)) {
+            self.pool.unlist_vm(&vm.id);
+            // Another incarnation of it is listed.
+            let reborn = there.values().any(|name| **name == *vm.name);
+            let answers = vm.reachable && self.links.contains_key(&vm.id);
+            if reborn && !answers {
+                self.events.push(Event::Lost(vm.id.clone(), VmLoss::Replaced));
+            }
+        }
+        for id in self.pool.unlisted_with_runs() {
+            if !self.links.contains_key(&id) {
+                self.orphans.entry(id).or_insert(self.now + ORPHANS_OVER);
+            }
+        }
+    }
+
+    pub(super) fn own(&mut self, calm: bool) {
+        if let Some(step) = self.writing.take() {
+            if step.until > self.now {
+                self.writing = Some(step);
+                return;
+            }
+            self.carry_out(step);
+        }
+        if self.events.is_empty() && self.now < self.looked_at + LOOK_EVERY {
+            return;
+        }
+        self.looked_at = self.now;
+        for event in std::mem::take(&mut self.events) {
+            self.take(event);
+        }
+        self.drop_orphans();
+        let orders = self.pool.plan(at(self.now));
+        let records = self.pool.take_records();
+        let acks = self.pool.take_acks();
+        let slow = self.troubles.slow_store && !calm && self.rng.random_bool(0.02);
+        let takes = match records.is_empty() {
+            true => 0,
+            false if slow => self.rng.random_range(200..12_000),
+            false => self.rng.random_range(0..3) * TICK,
+        };
+        let step = Decided { until: self.now + takes, records, acks, orders };
+        if takes > 0 {
+            self.writing = Some(step);
+        } else {
+            self.carry_out(step);
+        }
+        let known: BTreeSet<VmId> = self.pool.vm_summaries().into_iter().map(|vm| vm.id).collect();
+        self.links.retain(|vm, _| known.contains(vm));
+    }
+
+    pub(super) fn write(&mut self, records: Vec<(JobId, Progress)>) {
+        for (id, progress) in records {
+            self.number += 1;
+            let version = Version { token: self.token, number: self.number };
+            let value = encode_progress(version, &progress);
+            assert!(self.log.apply(&progress_key(id), Some(&value)).is_ok());
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, step: Decided) {
+        self.write(step.records);
+        for (vm, sequence) in step.acks {
+            if let Some(link) = self.links.get_mut(&vm) {
+                link.acked = link.acked.max(sequence);
+            }
+        }
+        for order in step.orders {
+            self.dispatch(order);
+        }
+    }
+
+    pub(super) fn dispatch(&mut self, order: Order) {
+        let (Order::Start(StartOrder { vm, .. }) | Order::Stop { vm, .. }) = &order else { return };
+        let vm = vm.clone();
+        let Some(link) = self.links.get_mut(&vm) else {
+            if let Order::Start(start) = &order {
+                self.pool.start_result(&vm, start.run, StartResult::NotTaken, at(self.now));
+            }
+            return;
+        };
+        match order {
+            // It was decided before a loss that was told since, whose taking in releases it.
+            Order::Start(_) if link.lapses != link.losses_taken => (),
+            Order::Start(start) => {
+                if self.loud {
+                    println!("{} ordered {} on {vm}", self.now, start.run);
+                }
+                link.start(start);
+            }
+            Order::Stop { run, .. } => {
+                if self.loud {
+                    println!("{} ordered to stop {run} on {vm}", self.now);
+                }
+                link.stop(run);
+            }
+            Order::Pace { .. } | Order::Ask(_) => (),
+        }
+    }
+
+    pub(super) fn take(&mut self, event: Event) {
+        let now = at(self.now);
+        if !matches!(event, Event::Report(..)) {
+            self.tell(|| format!("told {event:?}"));
+        }
+        match event {
+            Event::Report(vm, report) => {
+                let news = self.pool.report(&vm, &report, now);
+                if !report.ended.is_empty() || !news.not_listed.is_empty() {
+                    let ended = report.ended.iter().map(|e| format!("{} {:?}", e.run, e.kind));
+                    let ended: Vec<String> = ended.collect();
+                    let gone: Vec<String> = news.not_listed.iter().map(RunId::to_string).collect();
+                    self.tell(|| {
+                        format!(
+                            "{vm}, asked {}: ended {ended:?}, not listed {gone:?}",
+                            report.asked_at
+                        )
+                    });
+                }
+            }
+            Event::Started(vm, run, result) => self.pool.start_result(&vm, run, result, now),
+            Event::Stopped(vm, run) => self.pool.stop_answered(&vm, run, now),
+            Event::Reachable(vm, reachable) => {
+                self.pool.set_reachable(&vm, reachable, now);
+                if !reachable {
+                    self.list_vms();
+                }
+            }
+            Event::Lost(vm, loss) => {
+                if let Some(link) = self.links.get_mut(&vm) {
+                    link.losses_taken = link.lapses.min(link.losses_taken + 1);
+                }
+                self.pool.vm_lost(&vm, loss, now);
+            }
+        }
+    }
+
+    pub(super) fn drop_orphans(&mut self) {
+        let now = self.now;
+        let over = self.orphans.iter().filter(|(_, at)| **at <= now);
+        let over: Vec<VmId> = over.map(|(vm, _)| vm.clone()).collect();
+        for vm in over {
+            self.orphans.remove(&vm);
+            self.pool.vm_lost(&vm, VmLoss::LeaseOver, at(now));
+        }
+    }
+
+    pub(super) fn facts(&self, name: &str) -> std::sync::Arc<VmFacts> {
+        let vm = &self.vms[name];
+        let facts = VmFacts { room: vm.room, ..vm_facts(name, vm.life).as_ref().clone() };
+        std::sync::Arc::new(facts)
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/link_world/trouble.rs
@@ -0,0 +1,67 @@
+//! What goes wrong.
+
+use super::*;
+
+impl World {
+    pub fn trouble(&mut self) {
+        let names: Vec<String> = self.vms.keys().cloned().collect();
+        let name = names[self.rng.random_range(0..names.len())].clone();
+        let (now, lasts) = (self.now, self.rng.random_range(300..9_000));
+        let kind = self.rng.random_range(0..1_000);
+        let troubles = self.troubles;
+        let Some(vm) = self.vms.get_mut(&name) else { return };
+        let way = match kind {
+            0..10 => Some(Way::Cut),
+            10..20 => Some(Way::AnswersLost),
+            20..25 => Some(Way::Unhealthy),
+            82..92 => Some(Way::Slow),
+            25..40 if troubles.late_copies => Some(Way::Late),
+            _ => None,
+        };
+        if let Some(way) = way {
+            (vm.way, vm.way_until) = (way, now + lasts);
+            self.tell(|| format!("the way to {name} is {way:?} for {lasts}"));
+            return;
+        }
+        match kind {
+            40..44 => self.crash(&name),
+            44..48 => self.replace_owner(false),
+            48..56 if troubles.same_token => self.replace_owner(true),
+            56..62 if troubles.listing_lapses => {
+                (vm.listed, vm.listed_again_at) = (false, now + lasts);
+                self.tell(|| format!("{name} is not listed for {lasts}"));
+                self.list_vms();
+            }
+            62..72 if troubles.rooms_shrink => {
+                let cpu = if vm.room.cpu == 4_000 { 2_000 } else { 4_000 };
+                vm.room.cpu = cpu;
+                self.tell(|| format!("the room of {name} is {cpu}"));
+                self.list_vms();
+            }
+            72..82 if troubles.room_is_guarded => {
+                let cpu = if vm.has.cpu == 4_000 { 1_000 } else { 4_000 };
+                vm.has.cpu = cpu;
+                self.tell(|| format!("{name} has {cpu}, whatever it tells"));
+            }
+            _ => (),
+        }
+    }
+
+    pub(super) fn crash(&mut self, name: &str) {
+        let old = &self.vms[name];
+        self.runs.note_death(&old.id.clone());
+        self.tell(|| format!("{name} crashes"));
+        let life = self.vms[name].life + 1;
+        let vm = self.new_vm(name, life);
+        self.vms.insert(name.to_owned(), vm);
+        self.list_vms();
+    }
+
+    /// From here on VMs have all their room.
+    pub fn calm_down(&mut self) {
+        for vm in self.vms.values_mut() {
+            (vm.room, vm.has) = (room(), room());
+        }
+        self.list_vms();
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/link_world/vm.rs
@@ -0,0 +1,170 @@
+//! A VM that answers calls as the platform's pages say, with a clock of its own.
+
+use std::collections::BTreeMap;
+
+use thistle_schedule::pool::StartOrder;
+use thistle_schedule::{EndKind, Ms, Room, RunEnd, RunId, TaskId, VmId};
+
+use super::LEASE;
+
+#[derive(Clone, Debug)]
+pub enum Call {
+    Hold { deadline: Option<u64>, last_seen: u64, wait: Ms },
+    Start { order: StartOrder, deadline: u64 },
+    Stop { run: RunId },
+}
+
+#[derive(Clone, Debug)]
+pub enum Answer {
+    Held {
+        clock: u64,
+        running: Vec<RunId>,
+        ended: Vec<RunEnd>,
+    },
+    Started,
+    Old,
+    Late,
+    NoRoom,
+    Stopped,
+    Fenced,
+    /// It has done nothing.
+    Unhealthy,
+    /// Another incarnation answers.
+    Gone,
+}
+
+#[derive(Debug)]
+pub struct Run {
+    pub attempt: u32,
+    pub ends_at: Ms,
+    pub fails: bool,
+    pub demand: Room,
+}
+
+/// What calls to a VM meet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Way {
+    #[default]
+    Clear,
+    /// Nothing arrives.
+    Cut,
+    /// Calls are carried out and the answers are lost.
+    AnswersLost,
+    /// Every second call has no answer and is carried out up to 12 s later.
+    Late,
+    /// It turns calls away.
+    Unhealthy,
+    /// Calls and answers take up to 0.3 s each, and pass each other.
+    Slow,
+}
+
+#[derive(Debug)]
+pub struct SimVm {
+    pub id: VmId,
+    pub life: u32,
+    pub born: Ms,
+    /// Its clock's speed, in thousandths.
+    pub speed: u64,
+    pub fence: u64,
+    pub room: Room,
+    /// It rejects what does not fit.
+    pub guards_room: bool,
+    /// What it has by its own reckoning, which may be less than what it tells for a while.
+    pub has: Room,
+    pub runs: BTreeMap<TaskId, Run>,
+    pub barred: BTreeMap<TaskId, u32>,
+    /// Ends, each with the time from which it is listed.
+    pub ended: Vec<(Ms, RunEnd)>,
+    pub next_end: u64,
+    /// Ends up to this number were listed before the lease ran out, and do not count when they are acknowledged later.
+    pub void_up_to: u64,
+    /// Until when all is leased, by its clock.
+    pub leased_until: u64,
+    pub way: Way,
+    pub way_until: Ms,
+    pub listed: bool,
+    pub listed_again_at: Ms,
+}
+
+impl SimVm {
+    pub fn new(id: VmId, life: u32, room: Room, speed: u64, born: Ms) -> Self {
+        Self {
+            id,
+            life,
+            born,
+            speed,
+            fence: 0,
+            room,
+            guards_room: false,
+            has: room,
+            runs: BTreeMap::new(),
+            barred: BTreeMap::new(),
+            ended: Vec::new(),
+            next_end: 1,
+            void_up_to: 0,
+            leased_until: 0,
+            way: Way::Clear,
+            way_until: 0,
+            listed: true,
+            listed_again_at: 0,
+        }
+    }
+
+    pub fn clock(&self, now: Ms) -> u64 {
+        now.saturating_sub(self.born) * self.speed / 1_000
+    }
+
+    pub fn renew(&mut self, deadline: u64, now: Ms) {
+        self.leased_until = self.leased_until.max(deadline.min(self.clock(now) + LEASE));
+    }
+
+    pub fn used(&self) -> Room {
+        self.runs.values().fold(Room::default(), |sum, run| sum.plus(run.demand))
+    }
+
+    pub fn bar(&mut self, run: RunId) {
+        let barred = self.barred.entry(run.task).or_default();
+        *barred = run.attempt.max(*barred);
+    }
+
+    /// Ends a run, which is listed from a time on, and returns the number of the end.
+    pub fn end(&mut self, run: RunId, kind: EndKind, listed_from: Ms) -> u64 {
+        self.runs.remove(&run.task);
+        self.bar(run);
+        let sequence = self.next_end;
+        self.next_end += 1;
+        let end = RunEnd { sequence, run, kind, checkpoint: String::new() };
+        self.ended.push((listed_from, end));
+        sequence
+    }
+
+    pub fn lists_an_end(&self, now: Ms) -> bool {
+        self.ended.first().is_some_and(|(from, _)| *from <= now)
+    }
+
+    /// Both lists. An end is listed after those before it.
+    pub fn held(&self, now: Ms) -> Answer {
+        let running = self.runs.iter().map(|(&task, r)| RunId { task, attempt: r.attempt });
+        let ended = self.ended.iter().take_while(|(from, _)| *from <= now);
+        Answer::Held {
+            clock: self.clock(now),
+            running: running.collect(),
+            ended: ended.map(|(_, end)| end.clone()).collect(),
+        }
+    }
+
+    /// What it answers to a start, none if it begins the run.
+    pub fn refuses(&self, run: RunId, deadline: u64, demand: Room, now: Ms) -> Option<Answer> {
+        if deadline < self.clock(now) {
+            return Some(Answer::Late);
+        }
+        let there = self.runs.get(&run.task).map(|r| r.attempt);
+        if there == Some(run.attempt) {
+            return Some(Answer::Started);
+        }
+        if there.is_some() || self.barred.get(&run.task).is_some_and(|&b| run.attempt <= b) {
+            return Some(Answer::Old);
+        }
+        (self.guards_room && !self.has.holds(self.used().plus(demand))).then_some(Answer::NoRoom)
+    }
+}
