Tests that fail: a task whose start is of unknown outcome is started elsewhere, though the first copy may still come

On VMs that guard their room a second copy is refused while the first, which had no answer, is still under way. The owner takes the next list without the run as proof; only a stop bars it.

--- a/crates/schedule/tests/late_calls.rs
+++ b/crates/schedule/tests/late_calls.rs
@@ -91,3 +91,9 @@
     };
     assert_promises_hold(troubles);
 }
+
+#[test]
+fn promises_hold_when_late_calls_meet_vms_that_guard_their_room() {
+    let troubles = Troubles { late_copies: true, room_is_guarded: true, ..Troubles::default() };
+    assert_promises_hold(troubles);
+}
