Test: lists that come after the answer to a newer start, with a real node, also paused in between

Asked: whether a list made before a start was carried out, and taken in after its answer, releases the run. A bare socket before each VM has the list made, holds it back, lets the start pass it and then lets the list go; or both while the node is stopped (SIGSTOP) for 1.5 s.

--- /dev/null
+++ b/crates/scheduler/tests/middle/mod.rs
@@ -0,0 +1,137 @@
+//! A bare socket between a node and what it calls, which decides what becomes of each call and each answer.
+#![allow(dead_code, reason = "each test file uses its own part")]
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyper::Method;
+use serde_json::Value;
+use thistle_platform::http::{Call, HttpClient};
+use thistle_platform::listing;
+use thistle_platform::standin::{Standin, VmFake};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+pub const HOLD: &str = "/thistlelanding/hold";
+pub const START: &str = "/thistlelanding/run-start";
+/// The header that names the incarnation that is meant.
+const INCARNATION: &str = "expect-instance";
+/// Longer than any call of a node.
+const FORWARD_TIMEOUT: Duration = Duration::from_secs(40);
+
+/// A call as it arrived.
+#[derive(Clone, Debug)]
+pub struct Asked {
+    pub method: Method,
+    pub path: String,
+    pub body: Bytes,
+    incarnation: Option<String>,
+    upstream: SocketAddr,
+}
+
+impl Asked {
+    /// Returns a field of its body as text.
+    pub fn field(&self, name: &str) -> String {
+        let body: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        body[name].as_str().map_or_else(|| body[name].to_string(), ToOwned::to_owned)
+    }
+
+    /// Has it answered at once where it would wait for something.
+    pub fn without_wait(mut self) -> Self {
+        let mut body: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        body["waitMs"] = 0.into();
+        self.body = body.to_string().into();
+        self
+    }
+
+    /// Has it carried out, and returns the answer; none if there is none.
+    pub async fn forward(&self) -> Option<String> {
+        let mut call = Call::new(self.method.clone(), self.path.clone(), FORWARD_TIMEOUT);
+        if !self.body.is_empty() {
+            call = call.with_bytes(self.body.clone());
+        }
+        if let Some(incarnation) = &self.incarnation {
+            call = call.with_header(INCARNATION, incarnation);
+        }
+        let told = HttpClient::new(self.upstream, 0).call(call).await.ok()?;
+        Some(answer(told.status, &String::from_utf8_lossy(&told.body)))
+    }
+}
+
+/// Returns an answer as it is on the wire.
+pub fn answer(status: u16, body: &str) -> String {
+    format!("HTTP/1.1 {status} Told\r\ncontent-length: {}\r\n\r\n{body}", body.len())
+}
+
+/// Stands at an address for another one. The rule returns what goes back for each call; with none the connection is closed.
+pub async fn stand_for<F, R>(upstream: SocketAddr, ip: Ipv4Addr, rule: F) -> SocketAddr
+where
+    F: Fn(Asked) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<String>> + Send + 'static,
+{
+    let listener = TcpListener::bind((ip, 0)).await.expect("it listens");
+    let addr = listener.local_addr().expect("it has an address");
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let rule = rule.clone();
+            let _ = stream.set_nodelay(true);
+            tokio::spawn(async move {
+                let mut buf = Vec::new();
+                while let Some(asked) = read(&mut stream, &mut buf, upstream).await {
+                    let Some(answer) = rule(asked).await else { return };
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    addr
+}
+
+/// Stands between nodes that start from now on and a VM.
+pub async fn stand_for_vm<F, R>(platform: &Standin, vm: &VmFake, rule: F)
+where
+    F: Fn(Asked) -> R + Clone + Send + Sync + 'static,
+    R: Future<Output = Option<String>> + Send + 'static,
+{
+    let mut entry: Value = serde_json::from_slice(&vm.entry()).expect("an entry");
+    let upstream = entry["address"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    let addr = stand_for(upstream, vm.place.ip, rule).await;
+    entry["address"] = addr.to_string().into();
+    platform.store.put(listing::TOPIC, &vm.id, entry.to_string());
+}
+
+async fn read(stream: &mut TcpStream, buf: &mut Vec<u8>, upstream: SocketAddr) -> Option<Asked> {
+    loop {
+        if let Some(asked) = take(buf, upstream) {
+            return Some(asked);
+        }
+        if stream.read_buf(buf).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+fn take(buf: &mut Vec<u8>, upstream: SocketAddr) -> Option<Asked> {
+    let end = buf.windows(4).position(|w| w == b"\r\n\r\n")? + 4;
+    let head = String::from_utf8_lossy(&buf[..end]).into_owned();
+    let header = |name: &str| {
+        let value = |l: &str| {
+            let (key, value) = l.split_once(':')?;
+            key.eq_ignore_ascii_case(name).then(|| value.trim().to_owned())
+        };
+        head.lines().skip(1).find_map(value)
+    };
+    let length = header("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    if buf.len() < end + length {
+        return None;
+    }
+    let mut line = head.split(' ');
+    let method = line.next().and_then(|m| m.parse().ok()).unwrap_or_default();
+    let path = line.next().unwrap_or_default().to_owned();
+    let body = Bytes::copy_from_slice(&buf[end..end + length]);
+    buf.drain(..end + length);
+    Some(Asked { method, path, body, incarnation: header(INCARNATION), upstream })
+}
--- /dev/null
+++ b/crates/scheduler/tests/passing_answers.rs
@@ -0,0 +1,145 @@
+//! Lists of what runs on a VM that come after the answer to a start which they do not know yet, with real nodes.
+//!
+//! Tasks that were done were started once more. One way to that is a list which was made before a start was carried out and is taken in
+//! after its answer: it does not hold the run, whose task would be started elsewhere. Orders and lists go over connections of their own,
+//! so that they may pass each other; here a bare socket before the VM holds a list back until the start is answered. The node may
+//! also be paused in between, so that it hears of both at once.
+
+mod middle;
+mod system;
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use middle::{Asked, HOLD, START};
+use system::{System, job, submit, until, until_state};
+use tokio::sync::watch;
+
+const ID: &str = "5c0e7a21d94b36f8";
+/// How long the node is paused.
+const PAUSED_FOR: Duration = Duration::from_millis(1_500);
+
+/// What stands between the node and its VM lets through when.
+#[derive(Default)]
+struct Gate {
+    /// The next list is made at once and held back.
+    armed: AtomicBool,
+    list_made: watch::Sender<bool>,
+    list_let_go: watch::Sender<bool>,
+    start_done: watch::Sender<bool>,
+    start_let_go: watch::Sender<bool>,
+}
+
+async fn is_set(flag: &watch::Sender<bool>) {
+    let mut flag = flag.subscribe();
+    let _ = flag.wait_for(|&set| set).await;
+}
+
+async fn pass(gate: Arc<Gate>, asked: Asked) -> Option<String> {
+    // One that is to be answered at once is soon given up.
+    let waits = asked.path == HOLD && asked.field("waitMs") != "null";
+    if waits && gate.armed.swap(false, Ordering::Relaxed) {
+        let list = asked.without_wait().forward().await;
+        gate.list_made.send_replace(true);
+        is_set(&gate.list_let_go).await;
+        return list;
+    }
+    let answer = asked.forward().await;
+    if asked.path == START && *gate.list_made.borrow() {
+        gate.start_done.send_replace(true);
+        is_set(&gate.start_let_go).await;
+    }
+    answer
+}
+
+/// Starts a node with a VM behind a gate, and another VM on which a task that is given up would be started again; lets a list be made
+/// there, and a task be started after it.
+async fn started_after_a_list(net: u8, ms: u32) -> (System, Arc<Gate>) {
+    let mut system = System::start(net, 2, 0).await;
+    let gates: Vec<Arc<Gate>> = vec![Arc::default(), Arc::default()];
+    let vms = system.platform.machines.vms();
+    for (vm, gate) in vms.iter().zip(&gates) {
+        let gate = gate.clone();
+        middle::stand_for_vm(&system.platform, vm, move |asked| pass(gate.clone(), asked)).await;
+    }
+    system.add_node(system::ip(net, 10));
+    until("the node is ready", || system.nodes[0].is_ready()).await;
+    // Lists of both VMs are held back: which one gets the task is the node's to say.
+    for gate in &gates {
+        gate.armed.store(true, Ordering::Relaxed);
+    }
+    for gate in &gates {
+        is_set(&gate.list_made).await;
+    }
+    expect_that!(submit(&system.nodes[0], ID, &job(1, ms)).await.status, eq(200));
+    let started = gates.iter().map(|gate| Box::pin(is_set(&gate.start_done)));
+    let (_, chosen, _) = futures::future::select_all(started).await;
+    for (i, gate) in gates.iter().enumerate() {
+        if i != chosen {
+            gate.list_let_go.send_replace(true);
+            gate.start_let_go.send_replace(true);
+        }
+    }
+    (system, gates[chosen].clone())
+}
+
+async fn runs_once(system: &System) {
+    until_state(&system.nodes[0], ID, "completed").await;
+    let starts = system.platform.machines.started();
+    expect_that!(starts.len(), eq(1), "{starts:?}");
+    expect_that!(system.nodes[0].log().contains("step=not-listed"), eq(false));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_list_from_before_a_start_releases_nothing_after_its_answer() {
+    let (system, gate) = started_after_a_list(91, 1_500).await;
+    gate.start_let_go.send_replace(true);
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    gate.list_let_go.send_replace(true);
+    runs_once(&system).await;
+}
+
+/// Which answer is there first when the node goes on.
+#[derive(Clone, Copy, Debug)]
+enum First {
+    List,
+    Start,
+}
+
+async fn paused(net: u8, ms: u32, first: First) {
+    let (system, gate) = started_after_a_list(net, ms).await;
+    let node = &system.nodes[0];
+    node.signal("STOP");
+    let (one, other) = match first {
+        First::List => (&gate.list_let_go, &gate.start_let_go),
+        First::Start => (&gate.start_let_go, &gate.list_let_go),
+    };
+    one.send_replace(true);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    other.send_replace(true);
+    tokio::time::sleep(PAUSED_FOR).await;
+    node.signal("CONT");
+    runs_once(&system).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_hears_of_an_older_list_first_after_a_pause_starts_once() {
+    paused(92, 3_000, First::List).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_hears_of_an_older_list_second_after_a_pause_starts_once() {
+    paused(93, 3_000, First::Start).await;
+}
+
+/// The run ends while the node is paused, so that no list ever holds it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_run_that_ended_in_a_pause_is_not_started_again_for_an_older_list() {
+    paused(94, 300, First::List).await;
+}
