A start of unclear outcome is told to stop only when a list shows that its VM does not have it

Before, each such start was told to stop at once: a run whose first copy had been carried out, its answer lost, and whose second copy the VM turned away, was stopped and started again. Now the next list decides: a run that it holds goes on, one that it lacks is barred by a stop and released when that is answered.

--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -60,7 +60,8 @@
     NoRoom,
     /// The VM turned it away because it is not healthy; nothing was started.
     Unhealthy,
-    /// The VM refused a repeated order: an earlier copy may have run, or be under way. It is told to stop.
+    /// The VM refused a repeated order: an earlier copy may have run, or be under way. Its next report tells of the one, and a
+    /// stop bars the other.
     Unclear,
 }
 
@@ -78,11 +79,7 @@
                 state.started = now.steady;
                 v.without_room = 0;
             }
-            StartResult::Unclear => {
-                // A copy may still be under way: only a stop bars it, and no list tells of what is yet to come.
-                (state.stopping, state.stop_ordered) = (true, now.steady);
-                self.order_stop(vm_key, run.task, run.attempt);
-            }
+            StartResult::Unclear => (state.confirmed, state.unclear) = (Some(now.steady), true),
             StartResult::NotTaken => self.release(vm_key, run, now),
             StartResult::NoRoom => {
                 v.set_aside_for_room(now.steady);
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -78,6 +78,7 @@
             // What is listed is there, also if this owner has not ordered it and never had an
             // answer about it.
             run.confirmed.get_or_insert(asked_at);
+            run.unclear = false;
             if !row.checkpoint.is_empty() {
                 run.checkpoint.clone_from(&row.checkpoint);
             }
@@ -114,7 +115,8 @@
         }
     }
 
-    /// Drops the runs that a complete report would list if they were there.
+    /// Drops the runs that a complete report would list if they were there. It tells nothing of a copy of a start that is yet to
+    /// come: only a stop bars that, and the run counts until it is answered.
     fn drop_missing(
         &mut self,
         key: VmKey,
@@ -129,13 +131,26 @@
             let answered_before = run.confirmed.is_some_and(|at| report.asked_at > at);
             ((first || answered_before) && !listed.contains(&id)).then_some(id)
         };
-        let gone: Vec<RunId> = vm.runs.iter().filter_map(missing).collect();
+        let missing: Vec<RunId> = vm.runs.iter().filter_map(missing).collect();
+        let (unclear, gone): (Vec<RunId>, Vec<RunId>) =
+            missing.into_iter().partition(|run| !first && vm.runs[&run.task].unclear);
+        for run in unclear {
+            self.bar(key, run, now);
+        }
         for &run in &gone {
             self.release(key, run, now);
         }
         gone
     }
 
+    /// Has a run stopped that is not there, so that no copy of its start begins it any more.
+    fn bar(&mut self, vm: VmKey, id: RunId, now: Now) {
+        let Some(run) = self.vms[vm].runs.get_mut(&id.task) else { return };
+        (run.unclear, run.confirmed) = (false, None);
+        (run.stopping, run.stop_ordered) = (true, now.steady);
+        self.order_stop(vm, id.task, id.attempt);
+    }
+
     pub(super) fn job_mut(&mut self, task: TaskId) -> Option<&mut super::Job> {
         let key = self.job_key(task)?;
         self.jobs.get_mut(key)
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -20,6 +20,8 @@
     /// When the VM last answered an order about it; a report asked for after that lists it.
     pub confirmed: Option<Ms>,
     pub started: Ms,
+    /// A copy of its start was refused, and an earlier one may still be under way.
+    pub unclear: bool,
     pub stopping: bool,
     /// When it was last told to stop.
     pub stop_ordered: Ms,
@@ -60,6 +62,7 @@
             charge: shape.demand,
             confirmed: None,
             started: now,
+            unclear: false,
             stopping: false,
             stop_ordered: 0,
             tail_target_ms: shape.tail_target_ms,
