A node that passes calls on tells the store's status 502 as an answer that did not come

Callers could be told that a job was surely not kept while it was. The status by which a node says that it has passed nothing on went on as it was when the store answered it. It is told as unknown now; nodes of before understand that.

--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -70,6 +70,11 @@
         Ok(body) => {
             let call = PassedOn { method, path: path.clone(), body };
             match node.store.pass_on(call).await {
+                // The store's own answer of this status says nothing of what was done.
+                Ok(Some(answer)) if answer.status == NOT_PASSED_ON => {
+                    log::info!("relay step=not-answered path={path} status={NOT_PASSED_ON}");
+                    reply(NOT_ANSWERED, Either::Left(Full::default()))
+                }
                 Ok(Some(answer)) => reply(answer.status, Either::Right(answer.into_body())),
                 Ok(None) | Err(CallError::NotSent(..)) => not_passed_on(),
                 Err(e @ CallError::Unanswered(..)) => {
