--- a/crates/scheduler/tests/works_on.rs
+++ b/crates/scheduler/tests/works_on.rs
@@ -33,7 +33,7 @@
 async fn a_vm_is_not_taken_for_replaced_by_an_older_life_of_it() {
     let system = System::start(98, 3, 1).await;
     let (node, platform) = (&system.nodes[0], &system.platform);
-    platform.machines.crash_and_leave_entry("m-0").await.expect("the next one starts");
+    platform.machines.crash_unsaid("m-0").await.expect("the next one starts");
     let both = ["step=listed vm=i-m-0-2", "vm step=reachable vm=i-m-0-1 reachable=false"];
     let known = async || both.iter().all(|line| node.log().contains(line));
     until("the older one is known as silent and the newer one is listed", known).await;
