Soak: bursts of work, VMs that are cut off together, entries that vanish, nodes that are paused and replaced; a run of 48 processes by hand

A kind of its own, Bursts, with seeds of its own: callers hand in more than the pool holds for 2.5 s and a twentieth for 5 s; two to four VMs are cut off as a burst begins and are back at one moment about when their leases run out, while two at least stay in reach; parts of what goes to and from VMs is lost or late; entries go while VMs serve on, or outlast VMs beside the next life's; nodes are paused for 1 to 8 s, killed and started at once, replaced while they still answer callers, and told of changed settings all at once amid changes. Each seed prints how many starts waited and how many ends of runs that were given up were heard, so that a run that never gets there shows.

--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -3,6 +3,8 @@
 //! One seed gives one schedule of faults. `THISTLE_SOAK_SEEDS=100..150 THISTLE_SOAK_SECONDS=20 cargo test --release -p
 //! thistle-scheduler --test soak -- --nocapture` plays others. A seed that failed is kept in `FAILED_ONCE` with its cause.
 
+#[path = "soak/bursts.rs"]
+mod bursts;
 #[path = "soak/callers.rs"]
 mod callers;
 #[path = "soak/caps.rs"]
@@ -13,6 +15,10 @@
 mod faults;
 #[path = "soak/harm.rs"]
 mod harm;
+#[path = "soak/mend.rs"]
+mod mend;
+#[path = "soak/rhythm.rs"]
+mod rhythm;
 mod system;
 
 use std::ops::Range;
@@ -20,6 +26,7 @@
 
 use callers::Callers;
 use faults::Soak;
+use rhythm::Rhythm;
 
 /// Seeds of a short run.
 const SEEDS: Range<u64> = 1..4;
@@ -32,6 +39,8 @@
 /// 100: two runs of a task at once, by the fake alone: it carried a late start out on a VM that had crashed meanwhile
 /// (`start step=no-answer` 1.7 s before the crash, 2.5 s of delay).
 const FAILED_ONCE: [u64; 1] = [100];
+/// Nodes of a run of many processes.
+const MANY: u8 = 48;
 /// For how long faults come, in seconds.
 const SECONDS: u64 = 12;
 /// Seeds of a short run with nodes that read no pool. 415 failed once, by the check alone: a VM was out of reach for 12 s, beside a store that was
@@ -49,6 +58,11 @@
 /// and a job that had been cancelled at the beginning was told as unknown by then, 150 s after it was settled.
 const CAP_SEEDS: [u64; 2] = [20, 955];
 
+/// Seeds of a short run beside bursts of work.
+const BURST_SEEDS: [u64; 2] = [3_000, 3_001];
+/// Seeds of a run of many processes.
+const MANY_SEEDS: [u64; 1] = [3_000];
+
 fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("THISTLE_SOAK_SEEDS") else {
         return SEEDS.chain(FAILED_ONCE).collect();
@@ -106,6 +120,22 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_beside_bursts_of_work() {
+    for seed in seeds_or(BURST_SEEDS) {
+        play(seed, Kind::Bursts).await;
+    }
+}
+
+/// By hand: `cargo test --release -p thistle-scheduler --test soak many_processes -- --ignored --nocapture`.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+#[ignore = "it takes as many processes as a machine bears beside nothing else"]
+async fn promises_hold_with_many_processes() {
+    for seed in seeds_or(MANY_SEEDS) {
+        play(seed, Kind::ManyProcesses).await;
+    }
+}
+
 /// What happens while callers call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -117,6 +147,10 @@
     Harm,
     /// Anything, beside a cap of all callers' workspace that changes.
     Cap,
+    /// Anything, beside bursts of work, VMs that are cut off together, entries that vanish, and nodes that are replaced.
+    Bursts,
+    /// The same, with [`MANY`] processes of nodes.
+    ManyProcesses,
     /// Nodes told to stop and started again, settings reloaded, configurations.
     PlannedWork,
 }
@@ -131,6 +165,8 @@
             Self::PlannedWork => (180, 60),
             Self::Harm => (240, 15),
             Self::Cap => (10, 60),
+            Self::Bursts => (70, 20),
+            Self::ManyProcesses => (90, 10),
         }
     }
 
@@ -138,6 +174,16 @@
         match self {
             Self::Faults | Self::PlannedWork | Self::Harm | Self::Cap => 3,
             Self::FaultsOfMany => 14,
+            // One is down at first, to take the place of another.
+            Self::Bursts => 4,
+            Self::ManyProcesses => MANY,
+        }
+    }
+
+    const fn rhythm(self) -> Rhythm {
+        match self {
+            Self::Bursts | Self::ManyProcesses => Rhythm::Bursts,
+            _ => Rhythm::Even,
         }
     }
 }
@@ -150,14 +196,18 @@
     if kind == Kind::Cap {
         soak.put_first_cap().await;
     }
-    let callers = Callers::start(seed, soak.addrs());
-    let began = Instant::now();
-    while began.elapsed() < length {
+    if kind.rhythm() == Rhythm::Bursts {
+        soak.terminate(0);
+    }
+    soak.began = Instant::now();
+    let callers = Callers::start(seed, soak.addrs(), kind.rhythm());
+    while soak.began.elapsed() < length {
         match kind {
             Kind::Faults | Kind::FaultsOfMany => soak.fault().await,
             Kind::PlannedWork => soak.planned_work().await,
             Kind::Harm => soak.harm().await,
             Kind::Cap => soak.cap_or_fault().await,
+            Kind::Bursts | Kind::ManyProcesses => soak.burst_fault().await,
         }
         soak.probe_config().await;
     }
@@ -180,9 +230,13 @@
     let tries = jobs.iter().flat_map(|job| &job.tries);
     let unanswered = tries.filter(|(_, answered)| !answered).count();
     println!(
-        "{kind:?} seed {seed}: {} jobs, {unanswered} submissions unanswered, {} faults, broken: {broken:?}",
+        "{kind:?} seed {seed}: {} jobs, {} runs, {unanswered} submissions unanswered, {} faults, {} starts waited, {} ends of runs \
+         given up, broken: {broken:?}",
         jobs.len(),
+        soak.system.platform.machines.started().len(),
         soak.faults.len(),
+        soak.lines("start step=had-its-turn "),
+        soak.lines("run step=done-after-given-up "),
     );
     assert!(broken.is_empty(), "seed {seed}: {broken:#?}\nfaults: {:#?}", soak.faults);
 }
--- a/crates/scheduler/tests/soak/callers.rs
+++ b/crates/scheduler/tests/soak/callers.rs
@@ -13,10 +13,9 @@
 use thistle_platform::standin::bodies;
 use tokio::task::JoinHandle;
 
+use super::rhythm::Rhythm;
 use super::system::{KEY, job};
 
-/// Callers at once.
-const CALLERS: u64 = 3;
 /// How often one sends a job again that was not taken, or of which it knows nothing.
 const TRIES: u32 = 4;
 /// How long one waits for an answer.
@@ -56,20 +55,23 @@
 }
 
 impl Callers {
-    pub fn start(seed: u64, addrs: Vec<SocketAddr>) -> Self {
+    pub fn start(seed: u64, addrs: Vec<SocketAddr>, rhythm: Rhythm) -> Self {
+        let began = Instant::now();
         let stop = Arc::new(AtomicBool::new(false));
         let run = |number| {
             let caller = Caller {
                 rng: StdRng::seed_from_u64(seed * 100 + number),
                 nodes: addrs.iter().map(|&addr| HttpClient::new(addr, 4)).collect(),
                 number,
+                rhythm,
+                began,
                 asked: 0,
                 jobs: Vec::new(),
                 accepted: Vec::new(),
             };
             tokio::spawn(caller.run(stop.clone()))
         };
-        Self { tasks: (0..CALLERS).map(run).collect(), stop }
+        Self { tasks: (0..rhythm.callers()).map(run).collect(), stop }
     }
 
     pub async fn stop(self) -> Vec<Job> {
@@ -86,6 +88,8 @@
     rng: StdRng,
     nodes: Vec<HttpClient>,
     number: u64,
+    rhythm: Rhythm,
+    began: Instant,
     /// The node that was called last.
     asked: usize,
     jobs: Vec<Job>,
@@ -97,7 +101,8 @@
         while !stop.load(Ordering::Relaxed) {
             self.submit().await;
             self.ask().await;
-            tokio::time::sleep(Duration::from_millis(self.rng.random_range(10..120))).await;
+            let pause = self.rhythm.amount(self.began).pause_ms;
+            tokio::time::sleep(Duration::from_millis(self.rng.random_range(pause))).await;
         }
         self.jobs
     }
@@ -121,9 +126,10 @@
 
     async fn submit(&mut self) {
         let id = format!("{:08x}{:08x}", self.number + 1, self.jobs.len());
-        let tasks = self.rng.random_range(1..4);
+        let amount = self.rhythm.amount(self.began);
+        let tasks = self.rng.random_range(amount.tasks);
         // Long ones are still running when their VM falls silent and its lease ends.
-        let lasts = match self.rng.random_bool(0.2) {
+        let lasts = match self.rng.random_bool(amount.long) {
             true => self.rng.random_range(2_000..8_000),
             false => self.rng.random_range(30..700),
         };
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -8,12 +8,12 @@
 use rand::{Rng, SeedableRng};
 use thistle_platform::standin::{Fault, Path, Silence};
 
-use super::callers::{Job, Told};
-use super::system::{System, ip, send, state, until};
+use super::bursts::Later;
+use super::system::{System, ip, until};
 
 const VMS: u8 = 6;
 /// The number of the signal that tells of changed settings.
-const SIGHUP: i32 = 1;
+pub const SIGHUP: i32 = 1;
 /// Where a node's own way to the store begins.
 const WAY_PORT: u16 = 7_101;
 
@@ -27,14 +27,20 @@
     /// Caps, with when each was put in force.
     pub caps: Vec<(Instant, u32)>,
     pub rng: StdRng,
-    ways: Vec<Path>,
+    /// When faults began to come.
+    pub began: Instant,
+    /// Whether there was a burst when the last fault came.
+    pub was_burst: bool,
+    /// What is mended at its time.
+    pub later: Vec<(Instant, Later)>,
+    pub ways: Vec<Path>,
     /// Nodes that are paused by a signal.
-    paused: Vec<usize>,
+    pub paused: Vec<usize>,
     /// Nodes that are down, to be started again.
-    down: Vec<usize>,
-    version: u64,
+    pub down: Vec<usize>,
+    pub version: u64,
     /// The newest version that each node has shown in this life of it.
-    seen: Vec<u64>,
+    pub seen: Vec<u64>,
 }
 
 impl Soak {
@@ -53,8 +59,23 @@
         let seen = vec![0; ways.len()];
         let rng = StdRng::seed_from_u64(seed);
         let (faults, crashing, caps) = (Vec::new(), Vec::new(), Vec::new());
-        let (paused, down) = (Vec::new(), Vec::new());
-        Self { system, faults, crashing, caps, rng, ways, paused, down, version: 1, seen }
+        let (paused, down, later) = (Vec::new(), Vec::new(), Vec::new());
+        let began = Instant::now();
+        Self {
+            system,
+            faults,
+            crashing,
+            caps,
+            rng,
+            began,
+            was_burst: false,
+            later,
+            ways,
+            paused,
+            down,
+            version: 1,
+            seen,
+        }
     }
 
     pub fn addrs(&self) -> Vec<SocketAddr> {
@@ -110,11 +131,11 @@
         tokio::time::sleep(Duration::from_millis(pause)).await;
     }
 
-    fn is_up(&self, node: usize) -> bool {
+    pub fn is_up(&self, node: usize) -> bool {
         !self.down.contains(&node) && !self.paused.contains(&node)
     }
 
-    fn kill(&mut self, node: usize) -> String {
+    pub fn kill(&mut self, node: usize) -> String {
         self.paused.retain(|&n| n != node);
         self.system.nodes[node].kill();
         if !self.down.contains(&node) {
@@ -123,7 +144,7 @@
         format!("kill {node}")
     }
 
-    fn terminate(&mut self, node: usize) -> String {
+    pub fn terminate(&mut self, node: usize) -> String {
         if !self.is_up(node) {
             return format!("terminate {node}: it is not up");
         }
@@ -132,7 +153,7 @@
         format!("terminate {node}")
     }
 
-    fn pause(&mut self, node: usize) -> String {
+    pub fn pause(&mut self, node: usize) -> String {
         if !self.is_up(node) {
             return format!("pause {node}: it is not up");
         }
@@ -221,93 +242,8 @@
             self.seen[node] = asked;
         }
     }
-
-    async fn mend_some(&mut self) -> String {
-        match self.rng.random_range(0..4) {
-            0 => {
-                self.system.platform.store.set_fault(Fault::None);
-                "store mended".to_owned()
-            }
-            1 => {
-                self.ways.iter().for_each(|way| way.cut(false));
-                "ways mended".to_owned()
-            }
-            2 => {
-                self.mend_vms();
-                "VMs mended".to_owned()
-            }
-            _ => {
-                self.bring_up().await;
-                "nodes up".to_owned()
-            }
-        }
-    }
-
-    fn mend_vms(&self) {
-        for vm in self.system.platform.machines.vms() {
-            vm.set_silent(false);
-            vm.carry_out_late(false);
-        }
-    }
-
-    async fn bring_up(&mut self) {
-        for node in std::mem::take(&mut self.paused) {
-            self.system.nodes[node].signal("CONT");
-        }
-        for node in std::mem::take(&mut self.down) {
-            // One that was told to stop ends by itself, or is ended.
-            self.system.nodes[node].kill();
-            self.system.nodes[node].start();
-            self.seen[node] = 0;
-        }
-    }
-
-    /// Mends everything and waits until all nodes are ready. Nodes that were told to stop may end first.
-    pub async fn mend_all(&mut self) {
-        for node in 0..self.system.nodes.len() {
-            let early = self.system.nodes[node].end_signal() == Some(SIGHUP);
-            if early && !self.down.contains(&node) {
-                self.down.push(node);
-            }
-        }
-        for &node in &self.down {
-            let node = &mut self.system.nodes[node];
-            until("it has ended", || std::future::ready(node.has_ended())).await;
-        }
-        self.system.platform.store.set_fault(Fault::None);
-        self.ways.iter().for_each(|way| way.cut(false));
-        self.mend_vms();
-        self.bring_up().await;
-        for node in &self.system.nodes {
-            until("a node is ready again", || node.is_ready()).await;
-        }
-    }
-
-    /// Waits until every accepted job is settled and nothing runs.
-    pub async fn until_settled(&self, jobs: &[Job]) {
-        let node = &self.system.nodes[0];
-        for job in jobs.iter().filter(|job| job.told == Told::Accepted) {
-            let wanted = async || {
-                let state = state(node, &job.id).await;
-                state == "completed"
-                    || job.cancelled && state == "cancelled"
-                    || state == "failed" && self.was_given_up(&job.id)
-            };
-            until(&format!("{} is settled", job.id), wanted).await;
-        }
-        let vms = || self.system.platform.machines.vms();
-        until("nothing runs", async || vms().iter().all(|vm| vm.running().is_empty())).await;
-        // The configuration is in force everywhere.
-        if self.version > 1 {
-            for node in &self.system.nodes {
-                let path = path_of(self.version);
-                let known = async || send(node, Method::GET, &path).await.status == 200;
-                until("the newest version is in force", known).await;
-            }
-        }
-    }
 }
 
-fn path_of(version: u64) -> String {
+pub fn path_of(version: u64) -> String {
     format!("/queue-{version}/")
 }
