Random runs with calls that take their time: jobs with repetitions, and no start before its time

One job in seven runs twice, 0.7 s apart; rule TWICE is judged for each repetition, and a start before its time is told.

--- a/crates/schedule/tests/link_world/machines.rs
+++ b/crates/schedule/tests/link_world/machines.rs
@@ -94,6 +94,12 @@
 
     pub(super) fn check_start(&self, run: RunId) {
         let task = run.task;
+        let due = self.log.get(task.job).and_then(|e| e.spec.as_ref()).map(|s| s.due_ms(task.time));
+        let due = due.filter(|_| self.repeat.contains(&task.job));
+        assert!(
+            due.is_none_or(|due| due <= WALL + self.now),
+            "ORDER: {run} starts before it is due"
+        );
         let shape = &self.steps[&task.job][usize::from(task.step)];
         for &on in &shape.depends_on {
             let count = self.steps[&task.job][usize::from(on)].count;
--- a/crates/schedule/tests/link_world/mod.rs
+++ b/crates/schedule/tests/link_world/mod.rs
@@ -20,14 +20,14 @@
 use thistle_schedule::ownership::{Claim, NodeLife, Ownership};
 use thistle_schedule::pool::{Order, StartOrder, StartResult};
 use thistle_schedule::{
-    EndKind, JobId, JobLog, Ms, Phase, Pool, Progress, Room, RunEnd, RunId, Step, TaskId, VmFacts,
-    VmId, VmLoss, VmReport,
+    EndKind, JobId, JobLog, Ms, Phase, Pool, Progress, Repeats, Room, RunEnd, RunId, Step, TaskId,
+    VmFacts, VmId, VmLoss, VmReport,
 };
 
 use self::link::Link;
 use self::twice::{Given, Runs};
 use self::vm::{Answer, Call, Run, SimVm, Way};
-use crate::common::{at, job, step, vm as vm_facts};
+use crate::common::{WALL, at, job, step, vm as vm_facts};
 
 const TICK: Ms = 10;
 const LEASE: Ms = 6_000;
@@ -106,6 +106,8 @@
     number: u64,
     pool: Pool,
     steps: BTreeMap<JobId, Vec<Step>>,
+    /// Jobs with repetitions.
+    repeat: BTreeSet<JobId>,
     done: BTreeSet<TaskId>,
     failures: BTreeMap<TaskId, u32>,
     runs: Runs,
@@ -142,6 +144,7 @@
             number: 0,
             pool: Pool::new(),
             steps: BTreeMap::new(),
+            repeat: BTreeSet::new(),
             done: BTreeSet::new(),
             failures: BTreeMap::new(),
             runs: Runs::default(),
@@ -170,7 +173,13 @@
         };
         let id = JobId(n);
         self.steps.insert(id, steps.clone());
-        let spec = encode(job(steps).as_ref());
+        let mut spec = job(steps).as_ref().clone();
+        if self.rng.random_bool(0.15) {
+            let start_at_ms = WALL + self.now + self.rng.random_range(0..500);
+            self.repeat.insert(id);
+            spec.repeats = Some(Repeats { count: 2, start_at_ms, interval_ms: 700 });
+        }
+        let spec = encode(&spec);
         assert!(matches!(self.log.apply(&submit_key(id), Some(&spec)), Ok(Some(_))));
         if let Some(entry) = self.log.get(id) {
             self.pool.adopt(id, entry, at(self.now));
