A node that had lost its right to act gets it back once it knows all claims, and acts under the token that it has now

Callers would see a booking done twice, and VMs get orders of two nodes by turns. A node that was held up for longer than its right to act lasts got it back by a heartbeat alone, before it had read that others had taken what it owned: starts that waited went out with a lease given anew to a VM that the next owner did not reach, and the fleet's former owner gave orders after its successor's. After a lapse a heartbeat gives the right back only if a read that begins then finds no claim that was not taken in, and whoever acts asks each time for the right and whether its token is still the one of its pool: the task of an owner that was replaced ends a moment later. A node that owns nothing reads nothing more. Weighed: a new claim after each lapse (each outage of the store of over 2.2 s would replace all owners); counting leases given anew by link (not the fleet).

--- a/crates/scheduler/src/caps/lender.rs
+++ b/crates/scheduler/src/caps/lender.rs
@@ -8,7 +8,7 @@
 use thistle_schedule::quota::{CapUse, Lender, LentCap, Splits};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
-use super::{LENT, USES, as_of_record, decode, has_caps, lent_record, read_lent};
+use super::{CAPS, LENT, USES, as_of_record, decode, has_caps, lent_record, read_lent};
 use crate::control::TOPIC;
 use crate::follow::{News, Pace, Tail, follow};
 use crate::journal::{Fenced, Journal};
@@ -46,7 +46,7 @@
             while let Ok(said) = rx.try_recv() {
                 lending.take(said);
             }
-            if lending.node.lease_valid() && lending.step().await == Err(Fenced) {
+            if lending.node.may_act(CAPS, token) && lending.step().await == Err(Fenced) {
                 log::warn!("caps step=fenced token={token}");
                 return;
             }
--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -7,7 +7,7 @@
 use thistle_schedule::Ms;
 use thistle_schedule::ownership::Heartbeat;
 
-use super::{TOPIC, to_json};
+use super::{CLAIMS, TOPIC, to_json};
 use crate::clock::steady_ms;
 use crate::follow::{News, Tail};
 use crate::locks::lock;
@@ -23,6 +23,9 @@
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(450);
 /// After how many heartbeats the first partition is tried first again.
 const FIRST_AGAIN_EVERY: u64 = 8;
+/// How often it is looked whether all claims were taken in, and the pause before each further look.
+const CLAIMS_TRIES: u32 = 10;
+const CLAIMS_PAUSE: Duration = Duration::from_millis(20);
 /// How often a node that owns nothing sends one, in milliseconds.
 const IDLE_HEARTBEAT_MS: Ms = 2_500;
 
@@ -103,7 +106,9 @@
     match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
         Ok(Appended::Done { .. }) => {
             node.standing.note(true);
-            if !leaving {
+            // One that owns nothing, by what it knows, needs no right yet.
+            let owns_nothing = !lock(&node.ownership).owns_any();
+            if !leaving && (node.lease_valid() || owns_nothing || claims_are_known(node).await) {
                 node.renew_lease(sent_at);
             }
             return true;
@@ -117,6 +122,25 @@
     false
 }
 
+/// Returns whether this node knows all claims that there are now. After a time without the right to act, another node may have taken
+/// what it owned: a heartbeat alone does not give that right back.
+async fn claims_are_known(node: &Node) -> bool {
+    for _ in 0..CLAIMS_TRIES {
+        let Some(end) = node.claims_end.get() else { return false };
+        match node.store.read(TOPIC, CLAIMS, end, Duration::ZERO).await {
+            Ok(batch) if batch.records.is_empty() => return true,
+            // They are taken in by whoever follows the claims.
+            Ok(_) => tokio::time::sleep(CLAIMS_PAUSE).await,
+            Err(e) => {
+                log::info!("owner step=claims-not-known error=\"{e:?}\"");
+                return false;
+            }
+        }
+    }
+    log::info!("owner step=claims-not-known tries={CLAIMS_TRIES}");
+    false
+}
+
 /// Waits until the next heartbeat is due. A node that owns nothing sends few: heartbeats share one
 /// partition, which takes one after the other.
 async fn until_next_beat(node: &Node, sent_at: Ms) {
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -100,7 +100,7 @@
                 owner.take(event);
             }
             owner.list_vms();
-            if owner.node.lease_valid() && owner.step().await == Err(Fenced) {
+            if owner.node.may_act(FLEET, token) && owner.step().await == Err(Fenced) {
                 log::warn!("fleet step=fenced token={token}");
                 return;
             }
@@ -243,7 +243,7 @@
         let node = self.node.clone();
         tokio::spawn(async move {
             let holder = Holder { name: &node.me.name, token };
-            let result = if !node.lease_valid() {
+            let result = if !node.may_act(FLEET, token) {
                 Err(MachineError::NotNow("this node may not act as owner now".to_owned()))
             } else {
                 match &order.purpose {
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -137,7 +137,13 @@
         steady_ms() < self.lease_until.load(Ordering::Relaxed)
     }
 
-    /// Takes in that the store took a heartbeat which was sent at `sent_at`.
+    /// Returns whether this node may act as owner of a shard now, under a token.
+    pub fn may_act(&self, shard: &str, token: u64) -> bool {
+        // The right to act comes back before the task of an owner that was replaced meanwhile has ended.
+        self.lease_valid() && lock(&self.ownership).my_token(shard) == Some(token)
+    }
+
+    /// Takes in that the store took a heartbeat which was sent at `sent_at`, while this node may act or has read all claims since.
     pub fn renew_lease(&self, sent_at: Ms) {
         self.lease_until.fetch_max(sent_at + OWNER_LEASE_MS, Ordering::Relaxed);
     }
--- a/crates/scheduler/src/owner/link/hold.rs
+++ b/crates/scheduler/src/owner/link/hold.rs
@@ -25,7 +25,7 @@
     let mut wait = Duration::ZERO;
     let mut acked = link.acked.subscribe();
     loop {
-        if !link.node.lease_valid() {
+        if !link.may_send() {
             tokio::time::sleep(NO_LEASE).await;
             continue;
         }
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -41,6 +41,7 @@
 struct Shared {
     node: Arc<Node>,
     vm: VmId,
+    pool: Arc<str>,
     token: u64,
     client: WorkerClient,
     lease: Mutex<TaskLease>,
@@ -83,6 +84,7 @@
         let shared = Arc::new(Shared {
             node: node.clone(),
             vm: vm.id.clone(),
+            pool: vm.pool.clone(),
             token,
             client: WorkerClient::new(vm.addr, vm.id.clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
@@ -181,13 +183,13 @@
 
     /// Returns whether orders may go out: checked last before each.
     fn may_send(&self) -> bool {
-        !self.is_closed() && self.node.lease_valid()
+        !self.is_closed() && self.node.may_act(&self.pool, self.token)
     }
 
     /// Waits until orders may go out; returns false when the link was closed.
     async fn until_may_send(&self) -> bool {
         while !self.is_closed() {
-            if self.node.lease_valid() {
+            if self.may_send() {
                 return true;
             }
             tokio::time::sleep(NO_LEASE).await;
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -130,7 +130,7 @@
                 self.take(event)?;
             }
             self.drop_orphans();
-            if self.node.lease_valid() {
+            if self.node.may_act(&self.log.pool, self.token) {
                 self.step().await?;
             }
         }
