Test that fails: a node takes its own former life for an owner to ask, and is ready too soon

Log of one: claims read at 08.194, ready, GET at 08.198, state step=not-read; the newest claim of the pool is that of the node's life before.

--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -313,3 +313,15 @@
     view.owner_ended(&desk, claims + 1, now + 20_000);
     expect_that!(claims_of(&mut view, &["desk"], now + 20_200), len(eq(1)));
 }
+
+/// A node that had owned a pool was started anew, took its own former life for the pool's owner, and was ready before anybody could tell of the
+/// pool's jobs: a caller that asked for one 4 ms after the node had read the claims was told to come back.
+#[gtest]
+fn a_former_life_of_this_node_is_no_owner_to_ask() {
+    let mut view = Ownership::new(node("a", 2), 0);
+    let relay: SocketAddr = ([127, 0, 0, 1], 7_060).into();
+    let former = Heartbeat { relay: Some(relay), ..beat(1, 9) };
+    view.heard("a", &former, 100);
+    view.claimed(&"desk".into(), claim("a", 1), 0, 100);
+    expect_that!(view.relay_of_owner("desk"), none());
+}
