A node that was started anew does not count its former life as an owner that answers

Callers were told to come back by a node that said it was ready: it was by the claim of its own former life, whose heartbeat still stands. It is ready now when it owns the pool again or knows another owner.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -254,8 +254,10 @@
     pub fn relay_of_owner(&self, pool: &str) -> Option<SocketAddr> {
         let claim = self.claims.get(pool).map(|o| &o.claim).filter(|claim| !claim.released)?;
         let member = self.members.get(&claim.owner.name)?;
-        let other = claim.owner != self.me && member.life == claim.owner.life && !member.leaving;
-        member.relay.filter(|_| other)
+        // A former life of this node is gone.
+        let other = claim.owner.name != self.me.name;
+        let is_there = member.life == claim.owner.life && !member.leaving;
+        member.relay.filter(|_| other && is_there)
     }
 
     /// Returns whether the present owner's predecessor gave the pool up by itself.
