An earlier life of a VM is no crash of the later one, and the fleet's owner keeps its distance from one of its own node that has ended by itself

Both by the review's reading, without a run of their own: the entry of an earlier life counted a silent loss as a crash against its tasks; orders of an owner of the fleet that panicked may be under way as its node goes on under a new token. Tests of crashes, of VMs that work on and of the fleet's orders pass.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -282,6 +282,11 @@
         self.ended.insert(pool.clone(), Ended { token, at: now, in_a_row });
     }
 
+    /// Returns whether an owner of a pool on this node has ended by itself.
+    pub fn has_ended(&self, pool: &str) -> bool {
+        self.ended.contains_key(pool)
+    }
+
     fn is_spent(&self, pool: &str, token: u64) -> bool {
         self.ended.get(pool).is_some_and(|ended| ended.token == token)
     }
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -267,7 +267,9 @@
     let desk: Arc<str> = "desk".into();
     view.claimed(&desk, claim("a", 1), 0, 1_000);
     expect_that!(claims_of(&mut view, &["desk"], 1_000), is_empty());
+    expect_that!(view.has_ended("desk"), eq(false));
     view.owner_ended(&desk, 1, 2_000);
+    expect_that!(view.has_ended("desk"), eq(true));
     expect_that!(view.my_token("desk"), none());
     expect_that!(claims_of(&mut view, &["desk"], 2_200), len(eq(1)));
     // The claim of before, read once more, changes nothing.
--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -46,9 +46,10 @@
 pub(super) fn hold_off(node: &Node, record: Option<&FleetRecord>) -> HoldOff {
     let gap = u64::try_from(node.settings.machine_order_gap.0.as_millis()).unwrap_or(Ms::MAX);
     let gap = gap + GAP_MARGIN_MS;
-    // Without a record nobody has given an order yet; this node's own orders need no distance, and
-    // a predecessor that gave the fleet up had its last order answered before.
-    let other = record.is_some_and(|record| record.owner != node.me.name);
+    // Without a record nobody has given an order yet; this node's own orders need no distance unless an owner here ended by
+    // itself, whose orders may be under way, and a predecessor that gave the fleet up had its last order answered before.
+    let ended = lock(&node.ownership).has_ended(FLEET);
+    let other = record.is_some_and(|record| record.owner != node.me.name || ended);
     if !other || lock(&node.ownership).was_given_up(FLEET) {
         return HoldOff { until: 0, gap };
     }
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -38,7 +38,10 @@
         }
         // One that fell silent under a task may be back in another pool.
         for (vm, name) in self.pool.silent_losses() {
-            if !name.is_empty() && table.values().any(|f| *f.name == *name && f.id != vm) {
+            // An earlier life of it, whose entry stands on, says nothing.
+            let successor =
+                |f: &VmFacts| *f.name == *name && f.id != vm && !self.lives.is_later(&vm, &f.id);
+            if !name.is_empty() && table.values().any(|f| successor(f)) {
                 self.tell_replaced(&vm);
             }
         }
