--- /dev/null
+++ b/crates/schedule/tests/world/flights.rs
@@ -0,0 +1,134 @@
+//! Orders on their way, and how VMs carry them out.
+
+use super::*;
+
+/// An order on its way.
+#[derive(Clone, Debug)]
+pub(super) struct Flight {
+    arrives: Ms,
+    given: Ms,
+    token: u64,
+    deadline: Ms,
+    order: Order,
+    answered: bool,
+}
+
+/// Tells an order in short.
+fn brief(order: &Order) -> String {
+    match order {
+        Order::Start(start) => format!("start {} on {}", start.run, start.vm),
+        Order::Stop { vm, run } => format!("stop {run} on {vm}"),
+        Order::Pace { vm, run, percent } => format!("pace {run} on {vm} to {percent}"),
+        Order::Ask(_) => "question".to_owned(),
+    }
+}
+
+impl World {
+    pub(super) fn send(&mut self, order: Order, calm: bool) {
+        let late = !calm && self.rng.random_bool(0.05);
+        let delay = if late { self.rng.random_range(2_000..12_000) } else { 0 };
+        let (token, deadline) = (self.token, self.now + LEASE);
+        self.tell(|| format!("ordered {} late {late}", brief(&order)));
+        let flight = Flight {
+            arrives: self.now + delay,
+            given: self.now,
+            token,
+            deadline,
+            order,
+            answered: !late,
+        };
+        if late {
+            // The order is given again until it is answered; the late copy comes all the same.
+            let again = Flight { arrives: self.now + 600, answered: true, ..flight.clone() };
+            self.flights.push(again);
+        }
+        self.flights.push(flight);
+    }
+
+    pub(super) fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.flights.drain(..).partition(|f: &Flight| f.arrives <= now);
+        self.flights = later;
+        for flight in due {
+            self.arrive(flight);
+        }
+    }
+
+    fn arrive(&mut self, flight: Flight) {
+        self.tell(|| format!("arrives {} of token {}", brief(&flight.order), flight.token));
+        let target = match &flight.order {
+            Order::Start(start) => start.vm.clone(),
+            Order::Stop { vm, .. } | Order::Pace { vm, .. } => vm.clone(),
+            Order::Ask(_) => return,
+        };
+        let now = self.now;
+        let Some((name, sim)) =
+            self.vms.iter_mut().find(|(name, sim)| id_of(name, sim.life) == target)
+        else {
+            return;
+        };
+        if sim.cut_until > now || sim.dark_until > now {
+            // Given again once it can be reached, unless the owner has changed or given up on it. That gives no longer lease.
+            if flight.answered && flight.token == self.token && !self.lost.contains(&target) {
+                self.flights.push(Flight { arrives: now + 200, ..flight });
+            }
+            return;
+        }
+        if flight.token < sim.fence {
+            return;
+        }
+        sim.fence = flight.token;
+        let name = name.clone();
+        match flight.order.clone() {
+            Order::Start(start) => self.arrive_start(&name, &flight, &start),
+            Order::Stop { run, .. } => {
+                let sim = self.vms.get_mut(&name).expect("it was found");
+                let barred = sim.barred.entry(run.task).or_default();
+                *barred = run.attempt.max(*barred);
+                if sim.runs.get(&run.task).is_some_and(|r| r.attempt <= run.attempt) {
+                    let there = sim.runs.remove(&run.task).expect("it was there");
+                    let stopped = RunId { task: run.task, attempt: there.attempt };
+                    let sequence = sim.list_end(stopped, EndKind::Stopped);
+                    self.runs.note_end(&target, stopped, EndKind::Stopped, sequence, now);
+                }
+                if flight.answered && flight.token == self.token {
+                    self.pool.stop_answered(&target, run, at(now));
+                }
+            }
+            Order::Pace { .. } | Order::Ask(_) => (),
+        }
+    }
+
+    fn arrive_start(&mut self, name: &str, flight: &Flight, start: &StartOrder) {
+        let (now, run) = (self.now, start.run);
+        let lasts = self.rng.random_range(200..2_000);
+        let fails = self.rng.random_bool(0.08);
+        let sim = self.vms.get_mut(name).expect("it was found");
+        let there = sim.runs.get(&run.task).map(|r| r.attempt);
+        let old = sim.barred.get(&run.task).is_some_and(|&b| run.attempt <= b);
+        let result = if flight.deadline < now {
+            StartResult::Unclear
+        } else if there == Some(run.attempt) {
+            StartResult::Started
+        } else if old || there.is_some() {
+            StartResult::Unclear
+        } else {
+            sim.lease_until = sim.lease_until.max(flight.deadline);
+            let given = Given { token: flight.token, at: flight.given };
+            self.runs.note_start(&start.vm, run, given, now);
+            self.check_start(name, start);
+            let shape = &self.steps[&run.task.job][usize::from(run.task.step)];
+            let ends_at = if shape.lasting && !fails { Ms::MAX } else { now + lasts };
+            let demand = shape.room();
+            let sim = self.vms.get_mut(name).expect("it was found");
+            sim.runs.insert(run.task, Run { attempt: run.attempt, ends_at, fails, demand });
+            let used = sim.runs.values().fold(Room::default(), |sum, r| sum.plus(r.demand));
+            assert!(vm_facts(name, 1).room.holds(used), "over room on {name} at {now}: {used:?}");
+            StartResult::Started
+        };
+        self.tell(|| format!("start {run} on {name}: {result:?}, answered {}", flight.answered));
+        if flight.answered && flight.token == self.token {
+            self.pool.start_result(&start.vm, run, result, at(now));
+        }
+    }
+}
