--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -327,3 +327,20 @@
     view.claimed(&"desk".into(), claim("a", 1), 0, 100);
     expect_that!(view.relay_of_owner("desk"), none());
 }
+
+/// A node that computes slowly claimed a pool 0.82 s after it had started beside 96 others: it had read heartbeats once, 0.36 s after its start, when
+/// the fast nodes had not sent theirs. Its pool stood still for seconds when its turn came, and the node kept it:
+///
+///     -13.9766 node name=frontend-aarhus-hal-b-7 step=start speed=10770
+///     -13.6128 heartbeat step=listening-again
+///     -13.1565 owner pool=zipu94a step=claimed node=frontend-aarhus-hal-b-7 token_offset=1
+#[gtest]
+fn a_node_that_starts_with_many_others_hears_them_before_it_claims_what_nobody_had() {
+    let mut slow = Ownership::new(node("b", 1), 0);
+    expect_that!(claims_of(&mut slow, &["desk"], 360), is_empty());
+    expect_that!(claims_of(&mut slow, &["desk"], 820), is_empty());
+    slow.heard("b", &Heartbeat { speed: 10_770, ..beat(1, 1) }, 1_260);
+    slow.heard("a", &Heartbeat { speed: 45_000, ..beat(1, 1) }, 1_260);
+    expect_that!(claims_of(&mut slow, &["desk"], 1_300), is_empty());
+    expect_that!(claims_of(&mut slow, &["desk"], 1_750), len(eq(1)));
+}
