--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -15,9 +15,9 @@
 /// owner of 100 VMs and more keeps an eighth of a core busy, which is all that some nodes have. With
 /// 350 VMs the first start came 55 ms after handing in at p50, in place of 788 ms.
 const SLOW_COUNTS_AS: usize = 3;
-/// How long a new node listens before it takes pools that nobody had: three readings of the heartbeats, of which the first may come before those
+/// How long a new node listens before it takes pools that nobody had: two readings of the heartbeats, of which the first may come before those
 /// that start with it have sent theirs.
-const LISTEN_MS: Ms = 1_300;
+const LISTEN_MS: Ms = 1_000;
 /// How long a node waits before it claims a pool again whose owner has ended by itself, in milliseconds; it doubles with
 /// each end in a row.
 const ENDED_PAUSE_MS: Ms = 200;
