--- a/crates/scheduler/tests/copies_of_starts.rs
+++ b/crates/scheduler/tests/copies_of_starts.rs
@@ -12,8 +12,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use middle::{Asked, START, answer};
+use middle::{Asked, answer};
 use system::{System, job, submit, until, until_state};
+use thistle_platform::standin::paths::START;
 
 const ID: &str = "5c0e7a21d94b36f8";
 const TASKS: u32 = 6;
--- a/crates/scheduler/tests/middle/mod.rs
+++ b/crates/scheduler/tests/middle/mod.rs
@@ -9,14 +9,11 @@
 use serde_json::Value;
 use thistle_platform::http::{Call, HttpClient};
 use thistle_platform::listing;
+use thistle_platform::standin::paths::INCARNATION;
 use thistle_platform::standin::{Standin, VmFake};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
-pub const HOLD: &str = "/thistlelanding/hold";
-pub const START: &str = "/thistlelanding/run-start";
-/// The header that names the incarnation that is meant.
-const INCARNATION: &str = "expect-instance";
 /// Longer than any call of a node.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(40);
 
--- a/crates/scheduler/tests/passing_answers.rs
+++ b/crates/scheduler/tests/passing_answers.rs
@@ -13,8 +13,9 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use middle::{Asked, HOLD, START};
+use middle::Asked;
 use system::{System, job, submit, until, until_state};
+use thistle_platform::standin::paths::{HOLD, START};
 use tokio::sync::watch;
 
 const ID: &str = "5c0e7a21d94b36f8";
--- a/crates/scheduler/tests/told_not_done.rs
+++ b/crates/scheduler/tests/told_not_done.rs
@@ -10,12 +10,12 @@
 use bytes::{BufMut, BytesMut};
 use googletest::prelude::*;
 use hyper::Method;
-use middle::{Asked, HOLD, answer};
+use middle::{Asked, answer};
 use system::{System, job, submit, until, until_state};
 use thistle_platform::http::{Call, HttpClient};
+use thistle_platform::standin::paths::{APPEND, HOLD};
 use thistle_platform::{NOT_ANSWERED, NOT_PASSED_ON};
 
-const APPEND: &str = "/thistlelanding/log-append";
 /// What the log says when the owner of the pool begins.
 const TOOK_OVER: &str = "owner pool=desk step=took-over";
 
