Data halls that the operator evacuates get no new work until they are taken back

Cause: nothing read the request; the hall of a VM was known and asked by nobody. Now: Halls (schedule/halls.rs) is the one rule, asked by placement, moves and sizes of pools, and by the link last before a start goes out or is sent again. Knowledge ages: an owner starts nothing once the newest read that reached the end of the requests is older than the time allowed less a second. Sites without evacuations have no such setting and are not gated. Ruled out: stopping what runs there (the request is about further work), moving idle VMs out of the hall (they could do nothing elsewhere, and are needed when it is back).

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -27,6 +27,8 @@
     pub pool: Arc<str>,
     /// What it is doing.
     pub state: VmState,
+    /// Its data hall.
+    pub hall: Arc<str>,
     /// Its rack.
     pub rack: Arc<str>,
     /// Its life as text, as far as it is known, if it is up.
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 
 use crate::Ms;
+use crate::halls::Halls;
 use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
@@ -64,6 +65,8 @@
     /// The pool whose VMs are switched off.
     off_pool: Option<Arc<str>>,
     working_pools: HashSet<Arc<str>>,
+    /// Data halls that are evacuated: their VMs are no capacity, and stay where they are.
+    halls: Arc<Halls>,
     needs: moves::Needs,
     /// When VMs came to their pools.
     moved_at: HashMap<String, Ms>,
@@ -106,6 +109,7 @@
             unsettled: HashMap::new(),
             off_pool: None,
             working_pools: HashSet::new(),
+            halls: Arc::default(),
             needs: moves::Needs::new(policy),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
@@ -138,6 +142,11 @@
         self.off_pool = off;
     }
 
+    /// Takes in which data halls are evacuated.
+    pub fn set_halls(&mut self, halls: Arc<Halls>) {
+        self.halls = halls;
+    }
+
     /// Takes in a pool owner's report.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
         self.needs.note(pool, &report, now);
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -189,9 +189,15 @@
     pub(super) fn size(&self, pool: &Arc<str>) -> usize {
         let there = |vm: &&super::FleetVm| {
             // One that is to be maintained is replaced before it is empty.
-            vm.pool == *pool && vm.state != VmState::Down && self.record.work_on(&vm.name).is_none()
+            vm.pool == *pool
+                && vm.state != VmState::Down
+                && self.halls.takes_work(&vm.hall)
+                && self.record.work_on(&vm.name).is_none()
+        };
+        let coming = |w: &&VmWork| {
+            w.purpose == Purpose::Move { to: pool.as_ref().to_owned() }
+                && self.vms.get(w.vm.as_str()).is_none_or(|vm| self.halls.takes_work(&vm.hall))
         };
-        let coming = |w: &&VmWork| w.purpose == Purpose::Move { to: pool.as_ref().to_owned() };
         self.vms.values().filter(there).count() + self.moves().filter(coming).count()
     }
 
@@ -235,9 +241,12 @@
             .is_none_or(|&at| now.saturating_sub(at) >= self.policy.moves.stay_ms)
     }
 
-    /// Returns whether a VM is up in a pool and nothing else is done with it.
+    /// Returns whether a VM is up in a pool and nothing else is done with it. One in an evacuated hall could do no work
+    /// elsewhere, and is needed where it is when the hall is taken back.
     fn is_free(&self, name: &str, pool: &Arc<str>) -> bool {
-        let up = |vm: &super::FleetVm| vm.pool == *pool && vm.state == VmState::Up;
+        let up = |vm: &super::FleetVm| {
+            vm.pool == *pool && vm.state == VmState::Up && self.halls.takes_work(&vm.hall)
+        };
         self.vms.get(name).is_some_and(up)
             && self.record.work_on(name).is_none()
             && !self.unsettled.contains_key(name)
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod fleet;
+pub mod halls;
 pub mod harm;
 pub mod id;
 pub mod job_log;
@@ -18,6 +19,7 @@
 pub mod workspace;
 
 pub use catalog::{Catalog, Limits, PoolConfig, Queue};
+pub use halls::{Evacuation, Halls};
 pub use harm::{Harm, Verdict};
 pub use id::{JobId, RunId, TaskId, VmLife};
 pub use job_log::{JobLog, LogChange};
--- a/crates/schedule/src/pool/incarnation.rs
+++ b/crates/schedule/src/pool/incarnation.rs
@@ -41,6 +41,8 @@
     /// Its room has shrunk since starts were last looked at.
     pub shrunk: bool,
     pub cordoned: bool,
+    /// Its data hall is evacuated.
+    pub evacuated: bool,
     pub used: Room,
     pub runs: BTreeMap<TaskId, Run>,
     /// Runs that are not ours, with when they were last told to stop; nothing is started beside them, since their
@@ -66,6 +68,7 @@
             left_the_list: false,
             shrunk: false,
             cordoned: false,
+            evacuated: false,
             used: Room::default(),
             runs: BTreeMap::new(),
             strays: HashMap::new(),
@@ -92,7 +95,7 @@
     pub fn takes_work(&self) -> bool {
         let fit = self.listed && self.held && self.reachable && self.strays.is_empty();
         let readable = self.facts.as_ref().is_some_and(|f| !f.unreadable);
-        fit && readable && !self.cordoned && !self.draining()
+        fit && readable && !self.cordoned && !self.evacuated && !self.draining()
     }
 
     pub fn free(&self) -> Room {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -32,6 +32,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use crate::Ms;
+use crate::halls::Halls;
 use crate::id::{JobId, VmLife};
 use crate::policy::Policy;
 use crate::progress::{Phase, Progress};
@@ -107,6 +108,10 @@
     hurried: HashSet<Arc<str>>,
     /// VMs, by lasting name, that maintenance will take down before long.
     due: HashSet<Arc<str>>,
+    /// Data halls that are evacuated.
+    halls: Arc<Halls>,
+    /// More halls may be evacuated than this owner knows.
+    halls_unknown: bool,
     /// Before this no lasting task is stopped to be moved.
     moves_from: Ms,
     /// The list of VMs is whole, as far as is known: after an outage of the store entries that
@@ -163,7 +168,9 @@
         self.end_silences(now);
         self.call_off_starts(now);
         self.evacuate(now);
-        self.place_waiting(now);
+        if !self.halls_unknown {
+            self.place_waiting(now);
+        }
         std::mem::take(&mut self.orders)
     }
 
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -6,6 +6,7 @@
 use super::incarnation::Vm;
 use super::{Now, Pool, VmKey};
 use crate::Ms;
+use crate::halls::Halls;
 use crate::id::VmLife;
 use crate::vm::{Room, VmFacts};
 
@@ -33,11 +34,12 @@
         self.name_life(&facts.id);
         let key = self.vm_key(&facts.id);
         let cordoned = self.cordoned.contains(&facts.name);
+        let evacuated = !self.halls.takes_work(&facts.hall);
         let vm = &mut self.vms[key];
         let is_news = !vm.listed || vm.draining() != facts.draining;
         vm.listed = true;
         (vm.answered_unlisted, vm.left_the_list) = (None, false);
-        vm.cordoned = cordoned;
+        (vm.cordoned, vm.evacuated) = (cordoned, evacuated);
         vm.shrunk |= !facts.room.holds(vm.room());
         if facts.room != vm.room() && vm.without_room > 0 {
             (vm.without_room, vm.aside_until) = (0, 0);
@@ -80,6 +82,19 @@
         self.cordoned = names;
     }
 
+    /// Sets which data halls are evacuated, and whether that is known well enough to start anything: while it is not,
+    /// any hall may be.
+    pub fn set_halls(&mut self, halls: Arc<Halls>, known: bool) {
+        self.halls_unknown = !known;
+        if self.halls == halls {
+            return;
+        }
+        for vm in self.vms.values_mut() {
+            vm.evacuated = vm.facts.as_ref().is_some_and(|f| !halls.takes_work(&f.hall));
+        }
+        self.halls = halls;
+    }
+
     /// Sets which VMs, by lasting name, are emptied for a pool that needs them now.
     pub fn set_hurried(&mut self, names: HashSet<Arc<str>>) {
         self.hurried = names;
--- /dev/null
+++ b/crates/schedule/tests/evacuation.rs
@@ -0,0 +1,172 @@
+//! Data halls that are evacuated, in the decisions of a pool and of the fleet.
+//!
+//! The load: work fills all VMs when a hall with a half of them takes no more of it, and the hall is back later.
+
+mod common;
+mod fleet_common;
+
+use std::sync::Arc;
+
+use common::{
+    JOB, at, end_run, job, lasting, plan_and_start, report, row, starts, step, stops, vm,
+};
+use fleet_common::{busy, two_pools, vms_of};
+use googletest::prelude::*;
+use thistle_schedule::fleet::{Fleet, FleetRecord, FleetVm, HoldOff, VmState};
+use thistle_schedule::halls::is_known;
+use thistle_schedule::{EndKind, Evacuation, Halls, JobId, Pool, Step, VmFacts, VmReport};
+
+fn evacuated(names: &[&str]) -> Arc<Halls> {
+    let mut halls = Halls::default();
+    for name in names {
+        halls.evacuate(Evacuation { hall: (*name).into(), since: 1 });
+    }
+    Arc::new(halls)
+}
+
+fn vm_in(hall: &str, name: &str) -> Arc<VmFacts> {
+    Arc::new(VmFacts { hall: hall.into(), rack: hall.into(), ..vm(name, 1).as_ref().clone() })
+}
+
+fn bring_up(pool: &mut Pool, hall: &str, name: &str) {
+    let facts = vm_in(hall, name);
+    pool.list_vm(facts.clone());
+    pool.report(&facts.id, &VmReport::default(), at(0));
+}
+
+/// VMs of four cores: two in hall a, two in hall b.
+fn two_halls() -> Pool {
+    let mut pool = Pool::new();
+    for (hall, name) in [("a", "a1"), ("a", "a2"), ("b", "b1"), ("b", "b2")] {
+        bring_up(&mut pool, hall, name);
+    }
+    pool
+}
+
+#[gtest]
+fn nothing_new_is_placed_in_an_evacuated_hall_and_what_runs_there_goes_on() {
+    let mut pool = two_halls();
+    pool.submit(JOB, job(vec![step(16, 1_000)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    expect_that!(started, len(eq(16)), "all is full");
+    pool.set_halls(evacuated(&["a"]), true);
+    pool.submit(JobId(2), job(vec![step(16, 1_000)]), at(20));
+    let orders = pool.plan(at(20));
+    expect_that!(starts(&orders), is_empty());
+    expect_that!(stops(&orders), is_empty());
+    for start in &started {
+        end_run(&mut pool, start, EndKind::Done, 1_000);
+    }
+    let next = plan_and_start(&mut pool, 1_010);
+    expect_that!(next, len(eq(8)), "the other hall is filled");
+    expect_that!(next.iter().all(|s| s.vm.id().starts_with("i-b")), eq(true));
+    pool.set_halls(evacuated(&[]), true);
+    let back = plan_and_start(&mut pool, 1_020);
+    expect_that!(back, len(eq(8)));
+    expect_that!(back.iter().all(|s| s.vm.id().starts_with("i-a")), eq(true));
+}
+
+#[gtest]
+fn a_vm_that_comes_up_in_an_evacuated_hall_takes_nothing() {
+    let mut pool = Pool::new();
+    pool.set_halls(evacuated(&["a"]), true);
+    bring_up(&mut pool, "a", "a1");
+    pool.submit(JOB, job(vec![step(1, 1_000)]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    expect_that!(pool.load(at(10)).vms, eq(0), "it is no capacity");
+    expect_that!(pool.idle(), is_empty());
+    bring_up(&mut pool, "b", "b1");
+    expect_that!(starts(&pool.plan(at(20))), len(eq(1)));
+}
+
+#[gtest]
+fn lasting_tasks_stay_in_an_evacuated_hall_and_are_brought_back_in_another() {
+    let mut pool = two_halls();
+    pool.submit(JOB, job(vec![lasting(2, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    for start in &started {
+        pool.report(&start.vm, &report(20, vec![row(start.run, 100)], Vec::new()), at(20));
+    }
+    let lost = &started[0].vm;
+    let hall = if lost.id().starts_with("i-a") { "a" } else { "b" };
+    pool.set_halls(evacuated(&[hall]), true);
+    expect_that!(pool.plan(at(30)), is_empty(), "they go on");
+    end_run(&mut pool, &started[0], EndKind::Lapsed, 40);
+    let again = plan_and_start(&mut pool, 50);
+    expect_that!(again, len(eq(1)));
+    expect_that!(again[0].vm.id().starts_with(&format!("i-{hall}")), eq(false));
+}
+
+#[gtest]
+fn a_gang_that_fits_the_halls_that_are_left_only_in_part_waits_whole() {
+    let mut pool = two_halls();
+    pool.set_halls(evacuated(&["a"]), true);
+    pool.submit(JOB, job(vec![Step { gang: true, ..step(9, 1_000) }]), at(0));
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    pool.set_halls(evacuated(&[]), true);
+    expect_that!(starts(&pool.plan(at(20))), len(eq(9)));
+}
+
+#[gtest]
+fn nothing_starts_while_all_halls_are_evacuated_or_may_be() {
+    let mut pool = two_halls();
+    pool.submit(JOB, job(vec![step(4, 1_000)]), at(0));
+    pool.set_halls(evacuated(&["a", "b"]), true);
+    expect_that!(starts(&pool.plan(at(10))), is_empty());
+    pool.set_halls(evacuated(&[]), false);
+    expect_that!(starts(&pool.plan(at(20))), is_empty());
+    pool.set_halls(evacuated(&[]), true);
+    expect_that!(starts(&pool.plan(at(30))), len(eq(4)));
+}
+
+/// The operator's requests are read all the time; a read that was sent before a request tells nothing of it.
+#[gtest]
+fn evacuations_are_known_for_less_than_the_time_until_they_take_effect() {
+    expect_that!(is_known(None, None, 9_000), eq(true), "there are none");
+    expect_that!(is_known(None, Some(5_000), 9_000), eq(false), "nothing was read");
+    expect_that!(is_known(Some(5_100), Some(5_000), 9_000), eq(true));
+    expect_that!(is_known(Some(5_000), Some(5_000), 9_000), eq(false), "a start takes a second");
+}
+
+fn fleet_vm(name: &str, pool: &str, hall: &str) -> FleetVm {
+    FleetVm { hall: hall.into(), ..fleet_common::vm(name, pool, 1, VmState::Up) }
+}
+
+/// Six VMs in a pool, a half of them in each hall, and four that are switched off.
+fn pool_in_two_halls() -> Fleet {
+    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    fleet.set_pools(["desk".into()].into(), Some("off".into()));
+    let mut vms = Vec::new();
+    for i in 0..3 {
+        vms.push(fleet_vm(&format!("a{i}"), "desk", "a"));
+        vms.push(fleet_vm(&format!("b{i}"), "desk", "b"));
+    }
+    for (name, hall) in [("oa", "a"), ("ob", "b"), ("oc", "b"), ("od", "b")] {
+        vms.push(fleet_vm(name, "off", hall));
+    }
+    fleet.set_vms(vms, 0);
+    fleet
+}
+
+#[gtest]
+fn capacity_in_an_evacuated_hall_is_made_up_from_the_others_before_work_waits() {
+    let mut fleet = pool_in_two_halls();
+    fleet.set_report(&"desk".into(), busy(0, 60_000, &[]), 10);
+    expect_that!(fleet.plan(20), is_empty(), "the pool has what it needs");
+    fleet.set_halls(evacuated(&["a"]));
+    let mut brought: Vec<String> = fleet.plan(30).into_iter().map(|order| order.vm).collect();
+    brought.sort();
+    expect_that!(brought, eq(&["ob", "oc"].map(str::to_owned).to_vec()), "none of that hall");
+}
+
+#[gtest]
+fn idle_vms_of_an_evacuated_hall_stay_where_they_are() {
+    let mut fleet = two_pools();
+    fleet.set_halls(evacuated(&["hall-a"]));
+    fleet.set_report(&"desk".into(), busy(0, 0, &["d0", "d1", "d2", "d3", "d4", "d5"]), 10);
+    fleet.set_report(&"hub".into(), busy(60_000, 96_000, &[]), 10);
+    expect_that!(vms_of(&fleet.plan(20)), is_empty());
+    fleet.set_report(&"desk".into(), busy(0, 0, &["d0", "d1", "d2", "d3", "d4", "d5"]), 9_000);
+    expect_that!(vms_of(&fleet.plan(9_010)), is_empty());
+    expect_that!(fleet.record().work, is_empty());
+}
--- a/crates/schedule/tests/fleet_common/mod.rs
+++ b/crates/schedule/tests/fleet_common/mod.rs
@@ -7,7 +7,8 @@
 
 pub fn vm(name: &str, pool: &str, life: u32, state: VmState) -> FleetVm {
     let incarnation = Some(format!("{name}-{life}").into());
-    FleetVm { name: name.into(), pool: pool.into(), state, rack: "r1".into(), incarnation }
+    let (hall, rack) = ("hall-a".into(), "r1".into());
+    FleetVm { name: name.into(), pool: pool.into(), state, hall, rack, incarnation }
 }
 
 pub fn up(names: &[&str]) -> Vec<FleetVm> {
--- a/crates/schedule/tests/world/flights.rs
+++ b/crates/schedule/tests/world/flights.rs
@@ -67,6 +67,18 @@
         else {
             return;
         };
+        let evacuated = self.evacuated.get(hall_of(name)).copied();
+        let is_copy = flight.answered && flight.given + TURN < now;
+        if let Order::Start(start) = &flight.order
+            && is_copy
+            && evacuated.is_some()
+        {
+            // It is not sent again into an evacuated hall; a copy may be under way.
+            if flight.token == self.token {
+                self.pool.start_result(&target, start.run, StartResult::Unclear, at(now));
+            }
+            return;
+        }
         if sim.cut_until > now || sim.dark_until > now {
             // Given again once it can be reached, unless the owner has changed or given up on it. That gives no longer lease.
             if flight.answered && flight.token == self.token && !self.lost.contains(&target) {
@@ -114,6 +126,9 @@
             StartResult::Unclear
         } else {
             sim.lease_until = sim.lease_until.max(flight.deadline);
+            let evacuated = self.evacuated.get(hall_of(name)).copied();
+            let ordered_after = evacuated.is_some_and(|since| flight.given > since);
+            assert!(!ordered_after, "{run} starts in an evacuated hall at {now}");
             let given = Given { token: flight.token, at: flight.given };
             self.runs.note_start(&start.vm, run, given, now);
             self.check_start(name, start);
--- a/crates/schedule/tests/world/mod.rs
+++ b/crates/schedule/tests/world/mod.rs
@@ -15,8 +15,8 @@
 };
 use thistle_schedule::pool::{Order, StartOrder, StartResult};
 use thistle_schedule::{
-    EndKind, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId, VmFacts, VmLife,
-    VmLoss, VmReport,
+    EndKind, Evacuation, Halls, JobId, JobLog, Ms, Pool, Room, RunEnd, RunId, RunRow, Step, TaskId,
+    VmFacts, VmLife, VmLoss, VmReport,
 };
 
 use self::flights::Flight;
@@ -50,12 +50,19 @@
     loud: bool,
     last_answer: BTreeMap<VmLife, Ms>,
     lost: BTreeSet<VmLife>,
+    /// Evacuated halls, with since when.
+    evacuated: BTreeMap<&'static str, Ms>,
 }
 
 fn facts_of(name: &str, sim: &SimVm) -> std::sync::Arc<VmFacts> {
     let facts = vm_facts(name, sim.id_number);
     let id = VmLife::new(facts.id.id().clone(), Some(u64::from(sim.life)));
-    std::sync::Arc::new(VmFacts { id, ..facts.as_ref().clone() })
+    std::sync::Arc::new(VmFacts { id, hall: hall_of(name).into(), ..facts.as_ref().clone() })
+}
+
+/// Returns the hall of a VM: each has a half of them.
+fn hall_of(name: &str) -> &'static str {
+    if name < "c" { "hall-a" } else { "hall-b" }
 }
 
 fn life_of(name: &str, sim: &SimVm) -> VmLife {
@@ -88,6 +95,7 @@
             loud: std::env::var_os("THISTLE_SEED").is_some(),
             last_answer: BTreeMap::new(),
             lost: BTreeSet::new(),
+            evacuated: BTreeMap::new(),
         };
         world.list_all();
         world
@@ -138,6 +146,7 @@
         self.tell(|| format!("owner replaced, token {}", self.token + 1));
         self.token += 1;
         self.pool = Pool::new();
+        self.tell_halls();
         self.lost.clear();
         for (id, entry) in self.log.iter() {
             self.pool.adopt(id, entry, at(self.now));
@@ -152,8 +161,29 @@
         }
     }
 
+    /// Evacuates a hall, or takes it back.
+    fn evacuate_or_take_back(&mut self, hall: &'static str) {
+        if self.evacuated.remove(hall).is_none() {
+            self.evacuated.insert(hall, self.now);
+        }
+        self.tell(|| format!("evacuated: {:?}", self.evacuated));
+        self.tell_halls();
+    }
+
+    fn tell_halls(&mut self) {
+        let mut halls = Halls::default();
+        for (&hall, &since) in &self.evacuated {
+            halls.evacuate(Evacuation { hall: hall.into(), since });
+        }
+        self.pool.set_halls(halls.into(), true);
+    }
+
     pub fn turn(&mut self, calm: bool) {
         self.now += TURN;
+        if calm && !self.evacuated.is_empty() {
+            self.evacuated.clear();
+            self.tell_halls();
+        }
         self.end_runs();
         self.deliver();
         self.hold_all();
@@ -320,6 +350,7 @@
                 self.last_answer.insert(new, now);
             }
             5..8 => self.replace_owner(),
+            8..10 => self.evacuate_or_take_back(hall_of(&name)),
             _ => (),
         }
     }
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -48,7 +48,7 @@
 
 async fn follow_claims(node: Arc<Node>) {
     let cx = node.clone();
-    follow(&node, Tail::new(TOPIC, CLAIMS), Pace::AtOnce, move |news, next| {
+    follow(&node, Tail::new(TOPIC, CLAIMS), Pace::AtOnce, move |news, tail| {
         let records = match news {
             News::Reloaded(records) => {
                 // At once: whoever claims a pool in between must not miss what is told of it.
@@ -66,7 +66,7 @@
                 None => take_claim(&cx, &stored),
             }
         }
-        if let Some(next) = next {
+        if let Some(next) = tail.next_offset() {
             cx.claims_end.reached(next);
         }
         cx.ownership_changed.notify_one();
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -198,6 +198,7 @@
         let working: HashSet<Arc<str>> = catalog.working_pools().cloned().collect();
         let off = catalog.pools.iter().find(|p| p.switched_off).map(|p| p.name.clone());
         self.fleet.set_pools(working, off);
+        self.fleet.set_halls(self.node.halls.borrow().clone());
         for wave in self.node.waves.borrow().iter() {
             self.fleet.set_wave(wave.clone());
         }
@@ -280,6 +281,7 @@
         name: machine.name,
         pool: machine.pool,
         state,
+        hall: machine.hall,
         rack: machine.rack,
         incarnation: machine.incarnation.map(life),
     }
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use thistle_platform::{ReadError, Store, StoreError, Stored};
+use thistle_schedule::Ms;
 
+use crate::clock::steady_ms;
 use crate::node::Node;
 use crate::read_failures::ReadFailures;
 
@@ -39,12 +41,13 @@
     topic: String,
     part: u32,
     next: Option<u64>,
+    read_at: Option<Ms>,
 }
 
 impl Tail {
     /// Makes a reader that starts with the newest record of each key.
     pub fn new(topic: impl Into<String>, part: u32) -> Self {
-        Self { topic: topic.into(), part, next: None }
+        Self { topic: topic.into(), part, next: None, read_at: None }
     }
 
     /// Returns the offset of the next record.
@@ -52,6 +55,12 @@
         self.next
     }
 
+    /// Returns when the newest read was sent that reached the end of the partition: all that the store had taken by then
+    /// is known.
+    pub const fn read_at(&self) -> Option<Ms> {
+        self.read_at
+    }
+
     /// Reads what is new, waiting for it up to `wait`.
     pub async fn read(&mut self, store: &Store, wait: Duration) -> Result<News, StoreError> {
         let Some(from) = self.next else {
@@ -59,9 +68,14 @@
             self.next = Some(newest.end);
             return Ok(News::Reloaded(newest.records));
         };
+        let sent_at = steady_ms();
         match store.read(&self.topic, self.part, from, wait).await {
             Ok(batch) => {
-                self.next = Some(from + batch.records.len() as u64);
+                let next = from + batch.records.len() as u64;
+                self.next = Some(next);
+                if next >= batch.end {
+                    self.read_at = Some(sent_at);
+                }
                 Ok(News::Records(batch.records))
             }
             Err(ReadError::Dropped) => {
@@ -99,14 +113,9 @@
     }
 }
 
-/// Follows a partition until the task is dropped, handing on what is read with the next offset.
+/// Follows a partition until the task is dropped, handing on what is read, and how far.
 /// `pace` tells how soon it reads on.
-pub async fn follow(
-    node: &Node,
-    mut tail: Tail,
-    pace: Pace,
-    mut apply: impl FnMut(News, Option<u64>),
-) {
+pub async fn follow(node: &Node, mut tail: Tail, pace: Pace, mut apply: impl FnMut(News, &Tail)) {
     let mut wait = Duration::ZERO;
     let mut failures = ReadFailures::default();
     loop {
@@ -115,8 +124,7 @@
                 node.standing.note(true);
                 failures.end(&tail.topic, tail.part);
                 wait = if news.is_empty() { WAIT } else { WAIT_AFTER_NEWS };
-                let next = tail.next_offset();
-                apply(news, next);
+                apply(news, &tail);
                 rest(node, pace).await;
             }
             Err(e) => {
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -1,4 +1,4 @@
-//! The configuration and the VMs, as the store tells them.
+//! The configuration, the operator's other requests and the VMs, as the store tells them.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -6,18 +6,21 @@
 use metrics::counter;
 use thistle_platform::{Stored, config, listing};
 use thistle_schedule::fleet::WaveRequest;
-use thistle_schedule::{Ms, VmFacts};
+use thistle_schedule::{Evacuation, Halls, Ms, VmFacts};
 
 use crate::clock::steady_ms;
 use crate::follow::{News, Pace, Tail, follow, follow_while_owning};
 use crate::node::{Node, VmTable};
 
-/// Follows the operator's configuration.
+/// Follows the operator's configuration, waves of maintenance and evacuated halls.
 pub async fn follow_config(node: Arc<Node>) {
     let cx = node.clone();
-    follow(&node, Tail::new(config::TOPIC, 0), Pace::AtOnce, move |news, _| {
+    follow(&node, Tail::new(config::TOPIC, 0), Pace::AtOnce, move |news, tail| {
         let (records, asked_at) = match news {
-            News::Reloaded(records) => (records, None),
+            News::Reloaded(records) => {
+                take_all_halls(&cx, &records);
+                (records, None)
+            }
             News::Records(records) => (records, Some(steady_ms())),
         };
         for stored in records {
@@ -25,8 +28,12 @@
                 take_catalog(&cx, &stored);
             } else if let Some(wave) = config::wave_of_key(&stored.record.key) {
                 take_wave(&cx, wave, &stored, asked_at);
+            } else if let Some(hall) = config::hall_of_key(&stored.record.key) {
+                take_hall(&cx, hall, &stored);
             }
         }
+        // Only now is all that was read in force.
+        cx.note_operator_read(tail.read_at());
     })
     .await;
 }
@@ -94,6 +101,45 @@
     });
 }
 
+/// Takes in the evacuations that there are: those that are not among the newest records were withdrawn.
+fn take_all_halls(node: &Node, records: &[Stored]) {
+    let asked = |hall: &str| {
+        let of_hall = |s: &&Stored| config::hall_of_key(&s.record.key) == Some(hall);
+        records.iter().find(of_hall).is_some_and(|s| s.record.value().is_some())
+    };
+    node.halls.send_if_modified(|halls| {
+        let over: Vec<_> = halls.evacuated().filter(|e| !asked(&e.hall)).collect();
+        for Evacuation { hall, since } in &over {
+            log::info!("hall hall={hall} step=taken-back since={since} reason=not-listed");
+            Arc::make_mut(halls).take_back(hall);
+        }
+        !over.is_empty()
+    });
+}
+
+/// Takes in that the operator asks to evacuate a hall, or takes it back. One that is not known is kept in mind all the
+/// same: its VMs may be listed later.
+fn take_hall(node: &Node, hall: &str, stored: &Stored) {
+    if hall.is_empty() {
+        log::error!("hall step=unreadable offset={} error=\"no hall is named\"", stored.offset);
+        return;
+    }
+    let asked = stored.record.value().is_some();
+    node.halls.send_if_modified(|halls| {
+        if asked != halls.takes_work(hall) {
+            return false;
+        }
+        let step = if asked { "evacuated" } else { "taken-back" };
+        log::info!("hall hall={hall} step={step} offset={}", stored.offset);
+        let halls: &mut Halls = Arc::make_mut(halls);
+        match asked {
+            true => halls.evacuate(Evacuation { hall: hall.into(), since: stored.offset }),
+            false => _ = halls.take_back(hall),
+        }
+        true
+    });
+}
+
 /// Follows the VM incarnations that the store lists.
 pub async fn follow_vms(node: Arc<Node>) {
     let mut unreadable = Unreadable::default();
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -7,7 +7,7 @@
 use thistle_platform::Store;
 use thistle_schedule::fleet::{FleetRecord, WaveRequest};
 use thistle_schedule::ownership::{NodeLife, OWNER_LEASE_MS, Ownership};
-use thistle_schedule::{Catalog, KeySecret, Ms, VmFacts};
+use thistle_schedule::{Catalog, Halls, KeySecret, Ms, VmFacts, halls};
 use thistle_settings::SchedulerSettings;
 use tokio::sync::watch;
 
@@ -55,6 +55,10 @@
     pub lent: watch::Sender<Arc<LentTable>>,
     /// The waves that the operator asks for.
     pub waves: watch::Sender<Vec<WaveRequest>>,
+    /// The data halls that are evacuated.
+    pub halls: watch::Sender<Arc<Halls>>,
+    /// When the newest read was sent that reached the end of the operator's requests; 0 before the first.
+    operator_read_at: AtomicU64,
     /// Owners and members.
     pub ownership: Mutex<Ownership>,
     /// How far the claims were read.
@@ -91,6 +95,8 @@
             fleet: watch::Sender::new(Arc::default()),
             lent: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(Vec::new()),
+            halls: watch::Sender::new(Arc::default()),
+            operator_read_at: AtomicU64::new(0),
             claims_end: ClaimsEnd::default(),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
@@ -132,6 +138,19 @@
         lock(&self.pools).values().cloned().collect()
     }
 
+    /// Takes in that all of the operator's requests are in force that the store had taken when a read was sent.
+    pub fn note_operator_read(&self, sent_at: Option<Ms>) {
+        self.operator_read_at.fetch_max(sent_at.unwrap_or(0), Ordering::Relaxed);
+    }
+
+    /// Returns whether this node knows well enough which data halls are evacuated to start tasks.
+    pub fn halls_known(&self) -> bool {
+        let read_at = self.operator_read_at.load(Ordering::Relaxed);
+        let within = self.settings.evacuate_within.map(|span| span.0.as_millis());
+        let within = within.map(|ms| Ms::try_from(ms).unwrap_or(Ms::MAX));
+        halls::is_known((read_at > 0).then_some(read_at), within, steady_ms())
+    }
+
     /// Returns whether this node may act as owner now.
     pub fn lease_valid(&self) -> bool {
         steady_ms() < self.lease_until.load(Ordering::Relaxed)
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -43,6 +43,7 @@
     node: Arc<Node>,
     vm: VmLife,
     pool: Arc<str>,
+    hall: Arc<str>,
     token: LinkToken,
     client: WorkerClient,
     lease: Mutex<TaskLease>,
@@ -91,6 +92,7 @@
             node: node.clone(),
             vm: vm.id.clone(),
             pool: vm.pool.clone(),
+            hall: vm.hall.clone(),
             token,
             client: WorkerClient::new(vm.addr, vm.id.clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
@@ -219,6 +221,11 @@
         !self.is_closed() && self.node.may_act(&self.pool, self.token.claim)
     }
 
+    /// Returns whether the VM's hall takes no new work.
+    fn is_evacuated(&self) -> bool {
+        !self.node.halls.borrow().takes_work(&self.hall)
+    }
+
     /// Waits until orders may go out; returns false when the link was closed.
     async fn until_may_send(&self) -> bool {
         while !self.is_closed() {
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -126,6 +126,21 @@
             tokio::time::sleep(RETRY).await;
             continue;
         }
+        if !link.node.halls_known() {
+            tokio::time::sleep(RETRY).await;
+            continue;
+        }
+        let refused = if may_be_there { StartResult::Unclear } else { StartResult::NotTaken };
+        if link.is_evacuated() {
+            // A copy that was sent before may run; sent again it could begin the task long after the hall was evacuated.
+            log::info!(
+                "start step=hall-evacuated run={} vm={} hall={} sent={may_be_there}",
+                order.run,
+                link.vm,
+                link.hall
+            );
+            return Some(refused);
+        }
         let sent_at = Instant::now();
         let start = Start {
             run: order.run,
@@ -135,7 +150,6 @@
             checkpoint: &order.checkpoint,
             ticket: order.ticket.as_deref(),
         };
-        let refused = if may_be_there { StartResult::Unclear } else { StartResult::NotTaken };
         match link.client.start(start).await {
             Ok(StartAnswer::Started) if may_be_there => {
                 return Some(StartResult::StartedWithCopies);
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -103,6 +103,7 @@
         let mut fleet = self.node.fleet.subscribe();
         let mut catalog = self.node.catalog.subscribe();
         let mut lent = self.node.lent.subscribe();
+        let mut halls = self.node.halls.subscribe();
         vms.mark_changed();
         fleet.mark_changed();
         catalog.mark_changed();
@@ -129,6 +130,8 @@
                     lent.mark_unchanged();
                     self.take_lent();
                 }
+                // They are taken in with each step.
+                Ok(()) = halls.changed() => halls.mark_unchanged(),
                 () = tokio::time::sleep(pause) => (),
             }
             // What has piled up meanwhile is decided on together.
@@ -216,6 +219,7 @@
     /// Decides, writes what was decided, and only then lets orders and acknowledgements go.
     async fn step(&mut self) -> Result<(), Fenced> {
         self.pool.set_listing_is_sound(self.node.standing.listing_is_sound());
+        self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
         let orders = self.pool.plan(now());
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -11,6 +11,8 @@
 mod caps;
 #[path = "soak/checks.rs"]
 mod checks;
+#[path = "soak/evacuations.rs"]
+mod evacuations;
 #[path = "soak/faults.rs"]
 mod faults;
 #[path = "soak/harm.rs"]
@@ -68,6 +70,8 @@
 /// that its VM had started again meanwhile, and its next question acknowledged 60 ends of the former life
 /// (`vm step=link-over vm=i-m-0-1 acknowledged=60`, 0.8 s after the new one had begun); a task of the new one was started again.
 const RESTART_SEEDS: [u64; 2] = [4_000, 4_055];
+/// Seeds of a short run with data halls that are evacuated and taken back.
+const EVACUATION_SEEDS: [u64; 2] = [5_000, 5_001];
 /// Seeds of a run of many processes.
 const MANY_SEEDS: [u64; 1] = [3_000];
 
@@ -142,6 +146,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn promises_hold_when_halls_are_evacuated() {
+    for seed in seeds_or(EVACUATION_SEEDS) {
+        play(seed, Kind::Evacuations).await;
+    }
+}
+
 /// By hand: `cargo test --release -p thistle-scheduler --test soak many_processes -- --ignored --nocapture`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "it takes as many processes as a machine bears beside nothing else"]
@@ -168,6 +179,8 @@
     ManyProcesses,
     /// Anything, beside VMs that crash and start again under the IDs that they had, one or all at once.
     Restarts,
+    /// Anything, beside data halls that are evacuated and taken back, one or all, at times for a moment.
+    Evacuations,
     /// Nodes told to stop and started again, settings reloaded, configurations.
     PlannedWork,
 }
@@ -179,7 +192,8 @@
         match self {
             Self::Faults => (100, 60),
             Self::FaultsOfMany => (160, 20),
-            Self::PlannedWork => (180, 60),
+            Self::PlannedWork => (180, 50),
+            Self::Evacuations => (230, 10),
             Self::Harm => (240, 15),
             Self::Cap => (10, 60),
             Self::Bursts => (70, 20),
@@ -190,7 +204,12 @@
 
     const fn nodes(self) -> u8 {
         match self {
-            Self::Faults | Self::PlannedWork | Self::Harm | Self::Cap | Self::Restarts => 3,
+            Self::Faults
+            | Self::PlannedWork
+            | Self::Harm
+            | Self::Cap
+            | Self::Restarts
+            | Self::Evacuations => 3,
             Self::FaultsOfMany => 14,
             // One is down at first, to take the place of another.
             Self::Bursts => 4,
@@ -198,6 +217,14 @@
         }
     }
 
+    /// Returns lines that stand in the nodes' settings beside the usual ones.
+    const fn settings(self) -> &'static str {
+        match self {
+            Self::Evacuations => evacuations::SETTINGS,
+            _ => "",
+        }
+    }
+
     const fn rhythm(self) -> Rhythm {
         match self {
             Self::Bursts | Self::ManyProcesses => Rhythm::Bursts,
@@ -210,7 +237,10 @@
     let length = Duration::from_secs(seconds());
     let (first, nets) = kind.nets();
     let net = first + u8::try_from(seed % nets).unwrap_or(0);
-    let mut soak = Soak::start(seed, net, kind.nodes()).await;
+    let mut soak = Soak::start(seed, net, kind.nodes(), kind.settings()).await;
+    if kind == Kind::Evacuations {
+        soak.add_second_hall(net).await;
+    }
     if kind == Kind::Restarts {
         soak.system.platform.machines.keep_ids();
     }
@@ -229,6 +259,7 @@
             Kind::Harm => soak.harm().await,
             Kind::Restarts => soak.restart_or_fault().await,
             Kind::Cap => soak.cap_or_fault().await,
+            Kind::Evacuations => soak.evacuation_or_fault().await,
             Kind::Bursts | Kind::ManyProcesses => soak.burst_fault().await,
         }
         soak.probe_config().await;
@@ -239,6 +270,7 @@
     if kind == Kind::Cap {
         soak.put_last_cap();
     }
+    soak.take_all_halls_back();
     soak.mend_all().await;
     let mut jobs = callers.stop().await;
     soak.until_settled(&jobs).await;
@@ -246,6 +278,7 @@
     let mut broken = checks::broken_promises(&soak.system, &jobs);
     broken.extend(soak.started_too_often());
     broken.extend(soak.starts_over_cap());
+    broken.extend(soak.starts_in_evacuated_halls());
     if kind == Kind::PlannedWork {
         broken.extend(checks::cut_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -1,7 +1,7 @@
 //! Promises, checked from what callers were told and what VMs saw.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use thistle_platform::standin::{Happening, Step};
 
@@ -28,6 +28,8 @@
     StartedTooOften { task: String, starts: usize },
     /// More ran of a workspace through a start than its cap allows.
     OverCap { run: String, running: i64 },
+    /// A task was started in a data hall long after the hall was evacuated.
+    InEvacuatedHall { run: String, hall: &'static str, after: Duration },
     /// A node took a request in and did not answer it, with nothing but planned work about.
     Cut { job: String, node: usize },
 }
@@ -165,8 +167,6 @@
 
 #[cfg(test)]
 mod tests {
-    use std::time::Duration;
-
     use googletest::prelude::*;
 
     use super::*;
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -9,6 +9,7 @@
 use thistle_platform::standin::{Fault, Path, Silence};
 
 use super::bursts::Later;
+use super::evacuations::Evacuated;
 use super::system::{System, ip, until};
 
 const VMS: u8 = 6;
@@ -26,6 +27,8 @@
     pub crashing: Vec<String>,
     /// Caps, with when each was put in force.
     pub caps: Vec<(Instant, u32)>,
+    /// Evacuations of data halls, those that are over with their end.
+    pub evacuations: Vec<Evacuated>,
     pub rng: StdRng,
     /// When faults began to come.
     pub began: Instant,
@@ -44,8 +47,9 @@
 }
 
 impl Soak {
-    pub async fn start(seed: u64, net: u8, nodes: u8) -> Self {
+    pub async fn start(seed: u64, net: u8, nodes: u8, settings: &str) -> Self {
         let mut system = System::start(net, VMS, 0).await;
+        system.further_settings = settings.to_owned();
         let mut ways = Vec::new();
         for i in 0..nodes {
             let from = (ip(net, 50 + i), WAY_PORT).into();
@@ -66,6 +70,7 @@
             faults,
             crashing,
             caps,
+            evacuations: Vec::new(),
             rng,
             began,
             was_burst: false,
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -6,12 +6,12 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::PathBuf;
 use std::process::{Child, Command};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::Method;
 use thistle_platform::KEY_HEADER;
 use thistle_platform::http::{Answer, Call, HttpClient};
-use thistle_platform::standin::{Standin, bodies};
+use thistle_platform::standin::{Standin, Step, bodies};
 
 pub use thistle_platform::standin::bodies::job;
 
@@ -182,6 +182,20 @@
         system
     }
 
+    /// Adds a VM in a data hall to the pool of jobs; `host` is the last part of its address.
+    pub async fn add_vm_in(&self, hall: &str, net: u8, host: u8) {
+        let name = format!("m-{hall}-{host}");
+        let added = self.platform.machines.add_in(hall, &name, POOL, ip(net, host)).await;
+        added.expect("the VM starts");
+    }
+
+    /// Returns the runs that were started in a data hall, with when.
+    pub fn starts_in(&self, hall: &str) -> Vec<(Instant, String)> {
+        let happenings = self.platform.machines.histories_in(hall).into_iter().flatten();
+        let started = happenings.filter(|happening| happening.step == Step::Started);
+        started.map(|h| (h.at, format!("{}#{}", h.task, h.attempt))).collect()
+    }
+
     pub fn add_node(&mut self, ip: Ipv4Addr) {
         self.add_node_at(ip, self.platform.store_addr());
     }
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -45,6 +45,9 @@
     /// Least time between orders about one VM from different nodes.
     #[serde(default = "default_gap")]
     pub machine_order_gap: Span,
+    /// Within what time an evacuated hall is to get nothing new; without it no hall is ever evacuated.
+    #[serde(default)]
+    pub evacuate_within: Option<Span>,
     /// How long the state of settled jobs is told at least.
     #[serde(default = "default_keep")]
     pub keep_settled: Span,
@@ -87,6 +90,9 @@
         let day = Span::from_secs(86_400);
         in_range("keep_settled", &self.keep_settled, &second, &day)?;
         in_range("machine_order_gap", &self.machine_order_gap, &second, &Span::from_secs(600))?;
+        if let Some(within) = &self.evacuate_within {
+            in_range("evacuate_within", within, &Span::from_secs(2), &Span::from_secs(600))?;
+        }
         check_policy(&self.policy)?;
         let mut listeners = vec![self.listen, self.readiness_listen, self.metrics_listen];
         listeners.extend(self.relay_listen);
