The fleet's record in rows of bounded size, written only where it changes

Cause: the record was one JSON value with all VMs that are worked on, written whole with each change; the store takes 262,144 bytes a record. Class: one value that grows with VMs. Now a row a VM, a wave, and a VM of a wave, below 300 bytes each, under the same fence; a successor reads all rows after it has shut its predecessor out, and takes over what older programs wrote as one. The fleet's planning no longer looks through all work for each VM (WorkList, sizes in one pass). Ruled out: a larger bound (the store's own), chunks (each change rewrites one, and they must be found again).

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -6,7 +6,9 @@
 mod facts;
 mod moves;
 mod record;
+mod rows;
 mod wave;
+mod work;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
@@ -17,7 +19,9 @@
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
+pub use rows::FleetRow;
 use wave::Wave;
+pub use work::WorkList;
 
 /// How long after an order without an answer a VM is left alone: the order may be carried out up
 /// to 12 s later, by the platform's word on late orders.
@@ -72,6 +76,8 @@
     moved_at: HashMap<String, Ms>,
     /// Since when VMs have had nothing running, by their pools' reports.
     idle_since: HashMap<String, Ms>,
+    /// VMs that are to be emptied and have nothing running, by their pools' newest reports: the pool, and their lives.
+    emptied: HashMap<String, (Arc<str>, String)>,
     /// Since when VMs of waves are missing from the list.
     missing_since: HashMap<String, Ms>,
     hold_off: HoldOff,
@@ -113,6 +119,7 @@
             needs: moves::Needs::new(policy),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
+            emptied: HashMap::new(),
             missing_since: HashMap::new(),
             hold_off,
             ordered_lately: kept_off.clone(),
@@ -150,14 +157,18 @@
     /// Takes in a pool owner's report.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
         self.needs.note(pool, &report, now);
-        let before = self.reports.insert(pool.clone(), report).unwrap_or_default();
-        let Some(report) = self.reports.get(pool) else { return };
-        for vm in before.idle.iter().filter(|vm| !report.idle.contains(vm)) {
+        let idle: HashSet<&String> = report.idle.iter().collect();
+        let before = self.reports.get(pool).into_iter().flat_map(|before| &before.idle);
+        for vm in before.filter(|vm| !idle.contains(vm)) {
             self.idle_since.remove(vm);
         }
         for vm in &report.idle {
             self.idle_since.entry(vm.clone()).or_insert(now);
         }
+        self.emptied.retain(|_, (of, _)| of != pool);
+        let emptied = report.emptied.iter();
+        self.emptied.extend(emptied.map(|(vm, life)| (vm.clone(), (pool.clone(), life.clone()))));
+        self.reports.insert(pool.clone(), report);
     }
 
     /// Takes in a wave.
@@ -165,7 +176,7 @@
         let number = request.wave;
         let known = self.record.waves.iter().any(|w| w.wave == number);
         if !known {
-            let left = request.vms.clone();
+            let left = request.vms.iter().cloned().collect();
             self.record.waves.push(WaveRecord { wave: number, left, ..WaveRecord::default() });
         }
         self.waves.entry(number).or_insert_with(|| Wave::new(request));
@@ -222,10 +233,8 @@
 
     /// Begins to empty a VM. What was said of it before counts no more.
     fn begin(&mut self, vm: &str, purpose: Purpose) {
-        for report in self.reports.values_mut() {
-            report.emptied.retain(|(name, _)| name != vm);
-        }
-        self.record.work.push(VmWork { vm: vm.to_owned(), purpose, stage: Stage::Emptying });
+        self.emptied.remove(vm);
+        self.record.work.insert(VmWork { vm: vm.to_owned(), purpose, stage: Stage::Emptying });
     }
 
     /// Ends the work on VMs whose orders were carried out.
@@ -238,7 +247,7 @@
             if let Some(ordered_at) = given.and_then(|g| g.ordered_at) {
                 self.ordered_lately.insert(work.vm.clone(), ordered_at + self.hold_off.gap);
             }
-            self.record.work.retain(|w| w.vm != work.vm);
+            self.record.work.remove(&work.vm);
             match work.purpose {
                 Purpose::Maintain { wave } => self.mark_maintained(wave, &work.vm),
                 Purpose::Move { .. } => {
@@ -300,21 +309,16 @@
 
     /// Orders what concerns VMs that are empty now.
     fn order_emptied(&mut self) {
-        for i in 0..self.record.work.len() {
-            let work = &self.record.work[i];
-            if work.stage != Stage::Emptying || !self.is_empty(&work.vm) {
-                continue;
-            }
-            if !self.may_take_down(&work.purpose) {
+        let emptying = self.record.work.iter().filter(|w| w.stage == Stage::Emptying);
+        let empty: Vec<VmWork> = emptying.filter(|w| self.is_empty(&w.vm)).cloned().collect();
+        for VmWork { vm, purpose, .. } in empty {
+            if !self.may_take_down(&purpose) {
                 continue;
             }
-            let incarnation = self
-                .vms
-                .get(work.vm.as_str())
-                .and_then(|vm| vm.incarnation.as_deref())
-                .map(str::to_owned);
-            self.given.entry(work.vm.clone()).or_default();
-            self.record.work[i].stage = Stage::Ordered { incarnation };
+            let known = self.vms.get(vm.as_str());
+            let incarnation = known.and_then(|vm| vm.incarnation.as_deref()).map(str::to_owned);
+            self.record.work.set_stage(&vm, Stage::Ordered { incarnation });
+            self.given.entry(vm).or_default();
         }
     }
 
@@ -328,9 +332,8 @@
         if self.off_pool.as_ref() == Some(&vm.pool) {
             return true;
         }
-        let Some(report) = self.reports.get(&vm.pool) else { return false };
         let incarnation = vm.incarnation.as_deref().unwrap_or_default();
-        report.emptied.iter().any(|(n, i)| n == name && i == incarnation)
+        self.emptied.get(name).is_some_and(|(pool, life)| *pool == vm.pool && life == incarnation)
     }
 
     fn give_orders(&mut self, now: Ms) -> Vec<FleetOrder> {
@@ -353,8 +356,7 @@
     /// Gives up the work on a VM for which it cannot be done.
     fn abandon(&mut self, vm: &str) {
         self.given.remove(vm);
-        let Some(i) = self.record.work.iter().position(|w| w.vm == vm) else { return };
-        let work = self.record.work.remove(i);
+        let Some(work) = self.record.work.remove(vm) else { return };
         if let Purpose::Maintain { wave } = work.purpose {
             self.mark_maintained(wave, vm);
         }
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -119,7 +119,7 @@
 impl Fleet {
     /// Begins the moves that the pools' needs ask for.
     pub(super) fn begin_moves(&mut self, now: Ms) {
-        let mut spare = self.off_vms();
+        let mut spare = VecDeque::from(self.off_vms());
         let mut shares = self.shares(spare.len());
         spare.extend(self.spare_vms(&shares, now));
         let mut free = (self.vms.len() * self.policy.moves.at_once_percent / 100)
@@ -142,8 +142,7 @@
     /// Divides the VMs among the pools: what each needs, or a fair part of what there is. Work that
     /// will be late gets what work in time leaves.
     fn shares(&self, off: usize) -> HashMap<Arc<str>, Share> {
-        let sizes: Vec<(Arc<str>, usize)> =
-            self.working_pools.iter().map(|p| (p.clone(), self.size(p))).collect();
+        let sizes: Vec<(Arc<str>, usize)> = self.sizes().into_iter().collect();
         let total = off + sizes.iter().map(|(_, size)| size).sum::<usize>();
         let floor = self.policy.need.floor_vms;
         let first = |pool: &str| match self.policy.need.late_last {
@@ -168,9 +167,10 @@
     fn switch_off_idle(&mut self, most: usize, now: Ms) {
         let Some(off) = self.off_pool.clone() else { return };
         let mut unneeded = Vec::new();
+        let sizes = self.sizes();
         for pool in self.working_pools.iter().cloned().collect::<Vec<_>>() {
             let Some(needed) = self.needs.lately(&pool, now) else { continue };
-            let surplus = self.size(&pool).saturating_sub(needed);
+            let surplus = sizes.get(&pool).map_or(0, |size| size.saturating_sub(needed));
             let Some(report) = self.reports.get(&pool) else { continue };
             let idle = report.idle.iter().filter(|vm| self.has_been_idle(vm, now));
             let idle = idle.filter(|vm| self.is_free(vm, &pool));
@@ -185,20 +185,28 @@
         self.record.work.iter().filter(|w| matches!(w.purpose, Purpose::Move { .. }))
     }
 
-    /// Counts a pool's VMs that work or are on their way to it.
-    pub(super) fn size(&self, pool: &Arc<str>) -> usize {
-        let there = |vm: &&super::FleetVm| {
+    /// Counts the VMs of each working pool that work or are on their way to it, in one pass.
+    pub(super) fn sizes(&self) -> HashMap<Arc<str>, usize> {
+        let mut sizes: HashMap<Arc<str>, usize> =
+            self.working_pools.iter().map(|pool| (pool.clone(), 0)).collect();
+        for vm in self.vms.values() {
             // One that is to be maintained is replaced before it is empty.
-            vm.pool == *pool
-                && vm.state != VmState::Down
+            let works = vm.state != VmState::Down
                 && self.halls.takes_work(&vm.hall)
-                && self.record.work_on(&vm.name).is_none()
-        };
-        let coming = |w: &&VmWork| {
-            w.purpose == Purpose::Move { to: pool.as_ref().to_owned() }
-                && self.vms.get(w.vm.as_str()).is_none_or(|vm| self.halls.takes_work(&vm.hall))
-        };
-        self.vms.values().filter(there).count() + self.moves().filter(coming).count()
+                && self.record.work_on(&vm.name).is_none();
+            if let Some(size) = sizes.get_mut(&vm.pool).filter(|_| works) {
+                *size += 1;
+            }
+        }
+        for work in &self.record.work {
+            let Purpose::Move { to } = &work.purpose else { continue };
+            let vm = self.vms.get(work.vm.as_str());
+            let comes = vm.is_none_or(|vm| self.halls.takes_work(&vm.hall));
+            if let Some(size) = sizes.get_mut(to.as_str()).filter(|_| comes) {
+                *size += 1;
+            }
+        }
+        sizes
     }
 
     /// Returns the VMs that are switched off, with their pool.
@@ -275,9 +283,9 @@
 
 /// Takes a spare VM that is not in the pool already, with its pool.
 fn take_for(
-    spare: &mut Vec<(Arc<str>, Arc<str>)>,
+    spare: &mut VecDeque<(Arc<str>, Arc<str>)>,
     pool: &Arc<str>,
 ) -> Option<(Arc<str>, Arc<str>)> {
     let i = spare.iter().position(|(_, from)| from != pool)?;
-    Some(spare.remove(i))
+    spare.remove(i)
 }
--- a/crates/schedule/src/fleet/record.rs
+++ b/crates/schedule/src/fleet/record.rs
@@ -1,7 +1,9 @@
 //! What the owner of the fleet writes: which VMs are being worked on, how far each wave is.
 
+use indexmap::IndexSet;
 use serde::{Deserialize, Serialize};
 
+use super::WorkList;
 use crate::Ms;
 
 /// What passes beside the move itself from a pool's report until a VM takes work, in milliseconds:
@@ -49,32 +51,30 @@
 }
 
 /// How far a wave is.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct WaveRecord {
     /// Its number.
     pub wave: u64,
     /// VMs that were maintained, or left for good.
-    pub done: Vec<String>,
+    pub done: IndexSet<String>,
     /// VMs that are still to be maintained.
-    pub left: Vec<String>,
+    pub left: IndexSet<String>,
     /// All are done, and the operator was told.
     pub completed: bool,
 }
 
-/// What the owner of the fleet writes, whole each time.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// What the owner of the fleet writes, in rows; see [`super::FleetRow`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct FleetRecord {
     /// The node that wrote it.
     pub owner: String,
     /// VMs that are worked on; they take no new tasks.
-    pub work: Vec<VmWork>,
+    pub work: WorkList,
     /// VMs whose work is done and about which an order was given of late.
-    #[serde(default)]
     pub ordered_lately: Vec<String>,
     /// The waves.
     pub waves: Vec<WaveRecord>,
     /// How long a move takes, as measured, in milliseconds; 0 before the first.
-    #[serde(default)]
     pub move_ms: Ms,
 }
 
@@ -117,6 +117,6 @@
 
     /// Returns the work on a VM.
     pub fn work_on(&self, vm: &str) -> Option<&VmWork> {
-        self.work.iter().find(|w| w.vm == vm)
+        self.work.get(vm)
     }
 }
--- a/crates/schedule/src/fleet/wave.rs
+++ b/crates/schedule/src/fleet/wave.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
+
 use super::{Fleet, FleetVm, Purpose, Stage, VmState, VmWork, WaveRecord, WaveRequest};
 use crate::Ms;
 
@@ -56,8 +58,8 @@
 impl Fleet {
     pub(super) fn mark_maintained(&mut self, wave: u64, vm: &str) {
         if let Some(record) = self.record.waves.iter_mut().find(|w| w.wave == wave) {
-            record.left.retain(|name| name != vm);
-            record.done.push(vm.to_owned());
+            record.left.shift_remove(vm);
+            record.done.insert(vm.to_owned());
         }
     }
 
@@ -74,7 +76,8 @@
             let gone = |name: &String| {
                 missing.get(name).is_some_and(|since| asked_at.saturating_sub(*since) >= GONE_MS)
             };
-            let (gone, left): (Vec<String>, Vec<String>) = record.left.drain(..).partition(gone);
+            let (gone, left): (IndexSet<String>, IndexSet<String>) =
+                record.left.drain(..).partition(gone);
             record.left = left;
             record.done.extend(gone);
         }
@@ -89,38 +92,42 @@
                 *by_pool.entry(vm.pool.clone()).or_default() += 1;
             }
         }
+        let mut sizes = self.sizes();
         let waves: Vec<WaveRecord> =
             self.record.waves.iter().filter(|w| !w.completed).cloned().collect();
         for record in waves {
             let Some(wave) = self.waves.get(&record.wave) else { continue };
             let cap = wave.request.cap.max(1);
             let has_time = wave.has_time(record.left.len(), now);
-            let paced = self.policy.waves.pace && self.is_any_short();
+            let paced = self.policy.waves.pace && self.is_any_short(&sizes);
             let most = if paced { wave.pace(record.left.len(), now) } else { cap + AHEAD };
             let mut at_work = self.work_of(record.wave).count();
             for name in self.order_of(&record) {
                 if at_work >= most {
                     break;
                 }
-                if self.policy.waves.wait_for_pools && has_time && self.is_short(&name) {
+                let pool = self.vms.get(name.as_str()).map(|vm| vm.pool.clone());
+                let Some(pool) = pool else { continue };
+                if self.policy.waves.wait_for_pools && has_time && self.is_short(&pool, &sizes) {
                     continue;
                 }
                 if self.begin_vm(record.wave, &name, &mut by_pool) {
                     at_work += 1;
+                    if let Some(size) = sizes.get_mut(&pool) {
+                        *size = size.saturating_sub(1);
+                    }
                 }
             }
         }
     }
 
-    /// Returns whether a VM's pool needs all that it has and more.
-    fn is_short(&self, vm: &str) -> bool {
-        let pool = self.vms.get(vm).map(|vm| &vm.pool);
-        let pool = pool.filter(|pool| self.working_pools.contains(*pool));
-        pool.is_some_and(|pool| self.size(pool) < self.needs.now(pool))
+    /// Returns whether a working pool needs all that it has and more.
+    fn is_short(&self, pool: &Arc<str>, sizes: &HashMap<Arc<str>, usize>) -> bool {
+        sizes.get(pool).is_some_and(|&size| size < self.needs.now(pool))
     }
 
-    fn is_any_short(&self) -> bool {
-        self.working_pools.iter().any(|pool| self.size(pool) < self.needs.now(pool))
+    fn is_any_short(&self, sizes: &HashMap<Arc<str>, usize>) -> bool {
+        self.working_pools.iter().any(|pool| self.is_short(pool, sizes))
     }
 
     fn begin_vm(&mut self, wave: u64, name: &str, by_pool: &mut HashMap<Arc<str>, usize>) -> bool {
@@ -145,8 +152,7 @@
         let rank = |name: &String| {
             let vm = self.vms.get(name.as_str());
             let off = vm.is_some_and(|vm| self.off_pool.as_ref() == Some(&vm.pool));
-            let report = vm.and_then(|vm| self.reports.get(&vm.pool));
-            let idle = report.is_some_and(|r| r.idle.contains(name));
+            let idle = self.idle_since.contains_key(name);
             let load = vm.map_or(0, |vm: &FleetVm| self.needs.now(&vm.pool));
             (!off, !idle, load)
         };
--- a/crates/schedule/tests/fleet_succession.rs
+++ b/crates/schedule/tests/fleet_succession.rs
@@ -60,7 +60,7 @@
     };
     let ordered = Stage::Ordered { incarnation: Some("i-d1-1".to_owned()) };
     let work = vec![work("d0", Stage::Emptying), work("d1", ordered)];
-    let record = FleetRecord { work, ..FleetRecord::default() };
+    let record = FleetRecord { work: work.into(), ..FleetRecord::default() };
     let mut fleet = Fleet::new(record, HoldOff { until: 3_000, gap: 3_000 });
     fleet.set_pools(["desk".into(), "hub".into()].into(), None);
     let vms = ["d0", "d1"].map(|name| vm(name, "desk", 1, VmState::Up));
@@ -109,7 +109,7 @@
     let ordered = Stage::Ordered { incarnation: Some("o-1".to_owned()) };
     let purpose = Purpose::Move { to: "hub".to_owned() };
     let work = vec![VmWork { vm: "o".to_owned(), purpose, stage: ordered }];
-    let record = FleetRecord { work, ..FleetRecord::default() };
+    let record = FleetRecord { work: work.into(), ..FleetRecord::default() };
     expect_that!(record.cordoned_in("hub").count(), eq(0));
     expect_that!(record.cordoned_in("desk").count(), eq(1));
     let mut fleet = Fleet::new(record, HoldOff { until: 3_000, gap: 3_000 });
@@ -129,7 +129,7 @@
     let ordered = Stage::Ordered { incarnation: Some("o-1".to_owned()) };
     let purpose = Purpose::Move { to: "desk".to_owned() };
     let work = vec![VmWork { vm: "o".to_owned(), purpose, stage: ordered }];
-    let record = FleetRecord { work, ..FleetRecord::default() };
+    let record = FleetRecord { work: work.into(), ..FleetRecord::default() };
     let mut fleet = Fleet::new(record, HoldOff::default());
     fleet.set_pools(["desk".into()].into(), None);
     fleet.set_wave(wave(&["o"], 1));
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -1,6 +1,7 @@
 //! Owning the fleet: waves of maintenance and moves between pools.
 
 mod records;
+mod rows;
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -12,17 +13,18 @@
 use thistle_platform::{Guard, KeyedRecord, MachineClient};
 use thistle_schedule::Ms;
 use thistle_schedule::fleet::{
-    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, PoolReport, Purpose, VmState,
+    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, PoolReport, Purpose, VmState, VmWork,
 };
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::clock::steady_ms;
-use crate::control::{TOPIC, to_json};
+use crate::control::TOPIC;
 use crate::journal::{Fenced, Journal};
 use crate::node::{Node, VmTable};
 use records::{follow_reports, hold_off, read_record};
 
 pub use records::follow_record;
+pub use rows::take as take_row;
 
 /// The name under which the fleet is owned, beside the pools' names.
 pub const FLEET: &str = "#fleet";
@@ -30,8 +32,6 @@
 pub const RECORD: u32 = 2;
 /// The partition of the pools' reports.
 pub const REPORTS: u32 = 3;
-/// The key of the fleet's record.
-const RECORD_KEY: &str = "fleet";
 /// What the keys of reports start with.
 pub const POOL_PREFIX: &str = "pool/";
 /// How often the schedule is looked at.
@@ -58,6 +58,7 @@
     fleet: Fleet,
     journal: Journal,
     written: FleetRecord,
+    drops_whole: bool,
     tx: UnboundedSender<Event>,
     listed_at: Ms,
     listing: bool,
@@ -72,8 +73,9 @@
     };
     let Some(record) = read_record(&node).await else { return };
     let (tx, mut rx) = unbounded_channel();
-    let hold_off = hold_off(&node, record.as_ref());
-    let written = record.unwrap_or_default();
+    let hold_off = hold_off(&node, record.as_ref().map(|read| &read.record));
+    let read = record.unwrap_or_default();
+    let written = read.record;
     log::info!(
         "fleet step=took-over token={token} work={} ordered_lately={} wait_ordered_ms={}",
         written.work.len(),
@@ -82,11 +84,13 @@
     );
     let mut owner = FleetOwner {
         fleet: Fleet::with_policy(written.clone(), hold_off, node.settings.policy),
+        // What stands as one record is written in rows with the first change.
+        drops_whole: read.is_whole,
         client: Arc::new(MachineClient::new(addr)),
         node: node.clone(),
         token,
         journal,
-        written,
+        written: if read.is_whole { FleetRecord::default() } else { written },
         tx: tx.clone(),
         listed_at: 0,
         listing: false,
@@ -182,8 +186,7 @@
         if !self.fleet.record().is_same_work(&self.written) {
             let mut written = self.fleet.record().clone();
             self.node.me.name.clone_into(&mut written.owner);
-            let record = KeyedRecord::new(RECORD_KEY, to_json(&written));
-            self.journal.append(&self.node, &[record]).await?;
+            self.write_changes(&written).await?;
             self.log_changes(&written);
             self.written = written;
         }
@@ -193,6 +196,24 @@
         Ok(())
     }
 
+    /// Writes the rows in which the record differs from what stands in the store, in as many appends as they need. Orders
+    /// go out after the last of them.
+    async fn write_changes(&mut self, now: &FleetRecord) -> Result<(), Fenced> {
+        let mut records: Vec<KeyedRecord> =
+            now.changes_since(&self.written).iter().map(rows::to_record).collect();
+        if std::mem::take(&mut self.drops_whole) {
+            records.push(rows::drop_whole());
+        }
+        let most = self.node.settings.max_append_bytes;
+        let mut rest = records.as_slice();
+        while !rest.is_empty() {
+            let (batch, later) = rest.split_at(fitting(rest, most));
+            self.journal.append(&self.node, batch).await?;
+            rest = later;
+        }
+        Ok(())
+    }
+
     fn take_config(&mut self) {
         let Some(catalog) = self.node.catalog.borrow().clone() else { return };
         let working: HashSet<Arc<str>> = catalog.working_pools().cloned().collect();
@@ -220,7 +241,8 @@
     }
 
     fn log_changes(&self, now: &FleetRecord) {
-        for work in now.work.iter().filter(|w| !self.written.work.contains(w)) {
+        let is_news = |work: &&VmWork| self.written.work_on(&work.vm) != Some(*work);
+        for work in now.work.iter().filter(is_news) {
             log::info!(
                 "fleet step=work vm={} purpose={:?} stage={:?}",
                 work.vm,
@@ -258,6 +280,16 @@
     }
 }
 
+/// Returns how many records from the first on fit into an append, one at least.
+fn fitting(records: &[KeyedRecord], most: usize) -> usize {
+    let mut size = 0;
+    let fits = |record: &&KeyedRecord| {
+        size += record.framed_len();
+        size <= most
+    };
+    records.iter().take_while(fits).count().max(1)
+}
+
 fn outcome(result: &Result<(), MachineError>) -> OrderOutcome {
     match result {
         Ok(()) => OrderOutcome::Done,
--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -7,7 +7,7 @@
 use thistle_schedule::fleet::{FleetRecord, HoldOff};
 use tokio::sync::mpsc::UnboundedSender;
 
-use super::{Event, FLEET, POOL_PREFIX, RECORD, RECORD_KEY, REPORTS, TICK};
+use super::{Event, FLEET, POOL_PREFIX, RECORD, REPORTS, TICK, rows};
 use crate::clock::steady_ms;
 use crate::control::TOPIC;
 use crate::follow::{News, Pace, Tail, follow, follow_while_owning};
@@ -23,18 +23,14 @@
 /// Follows the fleet's record, so that pools on this node know which VMs to empty.
 pub async fn follow_record(node: Arc<Node>) {
     let apply = |news| {
-        let records = match news {
-            News::Reloaded(records) | News::Records(records) => records,
+        let (mut fleet, records) = match news {
+            News::Reloaded(records) => (FleetRecord::default(), records),
+            News::Records(records) if records.is_empty() => return,
+            News::Records(records) => (FleetRecord::clone(&node.fleet.borrow()), records),
         };
-        for Stored { record, offset } in records {
-            let Some(value) = record.value() else { continue };
-            match serde_json::from_slice::<FleetRecord>(value) {
-                Ok(record) => {
-                    node.fleet.send_replace(Arc::new(record));
-                }
-                Err(e) => log::error!("fleet step=unreadable offset={offset} error=\"{e}\""),
-            }
-        }
+        // What cannot be read is told; the rest holds.
+        let _ = take_all(&mut fleet, &records);
+        node.fleet.send_replace(Arc::new(fleet));
     };
     let forget = || {
         node.fleet.send_replace(Arc::default());
@@ -56,21 +52,38 @@
     HoldOff { until: steady_ms() + gap.saturating_sub(SILENT_SINCE_MS), gap }
 }
 
-/// Returns the record as it is now that nobody else can write it; `None` for the outer if the
-/// task is to end.
-pub(super) async fn read_record(node: &Node) -> Option<Option<FleetRecord>> {
+/// The record as a new owner finds it.
+#[derive(Default)]
+pub(super) struct FoundRecord {
+    pub record: FleetRecord,
+    /// An older program wrote it as one.
+    pub is_whole: bool,
+}
+
+/// Takes rows in, what older programs wrote as one before all others; returns whether all could be read.
+fn take_all(fleet: &mut FleetRecord, records: &[Stored]) -> bool {
+    let (whole, by_row): (Vec<&Stored>, Vec<&Stored>) =
+        records.iter().partition(|stored| rows::is_whole(stored));
+    let mut readable = true;
+    for stored in whole.into_iter().chain(by_row) {
+        if let Err(e) = rows::take(fleet, stored) {
+            log::error!("fleet step=unreadable offset={} error=\"{e}\"", stored.offset);
+            readable = false;
+        }
+    }
+    readable
+}
+
+/// Returns the record as it is now that nobody else can write it, if there is one; `None` for the outer if the task is to end.
+pub(super) async fn read_record(node: &Node) -> Option<Option<FoundRecord>> {
     loop {
         match node.store.newest(TOPIC, RECORD).await {
+            Ok(newest) if newest.records.is_empty() => return Some(None),
             Ok(newest) => {
-                let record = newest.records.into_iter().find(|s| s.record.key == RECORD_KEY);
-                let Some(stored) = record else { return Some(None) };
-                return match serde_json::from_slice(&stored.record.value) {
-                    Ok(record) => Some(Some(record)),
-                    Err(e) => {
-                        log::error!("fleet step=unreadable offset={} error=\"{e}\"", stored.offset);
-                        None
-                    }
-                };
+                let is_whole = newest.records.iter().any(rows::is_whole);
+                let mut found = FoundRecord { is_whole, ..FoundRecord::default() };
+                // Of a VM whose row cannot be read it is not known whether it was ordered of late.
+                return take_all(&mut found.record, &newest.records).then_some(Some(found));
             }
             Err(e) => {
                 node.standing.note(false);
--- /dev/null
+++ b/crates/scheduler/src/fleet_owner/rows.rs
@@ -0,0 +1,172 @@
+//! Rows of the fleet's record as the store keeps them: a key and JSON, which operators read.
+
+use serde::{Deserialize, Serialize};
+use thistle_platform::{KeyedRecord, Stored};
+use thistle_schedule::Ms;
+use thistle_schedule::fleet::{FleetRecord, FleetRow, Purpose, Stage, VmWork, WaveRecord};
+
+use crate::control::to_json;
+
+/// The key of what is told once.
+const HEAD_KEY: &str = "head";
+/// What the keys of waves start with; those of a wave's VMs go on with `/VM`.
+const WAVE_PREFIX: &str = "wave/";
+/// What the keys of VMs start with.
+const VM_PREFIX: &str = "vm/";
+/// The key under which older programs kept the whole record.
+const WHOLE_KEY: &str = "fleet";
+
+#[derive(Serialize, Deserialize)]
+struct HeadBody {
+    owner: String,
+    move_ms: Ms,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WaveBody {
+    completed: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct WaveVmBody {
+    done: bool,
+}
+
+#[derive(Serialize, Deserialize)]
+struct VmBody {
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    work: Option<(Purpose, Stage)>,
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    ordered_lately: bool,
+}
+
+/// The whole record as older programs wrote it.
+#[derive(Deserialize)]
+struct WholeBody {
+    owner: String,
+    work: Vec<VmWork>,
+    #[serde(default)]
+    ordered_lately: Vec<String>,
+    waves: Vec<WholeWave>,
+    #[serde(default)]
+    move_ms: Ms,
+}
+
+#[derive(Deserialize)]
+struct WholeWave {
+    wave: u64,
+    done: Vec<String>,
+    left: Vec<String>,
+    completed: bool,
+}
+
+impl From<WholeBody> for FleetRecord {
+    fn from(body: WholeBody) -> Self {
+        let wave = |w: WholeWave| WaveRecord {
+            wave: w.wave,
+            done: w.done.into_iter().collect(),
+            left: w.left.into_iter().collect(),
+            completed: w.completed,
+        };
+        Self {
+            owner: body.owner,
+            work: body.work.into(),
+            ordered_lately: body.ordered_lately,
+            waves: body.waves.into_iter().map(wave).collect(),
+            move_ms: body.move_ms,
+        }
+    }
+}
+
+/// Encodes a row.
+pub fn to_record(row: &FleetRow) -> KeyedRecord {
+    match row {
+        FleetRow::Head { owner, move_ms } => {
+            let body = HeadBody { owner: owner.clone(), move_ms: *move_ms };
+            KeyedRecord::new(HEAD_KEY, to_json(&body))
+        }
+        FleetRow::Wave { wave, completed } => {
+            let body = WaveBody { completed: *completed };
+            KeyedRecord::new(format!("{WAVE_PREFIX}{wave}"), to_json(&body))
+        }
+        FleetRow::WaveVm { wave, vm, done } => {
+            let key = format!("{WAVE_PREFIX}{wave}/{vm}");
+            match done {
+                Some(done) => KeyedRecord::new(key, to_json(&WaveVmBody { done: *done })),
+                None => KeyedRecord::dropping(key),
+            }
+        }
+        FleetRow::Vm { vm, work: None, ordered_lately: false } => {
+            KeyedRecord::dropping(format!("{VM_PREFIX}{vm}"))
+        }
+        FleetRow::Vm { vm, work, ordered_lately } => {
+            let work = work.as_ref().map(|work| (work.purpose.clone(), work.stage.clone()));
+            let body = VmBody { work, ordered_lately: *ordered_lately };
+            KeyedRecord::new(format!("{VM_PREFIX}{vm}"), to_json(&body))
+        }
+    }
+}
+
+/// Makes the record that drops what older programs kept as one.
+pub fn drop_whole() -> KeyedRecord {
+    KeyedRecord::dropping(WHOLE_KEY)
+}
+
+/// Returns whether a record is one that older programs kept as one.
+pub fn is_whole(stored: &Stored) -> bool {
+    stored.record.key == WHOLE_KEY && stored.record.value().is_some()
+}
+
+/// Takes a row that was read into the record. Keys of other kinds are left to whoever wrote them.
+pub fn take(fleet: &mut FleetRecord, stored: &Stored) -> Result<(), serde_json::Error> {
+    let key = stored.record.key.as_str();
+    let value = stored.record.value();
+    if is_whole(stored) {
+        *fleet = serde_json::from_slice::<WholeBody>(value.unwrap_or_default())?.into();
+        return Ok(());
+    }
+    if let Some(row) = decode(key, value)? {
+        fleet.apply(row);
+    }
+    Ok(())
+}
+
+fn decode(key: &str, value: Option<&[u8]>) -> Result<Option<FleetRow>, serde_json::Error> {
+    if let Some(vm) = key.strip_prefix(VM_PREFIX) {
+        return decode_vm(vm, value).map(Some);
+    }
+    if let Some(rest) = key.strip_prefix(WAVE_PREFIX) {
+        return decode_wave(rest, value);
+    }
+    let Some(value) = value.filter(|_| key == HEAD_KEY) else { return Ok(None) };
+    let HeadBody { owner, move_ms } = serde_json::from_slice(value)?;
+    Ok(Some(FleetRow::Head { owner, move_ms }))
+}
+
+fn decode_vm(vm: &str, value: Option<&[u8]>) -> Result<FleetRow, serde_json::Error> {
+    let none = VmBody { work: None, ordered_lately: false };
+    let body = value.map_or(Ok(none), serde_json::from_slice)?;
+    let vm = vm.to_owned();
+    let work = body.work.map(|(purpose, stage)| VmWork { vm: vm.clone(), purpose, stage });
+    Ok(FleetRow::Vm { vm, work, ordered_lately: body.ordered_lately })
+}
+
+fn decode_wave(rest: &str, value: Option<&[u8]>) -> Result<Option<FleetRow>, serde_json::Error> {
+    let (number, vm) = match rest.split_once('/') {
+        Some((number, vm)) => (number, Some(vm)),
+        None => (rest, None),
+    };
+    let Ok(wave) = number.parse() else { return Ok(None) };
+    let row = match (vm, value) {
+        (Some(vm), value) => {
+            let body: Option<WaveVmBody> = value.map(serde_json::from_slice).transpose()?;
+            FleetRow::WaveVm { wave, vm: vm.to_owned(), done: body.map(|body| body.done) }
+        }
+        (None, Some(value)) => {
+            let WaveBody { completed } = serde_json::from_slice(value)?;
+            FleetRow::Wave { wave, completed }
+        }
+        (None, None) => return Ok(None),
+    };
+    Ok(Some(row))
+}
--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -14,7 +14,7 @@
 
 use crate::caps::{CAPS, LENT, LENT_PREFIX, USE_PREFIX, USES};
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
-use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS};
+use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS, take_row};
 use crate::pool_log::{PROGRESS, SPARE, SPARE_PROGRESS, SUBMISSIONS, topic_of};
 
 /// What the store holds.
@@ -155,7 +155,8 @@
 
     async fn read_fleet(&mut self, store: &Store) -> Result<(), StoreError> {
         for stored in store.newest(TOPIC, RECORD).await?.records {
-            self.fleet = decode(&stored.record.value)?;
+            let taken = take_row(&mut self.fleet, &stored);
+            taken.map_err(|e| StoreError::Malformed(e.to_string()))?;
         }
         for stored in store.newest(TOPIC, REPORTS).await?.records {
             let Some(pool) = stored.record.key.strip_prefix(POOL_PREFIX) else { continue };
@@ -289,7 +290,8 @@
         writeln!(f, "fleet")?;
         write_owner(f, self.fleet_owner.as_ref())?;
         for wave in &self.fleet.waves {
-            let (number, done, left) = (wave.wave, wave.done.len(), wave.left.join(" "));
+            let left: Vec<&str> = wave.left.iter().map(String::as_str).collect();
+            let (number, done, left) = (wave.wave, wave.done.len(), left.join(" "));
             writeln!(f, "wave {number}: {done} maintained, left: {left}")?;
         }
         for work in &self.fleet.work {
--- a/crates/scheduler/tests/soak/evacuations.rs
+++ b/crates/scheduler/tests/soak/evacuations.rs
@@ -74,8 +74,8 @@
 
     /// Takes all halls back.
     pub fn take_all_halls_back(&mut self) {
-        for hall in 0..HALLS.len() {
-            if self.evacuations.iter().any(|e| e.hall == HALLS[hall] && e.to.is_none()) {
+        for (hall, name) in HALLS.iter().enumerate() {
+            if self.evacuations.iter().any(|e| e.hall == *name && e.to.is_none()) {
                 self.toggle(hall);
             }
         }
