A VM gets work also if only its lists tell when it started

What was seen: a VM whose entry tells no start while its lists do got no work at all. Cause: its link went on as the life that had answered, and the pool had listed the one without a start, which never answers. Now such an entry is taken for that of the life that answers, and a VM reported empty under the one is the VM listed under the other. Red before: a_vm_that_tells_its_start_in_its_lists_only_gets_work, its job not completed within 60 s. The other way round (start in the entry only) worked before and has a test now.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 
 use crate::Ms;
 use crate::halls::Halls;
+use crate::id::VmLife;
 use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
@@ -332,8 +333,9 @@
         if self.off_pool.as_ref() == Some(&vm.pool) {
             return true;
         }
-        let incarnation = vm.incarnation.as_deref().unwrap_or_default();
-        self.emptied.get(name).is_some_and(|(pool, life)| *pool == vm.pool && life == incarnation)
+        let listed = VmLife::from(vm.incarnation.as_deref().unwrap_or_default());
+        let same_life = |life: &str| VmLife::from(life).may_be(&listed);
+        self.emptied.get(name).is_some_and(|(pool, life)| *pool == vm.pool && same_life(life))
     }
 
     fn give_orders(&mut self, now: Ms) -> Vec<FleetOrder> {
--- a/crates/schedule/src/id.rs
+++ b/crates/schedule/src/id.rs
@@ -122,6 +122,12 @@
         self.born
     }
 
+    /// Returns whether this and another one may be the same life, as one of them tells no start.
+    pub fn may_be(&self, other: &Self) -> bool {
+        self.id == other.id
+            && (self.born == other.born || self.born.is_none() || other.born.is_none())
+    }
+
     /// Returns whether this and another one are lives of a VM under one ID.
     pub fn is_other_life_of(&self, other: &Self) -> bool {
         self.id == other.id && self.born != other.born
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -1,5 +1,6 @@
 //! Keeping an owner's links in step with the VMs that the store lists.
 
+use std::borrow::Cow;
 use std::collections::HashSet;
 use std::sync::Arc;
 
@@ -15,6 +16,7 @@
 impl Owner {
     /// Takes in the VMs as the store lists them now.
     pub(super) fn list_vms(&mut self, table: &VmTable) {
+        let table = &*self.name_lives(table);
         let listed = self.pool.vm_summaries();
         self.lives.take_in(table, |id| listed.iter().any(|vm| vm.id == *id));
         let pool = self.log.pool.clone();
@@ -51,6 +53,24 @@
         self.watch_orphans();
     }
 
+    /// Has entries that tell no start name the lives that have answered.
+    fn name_lives<'a>(&self, table: &'a VmTable) -> Cow<'a, VmTable> {
+        let told = |facts: &VmFacts| {
+            let life = self.links.get(facts.id.id()).map(Link::vm);
+            life.filter(|life| facts.id.born().is_none() && life.born().is_some()).cloned()
+        };
+        if !table.values().any(|facts| told(facts).is_some()) {
+            return Cow::Borrowed(table);
+        }
+        let mut named = table.clone();
+        for facts in named.values_mut() {
+            if let Some(id) = told(facts) {
+                *facts = Arc::new(VmFacts { id, ..VmFacts::clone(facts) });
+            }
+        }
+        Cow::Owned(named)
+    }
+
     /// Opens the link to a VM, in place of the one to an earlier life of it.
     fn open_link(&mut self, facts: &Arc<VmFacts>) {
         let (tx, losses) = (self.tx.clone(), self.losses.clone());
@@ -69,7 +89,8 @@
 
     /// Takes in that a VM has stopped answering: another incarnation of it may be listed already.
     pub(super) fn look_for_successor(&self, id: &VmLife) {
-        let table = self.node.vms.borrow();
+        let listed = self.node.vms.borrow().clone();
+        let table = self.name_lives(&listed);
         if let Some(vm) = self.pool.vm_summaries().into_iter().find(|vm| vm.id == *id)
             && is_listed(&table, id).is_none()
         {
@@ -113,9 +134,15 @@
         self.log_lost(former, VmLoss::Replaced, lost);
         let Some(link) = self.link(former) else { return };
         // It is listed with what it has now before anything is started there.
-        let facts = VmFacts { id: life.clone(), ..VmFacts::clone(link.facts()) };
-        self.open_link(&Arc::new(facts));
+        let facts = Arc::new(VmFacts { id: life.clone(), ..VmFacts::clone(link.facts()) });
+        self.open_link(&facts);
         self.orphans.remove(life);
+        let table = self.node.vms.borrow().clone();
+        if table.get(life.id()).is_some_and(|listed| listed.id.born().is_none()) {
+            // No entry will ever tell of this life.
+            self.pool.unlist_vm(former);
+            self.list_vms(&table);
+        }
     }
 
     /// Has it taken in, when this step is done, that another incarnation of a VM is there.
--- a/crates/scheduler/tests/lives.rs
+++ b/crates/scheduler/tests/lives.rs
@@ -20,7 +20,7 @@
 
 use googletest::prelude::*;
 use system::{System, job, submit, until, until_state};
-use thistle_platform::standin::Reach;
+use thistle_platform::standin::{Reach, bodies};
 
 /// Ends that the VM has listed before it starts again: more than it lists afterwards.
 const ENDS_BEFORE: u32 = 16;
@@ -43,12 +43,47 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn ends_of_the_next_life_of_a_vm_that_hides_its_start_are_heard_too() {
     let system = System::start(114, 0, 1).await;
-    system.platform.machines.hide_starts();
+    system.platform.machines.hide_starts(true, true);
     let ip = system::ip(114, 100);
     system.platform.machines.add("m-0", system::POOL, ip).await.expect("the VM starts");
     expect_each_end_heard(&system).await;
 }
 
+/// A VM got no work, as its entry and its lists told two different lives: one of them tells its start and the other does not, and the life that
+/// was listed never answered. An entry that tells no start is taken for that of the life that answers.
+async fn expect_work_and_maintenance(net: u8, in_entries: bool, in_lists: bool) {
+    let system = System::start(net, 0, 1).await;
+    system.platform.machines.hide_starts(in_entries, in_lists);
+    let ip = system::ip(net, 100);
+    system.platform.machines.add("m-0", system::POOL, ip).await.expect("the VM starts");
+    let (node, machines) = (&system.nodes[0], &system.platform.machines);
+    expect_that!(submit(node, ID, &job(4, 20)).await.status, eq(200));
+    until_state(node, ID, "completed").await;
+    system.platform.store.put("op", "wave/1", bodies::wave(1, &["m-0".to_owned()], 1));
+    until("it is emptied and maintained", async || machines.maintained(1) == 1).await;
+    let second = "00000000000000b2";
+    until("its next life is up", async || !machines.vms().is_empty()).await;
+    expect_that!(submit(node, second, &job(4, 20)).await.status, eq(200));
+    until_state(node, second, "completed").await;
+    machines.keep_ids();
+    machines.restart(&machines.vms().remove(0), AWAY).await;
+    let third = "00000000000000b3";
+    expect_that!(submit(node, third, &job(4, 20)).await.status, eq(200));
+    until_state(node, third, "completed").await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_tells_its_start_in_its_lists_only_gets_work() {
+    expect_work_and_maintenance(206, true, false).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_that_tells_its_start_in_its_entry_only_gets_work() {
+    expect_work_and_maintenance(207, false, true).await;
+}
+
 async fn expect_each_end_heard(system: &System) {
     let node = &system.nodes[0];
     let first = "00000000000000b1";
