Submissions are appended by the pool's owner while more come than a partition takes one by one; heartbeats do not grow with the nodes

Cause: what every node does for itself in one partition of 250 appends a second. Class: appends that grow with nodes, and a queue that further tries keep full. Now (schedule/gathering.rs) an owner that sees 100 submissions and cancels a second says in its heartbeat that it gathers, until few have come for 10 s; others hand over, and append by themselves for 3 s once it has not answered within 0.4 s. Idle nodes (ownership/beats.rs) send 60 heartbeats a second together at most, at times that chance spreads, and nodes that would own nothing soon read them every 0.9 s. Ruled out: handing over always (a hop for nothing below the rate, and each owner's death is felt by all), more partitions (each is a queue of the same length).

--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod admission;
 pub mod catalog;
 pub mod fleet;
+pub mod gathering;
 pub mod halls;
 pub mod harm;
 pub mod id;
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -5,7 +5,7 @@
 
 use thistle_model::rendezvous::weight;
 
-use super::{ALIVE_MS, Member, Owned, Ownership, SILENCE_MS};
+use super::{Owned, Ownership, SILENCE_MS};
 use crate::Ms;
 
 /// How long the second-best node waits before it takes a pool that the best has not, and each
@@ -148,11 +148,10 @@
         };
         let me = &self.me.name;
         let mine = (owned(me) + wanted.len() + slow(me), weight(me));
-        let lately = |m: &&Member| !m.leaving && now.saturating_sub(m.heard_at) < ALIVE_MS;
         let before = self
             .members
             .iter()
-            .filter(|(name, m)| **name != self.me.name && lately(m))
+            .filter(|(name, m)| **name != self.me.name && self.is_alive(m, now))
             .filter(|(name, _)| (owned(name) + slow(name), weight(name)) < mine)
             .count();
         RANK_STEP_MS * u64::try_from(before).unwrap_or(u64::MAX)
--- /dev/null
+++ b/crates/schedule/tests/gathering.rs
@@ -0,0 +1,83 @@
+//! When a pool's owner appends what the callers of all nodes hand in, and how often nodes tell that they are alive.
+//!
+//! What happened: on a day of 585 nodes the busiest queue's turn, 200 jobs a second, was lost whole: 1,399 of 1,999 jobs failed, and tasks of jobs
+//! that had been cancelled began 7 s later. Why: each node appended its own job, and cancels and further tries, to one partition of 250
+//! appends a second; once its queue was full it stayed so. What settled it: the store's 503 to appends of that partition for the whole turn,
+//! while the other queues' partitions, with 163 jobs a second and fewer, took all.
+
+use std::ops::RangeInclusive;
+
+use googletest::prelude::*;
+use thistle_schedule::gathering::Intake;
+use thistle_schedule::ownership::{Claim, Heartbeat, NodeLife, Ownership};
+
+/// Plays a rate of jobs a second from one time to another, and returns whether they are gathered at its end.
+fn play(intake: &mut Intake, per_s: u64, ms: RangeInclusive<u64>) -> bool {
+    let mut gathers = false;
+    let from = *ms.start();
+    for now in ms {
+        let due = |at: u64| (at - from) * per_s / 1_000;
+        if now > from && due(now) > due(now - 1) {
+            intake.note(now);
+        }
+        gathers = intake.gathers(now);
+    }
+    gathers
+}
+
+#[gtest]
+fn a_turn_of_two_hundred_jobs_a_second_is_gathered_within_a_second() {
+    let mut intake = Intake::default();
+    expect_that!(play(&mut intake, 10, 0..=5_000), eq(false));
+    expect_that!(play(&mut intake, 200, 5_000..=5_600), eq(true));
+    // Between two peaks of a turn it goes on, and ends when the turn is over.
+    expect_that!(play(&mut intake, 40, 5_600..=20_000), eq(true));
+    expect_that!(play(&mut intake, 10, 20_000..=29_000), eq(true));
+    expect_that!(play(&mut intake, 10, 29_000..=32_000), eq(false));
+}
+
+#[gtest]
+fn what_a_partition_takes_well_is_not_gathered() {
+    let mut intake = Intake::default();
+    expect_that!(play(&mut intake, 80, 0..=20_000), eq(false));
+}
+
+fn beat(sequence: u64, gathers: bool) -> Heartbeat {
+    let relay = Some(([127, 0, 0, 1], 7_060).into());
+    Heartbeat { life: 1, sequence, leaving: false, relay, speed: 0, gathers }
+}
+
+fn view() -> Ownership {
+    Ownership::new(NodeLife { name: "me".to_owned(), life: 1 }, 0)
+}
+
+#[gtest]
+fn submissions_are_handed_to_an_owner_that_gathers_for_as_long_as_it_is_heard() {
+    let mut view = view();
+    let owner = NodeLife { name: "n1".to_owned(), life: 1 };
+    view.claimed(&"desk".into(), Claim { owner, released: false }, 0, 0);
+    view.heard("n1", &beat(1, false), 100);
+    expect_that!(view.is_gathered("desk", 200), eq(false));
+    view.heard("n1", &beat(2, true), 500);
+    expect_that!(view.is_gathered("desk", 600), eq(true));
+    expect_that!(view.is_gathered("hub", 600), eq(false), "it has no owner");
+    expect_that!(view.is_gathered("desk", 2_400), eq(false), "it may be dead");
+}
+
+/// All idle nodes together send no more heartbeats a second however many they are, and each counts as alive in between.
+#[gtest]
+fn heartbeats_of_idle_nodes_do_not_grow_with_the_nodes() {
+    for nodes in [6_u64, 37, 150, 585, 1_200] {
+        let mut view = view();
+        for i in 0..nodes {
+            view.heard(&format!("n{i}"), &beat(1, false), 1_000);
+        }
+        let pause = view.idle_pause_ms();
+        expect_that!(nodes * 1_000 / pause, le(60), "{nodes} nodes");
+        expect_that!(pause, ge(2_500));
+        // One was missed, and the next is late.
+        let alive = view.relays(1_000 + 2 * pause + pause / 2);
+        expect_that!(alive.len(), eq(nodes as usize), "{nodes} nodes");
+        expect_that!(view.relays(1_000 + 3 * pause), is_empty());
+    }
+}
--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -26,8 +26,11 @@
 /// How often it is looked whether all claims were taken in, and the pause before each further look.
 const CLAIMS_TRIES: u32 = 10;
 const CLAIMS_PAUSE: Duration = Duration::from_millis(20);
-/// How often a node that owns nothing sends one, in milliseconds.
-const IDLE_HEARTBEAT_MS: Ms = 2_500;
+/// By how much the time between two heartbeats of an idle node varies by chance, as a part of it: nodes that start together
+/// would go on sending theirs together.
+const JITTER: f64 = 0.25;
+/// How often heartbeats of others are read by a node that would own nothing soon.
+const IDLE_LISTENING: Duration = Duration::from_millis(900);
 
 /// Sends heartbeats and reads those of others, neither waiting for the other: a heartbeat that a slow store leaves
 /// unanswered takes seconds, and a node that hears nothing meanwhile claims no pool (a pool that was given up beside a
@@ -45,7 +48,18 @@
             node.standing.note(true);
             take_beats(node, news);
         }
-        tokio::time::sleep(HEARTBEAT_EVERY).await;
+        tokio::time::sleep(listening_pause(node)).await;
+    }
+}
+
+/// Returns how long after a reading of the heartbeats the next one is due. Where there are hundreds of nodes most would come to own
+/// nothing, and need not know at once that an owner is silent.
+fn listening_pause(node: &Node) -> Duration {
+    let logs = node.pool_logs();
+    let ownership = lock(&node.ownership);
+    match ownership.stands_by(logs.iter().map(|log| &*log.pool), steady_ms()) {
+        true => HEARTBEAT_EVERY,
+        false => IDLE_LISTENING,
     }
 }
 
@@ -100,7 +114,8 @@
     let leaving = *node.stopping.borrow();
     let relay = node.settings.relay_listen;
     let speed = node.speed;
-    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed };
+    let gathers = node.gathers_any();
+    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed, gathers };
     let key = format!("{MEMBER_PREFIX}{}", node.me.name);
     let record = KeyedRecord::new(key, to_json(&beat));
     match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
@@ -144,10 +159,12 @@
 /// Waits until the next heartbeat is due. A node that owns nothing sends few: heartbeats share one
 /// partition, which takes one after the other.
 async fn until_next_beat(node: &Node, sent_at: Ms) {
+    let chance = rand::random_range(1.0 - JITTER..1.0 + JITTER);
+    let idle_pause = Duration::from_millis(lock(&node.ownership).idle_pause_ms()).mul_f64(chance);
     loop {
         tokio::time::sleep(HEARTBEAT_EVERY).await;
-        let waited = steady_ms().saturating_sub(sent_at);
-        if lock(&node.ownership).owns_any() || waited >= IDLE_HEARTBEAT_MS {
+        let waited = Duration::from_millis(steady_ms().saturating_sub(sent_at));
+        if lock(&node.ownership).owns_any() || waited >= idle_pause {
             return;
         }
     }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 use metrics::counter;
+use thistle_schedule::gathering::Intake;
 use thistle_schedule::pool::{Order, StartResult, StepId};
 use thistle_schedule::{LogChange, Ms, Pool, RunId, VmLife, VmLoss, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
@@ -93,6 +94,7 @@
     reporter: Reporter,
     advisor: Advisor,
     quota: Quota,
+    intake: Intake,
     /// When what changes slowly was last looked at.
     looked_at: Ms,
 }
@@ -153,6 +155,9 @@
 
     fn take(&mut self, event: Event) -> Result<(), Fenced> {
         let now = now();
+        if matches!(event, Event::Log(_)) {
+            self.intake.note(now.steady);
+        }
         match event {
             Event::Log(LogChange::Submitted(id)) => {
                 let log = self.log.clone();
@@ -254,6 +259,7 @@
             return;
         }
         self.looked_at = now;
+        self.tell_whether_gathering(now);
         self.drop_links();
         for link in self.links.values() {
             link.watch(self.pool.watch(link.vm()));
@@ -261,6 +267,14 @@
         self.tell_load();
     }
 
+    /// Tells other nodes, by this one's heartbeat, whether to hand it what their callers hand in.
+    fn tell_whether_gathering(&mut self, now: Ms) {
+        let gathers = self.intake.gathers(now);
+        if self.node.set_gathers(&self.log.pool, gathers) {
+            log::info!("owner pool={} step=gathers gathers={gathers}", self.log.pool);
+        }
+    }
+
     fn dispatch(&mut self, order: Order) {
         let vm = match &order {
             Order::Start(start) => &start.vm,
