--- a/crates/schedule/src/ownership/beats.rs
+++ b/crates/schedule/src/ownership/beats.rs
@@ -1,33 +1,42 @@
-//! How often nodes tell that they are alive, and how often they look at what others tell.
+//! How often nodes tell that they are alive, and which of them are to notice soon that an owner is silent.
 //!
 //! The load pattern: 585 nodes that start within 0.3 s, of which five own something. Heartbeats share one partition, which takes
 //! 250 a second, and each is read by all: one every 2.5 s from each node fills it, with hundreds refused whenever many start
-//! together, owners' among them. The time between two of an idle node grows with the nodes, so that their number a second does not.
+//! together, owners' among them. Nodes that would come to own nothing soon send one now and then, so that those that count are as
+//! many however many nodes there are: owners, and the readers of each pool.
 
 use super::{Member, Ownership};
 use crate::Ms;
 
-/// How often a node that owns nothing sends a heartbeat where there are few nodes, in milliseconds.
-const IDLE_MS: Ms = 2_500;
-/// Heartbeats a second that idle nodes send together at most: a quarter of what a partition takes.
-const IDLE_BEATS_PER_S: u64 = 60;
-/// Heartbeats that a member may miss until it does not count as alive.
-const MISSED: u64 = 3;
+/// How often a node that owns nothing, and stands by to, sends a heartbeat, in milliseconds.
+const STANDING_BY_MS: Ms = 2_500;
+/// How often any other node does, in milliseconds: 3,200 of them fill half of a partition.
+const QUIET_NODE_MS: Ms = 25_000;
+/// From how many nodes on those that start together spread their first heartbeats: fewer take a partition less than half a second.
+const MANY_NODES: u64 = 100;
+/// As how much time each counts, in milliseconds: twice what a partition takes for an append.
+const FIRST_BEAT_MS: Ms = 8;
+/// How long a member without pools counts as alive, in milliseconds: two heartbeats may be missed.
+const ALIVE_MS: Ms = 7_500;
 
 impl Ownership {
     /// Returns how long a node that owns nothing waits between two heartbeats, in milliseconds.
-    pub fn idle_pause_ms(&self) -> Ms {
+    pub fn idle_pause_ms<'a>(&self, pools: impl Iterator<Item = &'a str>, now: Ms) -> Ms {
+        if self.stands_by(pools, now) { STANDING_BY_MS } else { QUIET_NODE_MS }
+    }
+
+    /// Returns over what time nodes that start together spread their first heartbeats, in milliseconds; 0 where few were ever known.
+    pub fn first_beats_ms(&self) -> Ms {
         let members = u64::try_from(self.members.len()).unwrap_or(u64::MAX);
-        IDLE_MS.max(members.saturating_mul(1_000) / IDLE_BEATS_PER_S)
+        if members < MANY_NODES { 0 } else { members * FIRST_BEAT_MS }
     }
 
     /// Returns whether a member was heard lately enough to count as alive.
     pub(super) fn is_alive(&self, member: &Member, now: Ms) -> bool {
-        !member.leaving && now.saturating_sub(member.heard_at) < MISSED * self.idle_pause_ms()
+        !member.leaving && now.saturating_sub(member.heard_at) < ALIVE_MS
     }
 
-    /// Returns whether this node owns something, or is among those that would come to own a pool next: it is the one to notice
-    /// soon that an owner is silent.
+    /// Returns whether this node owns something, or is among those that would come to own a pool next.
     pub fn stands_by<'a>(&self, mut pools: impl Iterator<Item = &'a str>, now: Ms) -> bool {
         self.owns_any() || pools.any(|pool| self.reads(pool, now) != Some(false))
     }
--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -21,6 +21,8 @@
 const MEMBER_PREFIX: &str = "member/";
 /// How often a node sends a heartbeat: four of them fit in an owner's lease.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(450);
+/// How often a node that has just started looks whether its first heartbeat is due.
+const FIRST_BEAT_LOOK: Duration = Duration::from_millis(50);
 /// After how many heartbeats the first partition is tried first again.
 const FIRST_AGAIN_EVERY: u64 = 8;
 /// How often it is looked whether all claims were taken in, and the pause before each further look.
@@ -55,12 +57,7 @@
 /// Returns how long after a reading of the heartbeats the next one is due. Where there are hundreds of nodes most would come to own
 /// nothing, and need not know at once that an owner is silent.
 fn listening_pause(node: &Node) -> Duration {
-    let logs = node.pool_logs();
-    let ownership = lock(&node.ownership);
-    match ownership.stands_by(logs.iter().map(|log| &*log.pool), steady_ms()) {
-        true => HEARTBEAT_EVERY,
-        false => IDLE_LISTENING,
-    }
+    if node.stands_by() { HEARTBEAT_EVERY } else { IDLE_LISTENING }
 }
 
 /// Reads the heartbeats that the first partition may not have taken, while an owner has not been heard for a while.
@@ -91,6 +88,7 @@
 async fn send(node: &Node) {
     let mut lanes = [HEARTBEATS, SPARE_HEARTBEATS];
     let mut sequence = 0;
+    until_first_beat(node).await;
     loop {
         let sent_at = steady_ms();
         sequence += 1;
@@ -108,6 +106,22 @@
     }
 }
 
+/// Waits until the first heartbeat is due: nodes that all come back at once from a loss of power send theirs one after the other,
+/// but owners theirs at once. Where few nodes were ever known nobody waits.
+async fn until_first_beat(node: &Node) {
+    let began = steady_ms();
+    let chance = rand::random_range(0.0..1.0);
+    loop {
+        tokio::time::sleep(FIRST_BEAT_LOOK).await;
+        let ownership = lock(&node.ownership);
+        let due = Duration::from_millis(ownership.first_beats_ms()).mul_f64(chance);
+        let waited = Duration::from_millis(steady_ms().saturating_sub(began));
+        if waited >= due || ownership.owns_any() {
+            return;
+        }
+    }
+}
+
 /// Sends one heartbeat and returns whether the store took it.
 async fn send_beat(node: &Node, part: u32, sequence: u64) -> bool {
     let sent_at = steady_ms();
@@ -160,11 +174,14 @@
 /// partition, which takes one after the other.
 async fn until_next_beat(node: &Node, sent_at: Ms) {
     let chance = rand::random_range(1.0 - JITTER..1.0 + JITTER);
-    let idle_pause = Duration::from_millis(lock(&node.ownership).idle_pause_ms()).mul_f64(chance);
+    let logs = node.pool_logs();
     loop {
         tokio::time::sleep(HEARTBEAT_EVERY).await;
         let waited = Duration::from_millis(steady_ms().saturating_sub(sent_at));
-        if lock(&node.ownership).owns_any() || waited >= idle_pause {
+        let ownership = lock(&node.ownership);
+        let pools = logs.iter().map(|log| &*log.pool);
+        let idle_pause = Duration::from_millis(ownership.idle_pause_ms(pools, steady_ms()));
+        if ownership.owns_any() || waited >= idle_pause.mul_f64(chance) {
             return;
         }
     }
