Warm VMs take work before cold ones

What it is for: a hall that is taken back comes with all its VMs cold, that is slow for seconds. Now what fits on a warm VM goes there first. Ruled out: a bound on what a cold VM takes (work would wait while room is free). Red before by reading: nothing knew of it.

--- a/crates/bench/src/slopes/pool.rs
+++ b/crates/bench/src/slopes/pool.rs
@@ -125,6 +125,7 @@
             room: Room { cpu: 800, mem_mb: 32_768, gpu: 0 },
             draining: false,
             unreadable: false,
+            cold: false,
         };
         pool.list_vm(Arc::new(facts));
         pool.report(&vm_id(vm), &VmReport::default(), NOW);
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -181,8 +181,11 @@
             };
             // The fullest VM that fits: the others become empty and can serve other pools.
             let fullness = std::cmp::Reverse(vm.free().cpu);
+            // A hall that is taken back comes with all of its VMs cold: what fits on warm ones is done sooner there.
+            let warm = vm.facts.as_ref().is_some_and(|f| !f.cold);
             (
                 Some(*key) != avoid,
+                warm,
                 !disturbs(vm, shape),
                 stays,
                 spares,
--- a/crates/schedule/src/vm.rs
+++ b/crates/schedule/src/vm.rs
@@ -90,6 +90,8 @@
     /// Its newest entry makes no sense, so that this is what an older one told: it takes nothing new, and what runs
     /// there goes on.
     pub unreadable: bool,
+    /// It is slow as yet, from its start or as its data hall got no work for a while.
+    pub cold: bool,
 }
 
 /// A task that a VM says it is running.
--- a/crates/schedule/tests/common/mod.rs
+++ b/crates/schedule/tests/common/mod.rs
@@ -50,6 +50,7 @@
         room,
         draining: false,
         unreadable: false,
+        cold: false,
     })
 }
 
--- a/crates/schedule/tests/evacuation.rs
+++ b/crates/schedule/tests/evacuation.rs
@@ -170,3 +170,20 @@
     expect_that!(vms_of(&fleet.plan(9_010)), is_empty());
     expect_that!(fleet.record().work, is_empty());
 }
+
+#[gtest]
+fn vms_that_are_cold_when_their_hall_is_back_take_only_what_fits_on_no_warm_one() {
+    let mut pool = Pool::new();
+    for (hall, name) in [("a", "a1"), ("b", "b1")] {
+        let facts = vm_in(hall, name);
+        pool.list_vm(VmFacts { cold: hall == "a", ..facts.as_ref().clone() }.into());
+        pool.report(&facts.id, &VmReport::default(), at(0));
+    }
+    pool.submit(JOB, job(vec![step(4, 1_000)]), at(0));
+    let warm = plan_and_start(&mut pool, 10);
+    expect_that!(warm.iter().all(|s| s.vm.id().starts_with("i-b")), eq(true));
+    pool.submit(JobId(2), job(vec![step(2, 1_000)]), at(20));
+    let cold = plan_and_start(&mut pool, 20);
+    expect_that!(cold, len(eq(2)), "they take work all the same");
+    expect_that!(cold.iter().all(|s| s.vm.id().starts_with("i-a")), eq(true));
+}
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -220,7 +220,7 @@
 
 fn log_listed(facts: &VmFacts) {
     log::info!(
-        "vm step=listed vm={} name={} pool={} addr={} hall={} rack={} draining={}",
+        "vm step=listed vm={} name={} pool={} addr={} hall={} rack={} draining={} cold={}",
         facts.id,
         facts.name,
         facts.pool,
@@ -228,6 +228,7 @@
         facts.hall,
         facts.rack,
         facts.draining,
+        facts.cold,
     );
 }
 
