--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -4,7 +4,6 @@
 pub mod admission;
 pub mod catalog;
 pub mod fleet;
-pub mod gathering;
 pub mod halls;
 pub mod harm;
 pub mod id;
--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -29,8 +29,6 @@
 /// A pause between two readings of the heartbeats after which silence counts anew, in
 /// milliseconds: a little more than two readings lie apart.
 const DEAF_MS: Ms = 1_200;
-/// How long an owner that was not heard counts as one to hand submissions to, in milliseconds: four heartbeats.
-const GATHERS_MS: Ms = 1_800;
 /// How long an owner must be silent to be looked for where heartbeats go that their first partition
 /// does not take, in milliseconds: twice the time between two of them.
 const QUIET_MS: Ms = 900;
@@ -68,15 +66,11 @@
     /// How fast it computes, as it measured at its start, in any unit; 0 if it has not.
     #[serde(default)]
     pub speed: u32,
-    /// Submissions to its pools are to be handed to it, as more come than a partition takes well one by one.
-    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
-    pub gathers: bool,
 }
 
 #[derive(Clone, Debug)]
 struct Member {
     speed: u32,
-    gathers: bool,
     relay: Option<SocketAddr>,
     life: u64,
     sequence: u64,
@@ -128,8 +122,8 @@
 
     /// Takes in a heartbeat that was read.
     pub fn heard(&mut self, name: &str, beat: &Heartbeat, now: Ms) {
-        let Heartbeat { life, sequence, leaving, relay, speed, gathers } = *beat;
-        let news = Member { speed, gathers, relay, life, sequence, leaving, heard_at: now };
+        let Heartbeat { life, sequence, leaving, relay, speed } = *beat;
+        let news = Member { speed, relay, life, sequence, leaving, heard_at: now };
         match self.members.get_mut(name) {
             Some(m) if m.life == life && m.sequence >= sequence => m.leaving |= leaving,
             Some(m) => *m = news,
@@ -236,14 +230,6 @@
         member.relay.filter(|_| other && is_there)
     }
 
-    /// Returns whether submissions to a pool are to be handed to its owner, another node that was heard lately.
-    pub fn is_gathered(&self, pool: &str, now: Ms) -> bool {
-        let Some(owned) = self.claims.get(pool) else { return false };
-        let owner = self.members.get(&owned.claim.owner.name);
-        let gathers = |m: &Member| m.gathers && now.saturating_sub(m.heard_at) < GATHERS_MS;
-        self.relay_of_owner(pool).is_some() && owner.is_some_and(gathers)
-    }
-
     /// Returns whether the present owner's predecessor gave the pool up by itself.
     pub fn was_given_up(&self, pool: &str) -> bool {
         self.claims.get(pool).is_some_and(|o| o.was_given_up)
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -131,12 +131,6 @@
         (now.saturating_sub(heard_at) >= SILENCE_MS).then_some(Vacancy::Silent)
     }
 
-    /// Returns whether this node computes less than half as fast as the fastest.
-    pub fn is_slow_node(&self) -> bool {
-        let speed = self.members.get(&self.me.name).map_or(0, |m| m.speed);
-        speed > 0 && speed < self.slow_below()
-    }
-
     /// Returns below which speed a node counts as slow: half of the fastest one's.
     pub(super) fn slow_below(&self) -> u32 {
         self.members.values().map(|m| m.speed).max().unwrap_or(0) / 2
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -14,7 +14,7 @@
 }
 
 fn beat(life: u64, sequence: u64) -> Heartbeat {
-    Heartbeat { life, sequence, leaving: false, relay: None, speed: 0, gathers: false }
+    Heartbeat { life, sequence, leaving: false, relay: None, speed: 0 }
 }
 
 fn claim(name: &str, life: u64) -> Claim {
--- a/crates/schedule/tests/readers.rs
+++ b/crates/schedule/tests/readers.rs
@@ -12,7 +12,7 @@
 
 fn beat(speed: u32, i: usize) -> Heartbeat {
     let relay = format!("10.0.{}.{}:7060", i / 200, i % 200).parse().ok();
-    Heartbeat { life: 1, sequence: 1, leaving: false, relay, speed, gathers: false }
+    Heartbeat { life: 1, sequence: 1, leaving: false, relay, speed }
 }
 
 /// Returns the views of nodes that have all heard of each other at `now`; of each five the last is slow.
--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -128,8 +128,7 @@
     let leaving = *node.stopping.borrow();
     let relay = node.settings.relay_listen;
     let speed = node.speed;
-    let gathers = node.gathers_any();
-    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed, gathers };
+    let beat = Heartbeat { life: node.me.life, sequence, leaving, relay, speed };
     let key = format!("{MEMBER_PREFIX}{}", node.me.name);
     let record = KeyedRecord::new(key, to_json(&beat));
     match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -180,7 +180,6 @@
     if let Some((old, task)) = running.remove(shard) {
         log::info!("owner pool={shard} step=ended token={old}");
         task.abort();
-        node.set_gathers(shard, false);
         if let Some(log) = log {
             drop(log.connect_owner(None));
         }
--- a/crates/scheduler/src/hand_over.rs
+++ b/crates/scheduler/src/hand_over.rs
@@ -1,4 +1,4 @@
-//! Handing submissions to the pool's owner while the store is slow, or while more come than a partition takes well one by one.
+//! Handing submissions to the pool's owner while the store is slow.
 //!
 //! A partition does one append after the other. When each takes a quarter of a second, appends of
 //! many nodes wait for each other for longer than callers do; the owner appends what all have in one.
@@ -28,60 +28,37 @@
 /// way, so two appends of the slowest store, and as much again.
 const TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// How long the owner may take while the store is fast. One that has just died costs each node so much once.
-const GATHERED_WITHIN: Duration = Duration::from_millis(400);
-
-/// What came of handing records over.
-#[derive(Debug)]
-pub enum HandedOver {
-    /// This became of each.
-    Told(Vec<Written>),
-    /// Nothing was taken.
-    NotTaken,
-    /// They may be written.
-    Unanswered,
-}
-
-/// Hands records to the pool's owner beside a slow store.
-pub async fn to_owner(node: &Node, log: &PoolLog, records: &[KeyedRecord]) -> HandedOver {
-    send(node, log, records, TIMEOUT).await
-}
-
-/// Hands records to the pool's owner, as it appends what all nodes' callers hand in.
-pub async fn to_gatherer(node: &Node, log: &PoolLog, records: &[KeyedRecord]) -> HandedOver {
-    send(node, log, records, GATHERED_WITHIN).await
-}
-
-async fn send(node: &Node, log: &PoolLog, records: &[KeyedRecord], within: Duration) -> HandedOver {
-    let addr = lock(&node.ownership).relay_of_owner(&log.pool);
-    let Some(addr) = addr else { return HandedOver::NotTaken };
+/// Hands records to the pool's owner and returns what became of each; none if nothing was handed
+/// over.
+pub async fn to_owner(node: &Node, log: &PoolLog, records: &[KeyedRecord]) -> Option<Vec<Written>> {
+    let addr = lock(&node.ownership).relay_of_owner(&log.pool)?;
     let sent: Vec<(&str, &[u8])> = records.iter().map(|r| (&*r.key, &*r.value)).collect();
     let body = match postcard::to_stdvec(&sent) {
         Ok(body) => body,
         Err(e) => {
             log::error!("submit step=not-encoded pool={} error=\"{e}\"", log.pool);
-            return HandedOver::NotTaken;
+            return None;
         }
     };
-    let timeout = within + sending_time(body.len());
+    let timeout = TIMEOUT + sending_time(body.len());
     let call = Call::new(Method::POST, format!("{PATH}{}", log.pool), timeout);
     let answer = HttpClient::new(addr, 0).call(call.with_bytes(body.into())).await;
     let count = records.len();
     match answer {
         // It has taken nothing.
-        Ok(answer) if answer.status != StatusCode::OK.as_u16() => HandedOver::NotTaken,
+        Ok(answer) if answer.status != StatusCode::OK.as_u16() => None,
         Ok(answer) => {
             counter!("thistle_handed_over").increment(count as u64);
             log::info!("submit step=handed-over pool={} count={count} to={addr}", log.pool);
-            HandedOver::Told(read_outcomes(&answer.body, count))
+            Some(read_outcomes(&answer.body, count))
         }
-        Err(CallError::NotSent(..)) => HandedOver::NotTaken,
+        Err(CallError::NotSent(..)) => None,
         Err(e @ CallError::Unanswered(..)) => {
             log::info!(
                 "submit step=hand-over-unanswered pool={} count={count} error=\"{e}\"",
                 log.pool
             );
-            HandedOver::Unanswered
+            Some(vec![Written::Unknown; count])
         }
     }
 }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,6 +1,6 @@
 //! What all tasks of a node share.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
@@ -66,8 +66,6 @@
     /// Wakes the task that starts and stops owners.
     pub ownership_changed: tokio::sync::Notify,
     pools: Mutex<HashMap<Arc<str>, Arc<PoolLog>>>,
-    /// Pools that this node owns and for which it appends what other nodes' callers hand in.
-    gathers: Mutex<HashSet<Arc<str>>>,
     /// Until when this node may act as owner.
     lease_until: AtomicU64,
     /// It owns a pool or the fleet.
@@ -102,7 +100,6 @@
             claims_end: ClaimsEnd::default(),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
-            gathers: Mutex::default(),
             lease_until: AtomicU64::new(0),
             owning: Owned::default(),
             stopping: watch::Sender::new(false),
@@ -160,20 +157,6 @@
         halls::is_known((read_at > 0).then_some(read_at), within, steady_ms())
     }
 
-    /// Sets whether this node appends what other nodes' callers hand in for a pool; returns whether that is news.
-    pub fn set_gathers(&self, pool: &Arc<str>, gathers: bool) -> bool {
-        let mut pools = lock(&self.gathers);
-        match gathers {
-            true => pools.insert(pool.clone()),
-            false => pools.remove(pool),
-        }
-    }
-
-    /// Returns whether other nodes are to hand it what their callers hand in.
-    pub fn gathers_any(&self) -> bool {
-        !lock(&self.gathers).is_empty()
-    }
-
     /// Returns whether this node may act as owner now.
     pub fn lease_valid(&self) -> bool {
         steady_ms() < self.lease_until.load(Ordering::Relaxed)
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -18,14 +18,12 @@
 use std::time::Duration;
 
 use metrics::counter;
-use thistle_schedule::gathering::Intake;
 use thistle_schedule::pool::{Order, StartResult, StepId};
 use thistle_schedule::{LogChange, Ms, Pool, RunId, VmLife, VmLoss, VmReport};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::clock::{now, steady_ms};
 use crate::journal::{Fenced, Journal};
-use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::PoolLog;
 use advisor::Advisor;
@@ -95,7 +93,6 @@
     reporter: Reporter,
     advisor: Advisor,
     quota: Quota,
-    intake: Intake,
     /// When what changes slowly was last looked at.
     looked_at: Ms,
 }
@@ -156,9 +153,6 @@
 
     fn take(&mut self, event: Event) -> Result<(), Fenced> {
         let now = now();
-        if matches!(event, Event::Log(_)) {
-            self.intake.note(now.steady);
-        }
         match event {
             Event::Log(LogChange::Submitted(id)) => {
                 let log = self.log.clone();
@@ -260,7 +254,6 @@
             return;
         }
         self.looked_at = now;
-        self.tell_whether_gathering(now);
         self.drop_links();
         for link in self.links.values() {
             link.watch(self.pool.watch(link.vm()));
@@ -268,16 +261,6 @@
         self.tell_load();
     }
 
-    /// Tells other nodes, by this one's heartbeat, whether to hand it what their callers hand in.
-    fn tell_whether_gathering(&mut self, now: Ms) {
-        // A slow node takes longer over what 585 nodes hand it than they wait.
-        let slow = lock(&self.node.ownership).is_slow_node();
-        let gathers = self.intake.gathers(now) && !slow;
-        if self.node.set_gathers(&self.log.pool, gathers) {
-            log::info!("owner pool={} step=gathers gathers={gathers}", self.log.pool);
-        }
-    }
-
     fn dispatch(&mut self, order: Order) {
         let vm = match &order {
             Order::Start(start) => &start.vm,
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use thistle_schedule::Pool;
-use thistle_schedule::gathering::Intake;
 use tokio::sync::mpsc::unbounded_channel;
 
 use super::advisor::Advisor;
@@ -57,7 +56,6 @@
         reporter: Reporter::default(),
         advisor,
         quota: Quota::default(),
-        intake: Intake::default(),
         looked_at: 0,
     };
     owner.take_caps();
@@ -72,7 +70,6 @@
     if owner.work(rx).await == Err(Fenced) {
         log::warn!("owner pool={pool_name} step=fenced token={token}");
     }
-    owner.node.set_gathers(&owner.log.pool, false);
     drop(owner.log.connect_owner(None));
 }
 
--- a/crates/scheduler/src/pool_log/lanes.rs
+++ b/crates/scheduler/src/pool_log/lanes.rs
@@ -1,15 +1,11 @@
 //! The partitions that submissions may go to, and whether they take any.
 
 use std::sync::Arc;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use thistle_schedule::Ms;
 use tokio::sync::watch;
 
 use super::{PoolLog, SPARE};
-use crate::clock::steady_ms;
-use crate::locks::lock;
 use crate::node::Node;
 
 /// Pause before a partition that does not answer is asked again: a probe is one small read.
@@ -18,9 +14,6 @@
 /// counts as slow. When answers get lost the probe is answered in 4 ms; in an outage callers are refused this soon.
 const ASKED_WITHIN: Duration = Duration::from_millis(60);
 
-/// How long nothing is handed to an owner that has not taken what it was handed, in milliseconds: until others have its pools.
-const SILENT_GATHERER_MS: Ms = 3_000;
-
 /// How a partition took submissions lately.
 #[derive(Debug, Default)]
 pub(super) struct Lane {
@@ -52,19 +45,6 @@
         tokio::time::timeout(ASKED_WITHIN, cleared).await.is_ok_and(|cleared| cleared.is_ok())
     }
 
-    /// Returns whether submissions go to the pool's owner, which appends those of all nodes.
-    pub fn is_gathered(&self, node: &Node) -> bool {
-        let now = steady_ms();
-        now >= self.gathered_from.load(Ordering::Relaxed)
-            && !node.store.is_slow()
-            && lock(&node.ownership).is_gathered(&self.pool, now)
-    }
-
-    /// Takes in that the owner has not taken what it was handed.
-    pub fn note_silent_gatherer(&self) {
-        self.gathered_from.store(steady_ms() + SILENT_GATHERER_MS, Ordering::Relaxed);
-    }
-
     fn lane(&self, part: u32) -> &Lane {
         &self.lanes[usize::from(part == SPARE)]
     }
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -75,8 +75,6 @@
     /// It is known to have had an owner.
     had_owner: AtomicBool,
     lanes: [Lane; LANES.len()],
-    /// From when submissions may be handed to an owner that gathers them, by the steady clock.
-    gathered_from: AtomicU64,
     /// The owner's last read of submissions failed.
     in_trouble: AtomicBool,
     submitter: UnboundedSender<Submission>,
@@ -99,7 +97,6 @@
             reading_on: AtomicBool::new(false),
             had_owner: AtomicBool::new(false),
             lanes: Default::default(),
-            gathered_from: AtomicU64::new(0),
             in_trouble: AtomicBool::new(false),
             submitter,
             submitted: AtomicU64::new(0),
--- a/crates/scheduler/src/submit.rs
+++ b/crates/scheduler/src/submit.rs
@@ -10,7 +10,7 @@
 
 use crate::append::{By, Outcome, append};
 use crate::clock::steady_ms;
-use crate::hand_over::{self, HandedOver};
+use crate::hand_over;
 use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::PoolLog;
@@ -99,7 +99,7 @@
     }
 }
 
-/// Appends what this node's callers have sent, or hands it to the pool's owner while the store is slow or the owner gathers.
+/// Appends what this node's callers have sent, or hands it to the pool's owner while the store is slow.
 async fn write_own(
     node: &Arc<Node>,
     log: &Arc<PoolLog>,
@@ -110,34 +110,15 @@
         return append_all(node, log, records, oldest).await;
     }
     let mut may_be_written = false;
-    if log.is_gathered(node) {
-        match hand_over::to_gatherer(node, log, records).await {
-            HandedOver::Told(written) if !written.contains(&Written::NotKept) => return written,
-            // The store has not taken all of them from the owner: it may serve this node.
-            HandedOver::Told(written) => {
-                log.note_silent_gatherer();
-                may_be_written = written.iter().any(|w| *w != Written::NotKept);
-            }
-            HandedOver::NotTaken => log.note_silent_gatherer(),
-            HandedOver::Unanswered => {
-                log.note_silent_gatherer();
-                may_be_written = true;
-            }
-        }
-    }
     if !node.store.is_slow() {
         match append(node, log, records, oldest, By::Other).await {
-            Outcome::Known(written) if may_be_written => {
-                return vec![written.though_it_may_be_there(); records.len()];
-            }
             Outcome::Known(written) => return vec![written; records.len()],
-            Outcome::OwnersTurn { may_be_written: may } => may_be_written |= may,
+            Outcome::OwnersTurn { may_be_written: may } => may_be_written = may,
         }
     }
     let written = match hand_over::to_owner(node, log, records).await {
-        HandedOver::Told(written) => written,
-        HandedOver::NotTaken => append_all(node, log, records, oldest).await,
-        HandedOver::Unanswered => vec![Written::Unknown; records.len()],
+        Some(written) => written,
+        None => append_all(node, log, records, oldest).await,
     };
     if !may_be_written {
         return written;
