All nodes read heartbeats as often as before

Cause: a node takes the store for slow until calls that are answered at once have shown otherwise, one quarter a call, and hands submissions over meanwhile; idle nodes had half as many such calls since they read heartbeats each 0.9 s.

--- a/crates/scheduler/src/control/beat.rs
+++ b/crates/scheduler/src/control/beat.rs
@@ -31,8 +31,6 @@
 /// By how much the time between two heartbeats of an idle node varies by chance, as a part of it: nodes that start together
 /// would go on sending theirs together.
 const JITTER: f64 = 0.25;
-/// How often heartbeats of others are read by a node that would own nothing soon.
-const IDLE_LISTENING: Duration = Duration::from_millis(900);
 
 /// Sends heartbeats and reads those of others, neither waiting for the other: a heartbeat that a slow store leaves
 /// unanswered takes seconds, and a node that hears nothing meanwhile claims no pool (a pool that was given up beside a
@@ -50,16 +48,11 @@
             node.standing.note(true);
             take_beats(node, news);
         }
-        tokio::time::sleep(listening_pause(node)).await;
+        // Also on nodes that would own nothing soon: how soon these calls are answered tells that a store is slow no more.
+        tokio::time::sleep(HEARTBEAT_EVERY).await;
     }
 }
 
-/// Returns how long after a reading of the heartbeats the next one is due. Where there are hundreds of nodes most would come to own
-/// nothing, and need not know at once that an owner is silent.
-fn listening_pause(node: &Node) -> Duration {
-    if node.stands_by() { HEARTBEAT_EVERY } else { IDLE_LISTENING }
-}
-
 /// Reads the heartbeats that the first partition may not have taken, while an owner has not been heard for a while.
 async fn hear_aside(node: &Node) {
     let mut aside = Tail::new(TOPIC, SPARE_HEARTBEATS);
