Heartbeats of owners in a partition of their own (policy.ownership.owner_heartbeats, off)

Cause: a partition of a slow store appends a few records a second, fewer than the heartbeats that nodes without shards send. An owner's heartbeat waits behind them until its lease has expired. With the switch on, owners send theirs to partition 7 of `control`, and to the common partition at the interval of other nodes, or at the full rate while a live member does not read partition 7 (a new field of heartbeats, false by default).

Reads: each read in calm covers one of the two partitions, so that the number of reads stays at one in 450 ms. Both are read while the node starts, while the store is slow, while an owner is overdue and while an older node is alive. A node takes an owner for unresponsive only if both partitions were read to their ends after the owner's lease had ended.

Ruled out, in a calculation: a pause between heartbeats that grows with the answer's time, and longer constant pauses. Both lengthen the time to the next renewal. With a pause of 450 ms the leases of 4 owners hold at 240 ms per append, of 8 at 136 ms and of 24 at 40 ms, whatever the number of other nodes.

The constructors in tests/ownership.rs and tests/standbys.rs name the new field; no check there is changed.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -5,9 +5,14 @@
 //! only increase. Ownership changes only if the owner released the shard, was restarted, or was unresponsive for longer than
 //! its own lease lasts. The store alone decides who is the owner, not this module.
 
+mod heartbeats;
+mod records;
 mod standbys;
 mod vacancy;
 
+use heartbeats::HeartbeatReads;
+pub use heartbeats::{HEARTBEAT_MS, HeartbeatPartition};
+pub use records::{Claim, Heartbeat, NodeIncarnation};
 pub use standbys::STANDBYS;
 use vacancy::EndedOwner;
 
@@ -15,10 +20,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use serde::{Deserialize, Serialize};
 use thistle_model::rendezvous::weight;
 
 use crate::Ms;
+use crate::policy::OwnershipPolicy;
 
 /// How long a node may act as owner after it sent a heartbeat that the store accepted, in milliseconds. A longer lease
 /// tolerates longer outages; a shorter one moves shards away from dead nodes sooner.
@@ -35,43 +40,6 @@
 /// milliseconds: twice the time between two heartbeats.
 const OVERDUE_MS: Ms = 900;
 
-/// One incarnation of a node.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct NodeIncarnation {
-    /// The node's name.
-    pub name: String,
-    /// A random number drawn at the node's start.
-    #[serde(rename = "life")]
-    pub incarnation: u64,
-}
-
-/// The record that a node writes to claim a shard or to release it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Claim {
-    /// The owner.
-    pub owner: NodeIncarnation,
-    /// Whether the owner has released the shard.
-    pub released: bool,
-}
-
-/// The record that a node writes regularly to show that it is alive.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The number of the node's incarnation.
-    #[serde(rename = "life")]
-    pub incarnation: u64,
-    /// The sequence number, increasing with each heartbeat of the incarnation.
-    pub sequence: u64,
-    /// Whether the node is about to stop and claims no shards.
-    pub leaving: bool,
-    /// The address at which it relays calls to the store for other nodes, if it does.
-    #[serde(default)]
-    pub relay: Option<SocketAddr>,
-    /// Its computing speed, determined at its start in an arbitrary unit; 0 if it is not known.
-    #[serde(default)]
-    pub speed: u32,
-}
-
 #[derive(Clone, Debug)]
 struct Member {
     speed: u32,
@@ -79,6 +47,7 @@
     incarnation: u64,
     sequence: u64,
     leaving: bool,
+    reads_owner_heartbeats: bool,
     last_contact: Ms,
 }
 
@@ -97,9 +66,12 @@
 #[derive(Debug)]
 pub struct Ownership {
     me: NodeIncarnation,
+    policy: OwnershipPolicy,
     started_at: Ms,
-    /// When heartbeats were last read.
+    /// When heartbeats were last read; with an owners' partition, when that one was.
     last_read_at: Option<Ms>,
+    /// The complete reads of the two partitions of heartbeats.
+    reads: HeartbeatReads,
     members: HashMap<String, Member>,
     claims: HashMap<Arc<str>, NewestClaim>,
     /// The pools whose progress may be in overflow partitions.
@@ -116,8 +88,10 @@
         let (members, claims, vacant_since) = (HashMap::new(), HashMap::new(), HashMap::new());
         Self {
             me,
+            policy: OwnershipPolicy::default(),
             started_at: now,
             last_read_at: None,
+            reads: HeartbeatReads::default(),
             members,
             claims,
             overflow_partitions: HashSet::new(),
@@ -126,10 +100,25 @@
         }
     }
 
+    /// Sets the parameters for the ownership of shards.
+    pub fn with_policy(self, policy: OwnershipPolicy) -> Self {
+        Self { policy, ..self }
+    }
+
     /// Records a heartbeat that was read.
     pub fn record_heartbeat(&mut self, name: &str, heartbeat: &Heartbeat, now: Ms) {
-        let Heartbeat { incarnation, sequence, leaving, relay, speed } = *heartbeat;
-        let update = Member { speed, relay, incarnation, sequence, leaving, last_contact: now };
+        let Heartbeat { incarnation, sequence, leaving, relay, speed, reads_owner_heartbeats } =
+            *heartbeat;
+        let last_contact = now;
+        let update = Member {
+            speed,
+            relay,
+            incarnation,
+            sequence,
+            leaving,
+            reads_owner_heartbeats,
+            last_contact,
+        };
         match self.members.get_mut(name) {
             Some(m) if m.incarnation == incarnation && m.sequence >= sequence => {
                 m.leaving |= leaving;
@@ -141,8 +130,8 @@
         }
     }
 
-    /// Records a heartbeat that was read from the fallback partition. It may be outdated, so it does not introduce another
-    /// incarnation of a known member.
+    /// Records a heartbeat that was read from the fallback partition, or as the newest one of its node. It may be outdated, so
+    /// it does not introduce another incarnation of a known member.
     pub fn record_fallback_heartbeat(&mut self, name: &str, heartbeat: &Heartbeat, now: Ms) {
         let is_other_incarnation =
             self.members.get(name).is_some_and(|m| m.incarnation != heartbeat.incarnation);
@@ -157,7 +146,7 @@
             let contact = self.members.get(&newest.claim.owner.name).map_or(0, |m| m.last_contact);
             let latest = contact.max(newest.seen_at);
             let other = newest.claim.owner != self.me && !newest.claim.released;
-            other && now.saturating_sub(latest) >= OVERDUE_MS
+            other && now.saturating_sub(latest) >= self.overdue_ms()
         };
         self.claims.values().any(is_overdue)
     }
--- /dev/null
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -0,0 +1,134 @@
+//! The two partitions of heartbeats: the common one, and one of the owners.
+//!
+//! Load pattern: the store becomes 34 to 60 times as slow and appends one record at a time to each partition. Dozens of nodes
+//! that own nothing send more heartbeats than one partition then appends. An owner's heartbeat behind them in the queue would
+//! be answered after its lease has expired.
+
+use super::{Member, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
+use crate::Ms;
+
+/// A partition of heartbeats.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HeartbeatPartition {
+    /// The heartbeats of all nodes. Those of owners are rare there, except for nodes that read no other partition.
+    Common,
+    /// The heartbeats of owners.
+    Owners,
+}
+
+/// When the latest read of each partition that reached its end was sent.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct HeartbeatReads {
+    common: Option<Ms>,
+    owners: Option<Ms>,
+    /// When the common partition was last read, to its end or not.
+    common_heard_at: Option<Ms>,
+}
+
+/// The pause of an owner between the answer to a heartbeat and the next heartbeat, and of each node between two reads of
+/// heartbeats, in milliseconds: four of them fit in an owner's lease. Longer pauses, constant or growing with the time that
+/// answers take, let leases expire sooner while the store is slow, as the next answer comes later too.
+pub const HEARTBEAT_MS: Ms = 450;
+/// Of this many reads of heartbeats, one reads the common partition. Nodes that own nothing send a heartbeat every 2.5 s.
+const COMMON_READ_EVERY: u64 = 5;
+/// The same on a node that owns something. It must notice an older node, which does not read the owners' partition, and send
+/// it a heartbeat within [`super::UNRESPONSIVE_MS`].
+const COMMON_READ_EVERY_AS_OWNER: u64 = 2;
+/// How long an owner's heartbeat must be overdue before all partitions are read at once, in milliseconds: two reads of the
+/// owners' partition with one of the common partition between them, one heartbeat, and a margin.
+const OVERDUE_WITH_TWO_PARTITIONS_MS: Ms = 1_500;
+/// The time between two reads of the common partition after which all timeouts are reset, in milliseconds: twice the usual time
+/// on a node that owns nothing.
+const MAX_COMMON_READ_GAP_MS: Ms = 4_500;
+/// How long after the initial wait a new node reads both partitions at once, in milliseconds.
+const BOTH_AFTER_INITIAL_WAIT_MS: Ms = 1_000;
+/// The margin after an owner's lease for clocks that differ by 2%, in milliseconds.
+const CLOCK_MARGIN_MS: Ms = OWNER_LEASE_MS / 50;
+
+impl Ownership {
+    /// Returns the partitions of heartbeats to read now. `count` is the number of earlier reads and `is_slow` whether the store
+    /// answers slowly. Only nodes with an owners' partition ask. In calm each read covers one partition, so that the second partition adds no calls to the store.
+    pub fn partitions_to_read(
+        &self,
+        count: u64,
+        is_slow: bool,
+        now: Ms,
+    ) -> &'static [HeartbeatPartition] {
+        use HeartbeatPartition::{Common, Owners};
+        let starting = now < self.started_at + self.initial_wait_ms() + BOTH_AFTER_INITIAL_WAIT_MS;
+        let both = starting || is_slow || self.has_overdue_owner(now);
+        if both || self.must_send_to_common_partition(now) {
+            return &[Owners, Common];
+        }
+        let every = match self.owns_any() {
+            true => COMMON_READ_EVERY_AS_OWNER,
+            false => COMMON_READ_EVERY,
+        };
+        if count % every == every - 1 { &[Common] } else { &[Owners] }
+    }
+
+    /// Records that a partition was read, before its heartbeats are recorded. `read_at` is when the latest read that reached its
+    /// end was sent. After a gap between reads all timeouts are reset. Returns whether there was such a gap.
+    pub fn record_partition_read(
+        &mut self,
+        partition: HeartbeatPartition,
+        read_at: Option<Ms>,
+        now: Ms,
+    ) -> bool {
+        if !self.policy.owner_heartbeats {
+            return self.record_read(now);
+        }
+        match partition {
+            HeartbeatPartition::Owners => {
+                self.reads.owners = read_at.max(self.reads.owners);
+                self.record_read(now)
+            }
+            HeartbeatPartition::Common => {
+                self.reads.common = read_at.max(self.reads.common);
+                let before = self.reads.common_heard_at.replace(now);
+                let gap = before.is_some_and(|at| now.saturating_sub(at) > MAX_COMMON_READ_GAP_MS);
+                if gap {
+                    self.reset_timeouts(now);
+                }
+                gap
+            }
+        }
+    }
+
+    /// Records a heartbeat that was read from the owners' partition. A node that restarted sends its first heartbeats to the
+    /// common partition, and its last ones from before the restart may be read here later. So another incarnation of a known
+    /// member counts only if it owns something.
+    pub fn record_owner_heartbeat(&mut self, name: &str, heartbeat: &super::Heartbeat, now: Ms) {
+        let owns = |newest: &super::NewestClaim| {
+            let owner = &newest.claim.owner;
+            owner.name == name && owner.incarnation == heartbeat.incarnation
+        };
+        if self.claims.values().any(owns) {
+            self.record_heartbeat(name, heartbeat, now);
+        } else {
+            self.record_fallback_heartbeat(name, heartbeat, now);
+        }
+    }
+
+    /// Returns whether owners must send all their heartbeats to the common partition too, because a live member reads no other
+    /// one and would take them for unresponsive.
+    pub fn must_send_to_common_partition(&self, now: Ms) -> bool {
+        let reads_common_only = |m: &Member| !m.reads_owner_heartbeats;
+        !self.policy.owner_heartbeats
+            || self.live_members(now).any(|(name, m)| name != self.me.name && reads_common_only(m))
+    }
+
+    /// Returns whether both partitions were read to their ends after the lease of an owner that was last heard at
+    /// `last_contact` had ended, unless it had been renewed. A later heartbeat can therefore not be unread in one of them.
+    pub(super) fn has_read_past_lease(&self, last_contact: Ms) -> bool {
+        let lease_end = last_contact + OWNER_LEASE_MS + CLOCK_MARGIN_MS;
+        let HeartbeatReads { common, owners, .. } = self.reads;
+        let is_past = |read_at: Option<Ms>| read_at.is_some_and(|at| at >= lease_end);
+        !self.policy.owner_heartbeats || (is_past(common) && is_past(owners))
+    }
+
+    /// Returns how long an owner must be silent before its heartbeat counts as overdue, in milliseconds.
+    pub(super) const fn overdue_ms(&self) -> Ms {
+        if self.policy.owner_heartbeats { OVERDUE_WITH_TWO_PARTITIONS_MS } else { OVERDUE_MS }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/ownership/records.rs
@@ -0,0 +1,45 @@
+//! The records of claims and heartbeats.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// One incarnation of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NodeIncarnation {
+    /// The node's name.
+    pub name: String,
+    /// A random number drawn at the node's start.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+}
+
+/// The record that a node writes to claim a shard or to release it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The owner.
+    pub owner: NodeIncarnation,
+    /// Whether the owner has released the shard.
+    pub released: bool,
+}
+
+/// The record that a node writes regularly to show that it is alive.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The number of the node's incarnation.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// The sequence number, increasing with each heartbeat of the incarnation.
+    pub sequence: u64,
+    /// Whether the node is about to stop and claims no shards.
+    pub leaving: bool,
+    /// The address at which it relays calls to the store for other nodes, if it does.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
+    /// Its computing speed, determined at its start in an arbitrary unit; 0 if it is not known.
+    #[serde(default)]
+    pub speed: u32,
+    /// Whether the node reads the owners' partition of heartbeats. Older nodes read only the common one.
+    #[serde(default)]
+    pub reads_owner_heartbeats: bool,
+}
--- a/crates/schedule/src/ownership/standbys.rs
+++ b/crates/schedule/src/ownership/standbys.rs
@@ -56,7 +56,7 @@
     }
 
     /// Returns the members that are alive and not about to stop.
-    fn live_members(&self, now: Ms) -> impl Iterator<Item = (&str, &Member)> {
+    pub(super) fn live_members(&self, now: Ms) -> impl Iterator<Item = (&str, &Member)> {
         let is_alive =
             move |m: &Member| !m.leaving && now.saturating_sub(m.last_contact) < ALIVE_MS;
         self.members.iter().filter(move |(_, m)| is_alive(m)).map(|(name, m)| (name.as_str(), m))
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -137,11 +137,12 @@
             Some(m) => m.last_contact.max(*seen_at),
             None => *seen_at,
         };
-        (now.saturating_sub(last_contact) >= UNRESPONSIVE_MS).then_some(Vacancy::Unresponsive)
+        let is_silent = now.saturating_sub(last_contact) >= UNRESPONSIVE_MS;
+        (is_silent && self.has_read_past_lease(last_contact)).then_some(Vacancy::Unresponsive)
     }
 
     /// Returns the initial wait of a new node, in milliseconds, by the number of members known so far.
-    fn initial_wait_ms(&self) -> Ms {
+    pub(super) fn initial_wait_ms(&self) -> Ms {
         let more = self.members.len().saturating_sub(HEARTBEATS_WITHIN_WAIT);
         INITIAL_WAIT_MS
             + APPEND_MS * Ms::try_from(more).unwrap_or(Ms::MAX / APPEND_MS - INITIAL_WAIT_MS)
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -17,6 +17,16 @@
     pub waves: WavePolicy,
     /// How tasks are ordered and placed.
     pub tasks: TaskPolicy,
+    /// How nodes own shards.
+    pub ownership: OwnershipPolicy,
+}
+
+/// The parameters for the ownership of shards.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OwnershipPolicy {
+    /// Whether owners send their heartbeats to a partition of their own, where they do not queue behind those of idle nodes.
+    pub owner_heartbeats: bool,
 }
 
 /// The parameters for the number of VMs that a pool needs.
--- /dev/null
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -0,0 +1,152 @@
+//! The partition of heartbeats that owners have of their own.
+
+use googletest::prelude::*;
+use thistle_schedule::Ms;
+use thistle_schedule::ownership::{
+    Claim, HEARTBEAT_MS, Heartbeat, HeartbeatPartition, NodeIncarnation, OWNER_LEASE_MS, Ownership,
+    UNRESPONSIVE_MS,
+};
+use thistle_schedule::policy::OwnershipPolicy;
+
+use HeartbeatPartition::{Common, Owners};
+
+fn node(name: &str, incarnation: u64) -> NodeIncarnation {
+    NodeIncarnation { name: name.to_owned(), incarnation }
+}
+
+fn heartbeat(incarnation: u64, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation,
+        sequence,
+        leaving: false,
+        relay: None,
+        speed: 0,
+        reads_owner_heartbeats: true,
+    }
+}
+
+fn view(name: &str) -> Ownership {
+    let policy = OwnershipPolicy { owner_heartbeats: true, ..OwnershipPolicy::default() };
+    Ownership::new(node(name, 1), 0).with_policy(policy)
+}
+
+fn claim(view: &mut Ownership, name: &str, incarnation: u64, offset: u64, now: Ms) {
+    let claim = Claim { owner: node(name, incarnation), released: false };
+    view.record_claim(&"desk".into(), claim, offset, now);
+}
+
+fn claims(view: &mut Ownership, now: Ms) -> usize {
+    view.to_claim(std::iter::once(&"desk".into()), now).len()
+}
+
+/// An owner's last heartbeat may stand in either partition. A node that has read only one of them since the lease would have
+/// ended takes a shard from an owner that is alive.
+#[gtest]
+fn an_owner_is_unresponsive_only_if_both_partitions_were_read_after_its_lease() {
+    for unread in [Common, Owners] {
+        let mut view = view("b");
+        claim(&mut view, "a", 1, 0, 900);
+        let mut now = 1_000;
+        let end = 1_000 + UNRESPONSIVE_MS + 100;
+        view.record_partition_read(Owners, Some(now), now);
+        view.record_owner_heartbeat("a", &heartbeat(1, 1), now);
+        while now < end {
+            now += 100;
+            for partition in [Owners, Common] {
+                let stale = partition == unread && now > 1_000 + OWNER_LEASE_MS;
+                // The partition was read, but not to its end.
+                view.record_partition_read(partition, (!stale).then_some(now), now);
+            }
+        }
+        expect_that!(claims(&mut view, now), eq(0), "{unread:?}");
+        view.record_partition_read(unread, Some(now), now);
+        expect_that!(claims(&mut view, now), eq(1), "{unread:?}");
+    }
+}
+
+/// Each call to the store is paid for. The second partition must not add reads in calm, and an owner must read the common one
+/// often enough to notice an older node before that node claims its shard.
+#[gtest]
+fn in_calm_a_read_covers_one_partition() {
+    for (owner, every) in [("b", 5), ("me", 2)] {
+        let mut view = view("me");
+        claim(&mut view, owner, 1, 0, 10_000);
+        let parts: Vec<_> =
+            (0..10).flat_map(|count| view.partitions_to_read(count, false, 10_100)).collect();
+        expect_that!(parts, len(eq(10)));
+        let common = parts.iter().filter(|&&&partition| partition == Common).count();
+        expect_that!(common, eq(10 / every));
+        expect_that!(view.partitions_to_read(0, true, 10_100), len(eq(2)), "slow store");
+        expect_that!(view.partitions_to_read(0, false, 500), len(eq(2)), "start of the node");
+    }
+    let mut view = view("me");
+    claim(&mut view, "b", 1, 0, 10_000);
+    expect_that!(view.partitions_to_read(0, false, 11_500), len(eq(2)), "overdue owner");
+}
+
+/// An older node reads only the common partition. If owners did not write all their heartbeats there, it would take them for
+/// unresponsive after 2.7 s and claim their shards.
+#[gtest]
+fn owners_send_to_the_common_partition_while_an_older_node_is_alive() {
+    let mut view = view("me");
+    view.record_heartbeat("new", &heartbeat(1, 1), 1_000);
+    expect_that!(view.must_send_to_common_partition(1_000), eq(false));
+    let older = Heartbeat { reads_owner_heartbeats: false, ..heartbeat(1, 1) };
+    view.record_heartbeat("old", &older, 1_000);
+    expect_that!(view.must_send_to_common_partition(2_000), eq(true));
+    view.record_heartbeat("old", &Heartbeat { leaving: true, ..older.clone() }, 3_000);
+    expect_that!(view.must_send_to_common_partition(3_000), eq(false));
+    view.record_heartbeat("old", &Heartbeat { sequence: 2, ..older }, 4_000);
+    expect_that!(view.must_send_to_common_partition(5_000), eq(true));
+    expect_that!(view.must_send_to_common_partition(12_000), eq(false));
+}
+
+/// A node that restarts sends its first heartbeats to the common partition, while the last ones from before the restart still
+/// stand in the owners' partition. Taken for newer, they make the node's new claims seem to be those of an incarnation that has
+/// ended.
+#[gtest]
+fn late_heartbeats_of_an_earlier_incarnation_take_no_shard_from_the_next_one() {
+    let mut view = view("b");
+    view.record_heartbeat("a", &heartbeat(2, 1), 1_000);
+    claim(&mut view, "a", 2, 0, 1_010);
+    for now in (1_100..4_000).step_by(100) {
+        for partition in [Owners, Common] {
+            view.record_partition_read(partition, Some(now), now);
+        }
+        view.record_owner_heartbeat("a", &heartbeat(1, 9 + now), now);
+        view.record_owner_heartbeat("a", &heartbeat(2, now), now);
+        view.record_owner_heartbeat("a", &heartbeat(1, 10 + now), now);
+        expect_that!(claims(&mut view, now), eq(0), "{now}");
+    }
+}
+
+/// Returns the longest time from the sending of an owner's accepted heartbeat to the answer of the next one. The partition
+/// appends one record at a time, each in `append_ms`; the owners' first heartbeats come 37 ms after each other.
+fn longest_renewal(owners: u64, append_ms: Ms) -> Ms {
+    let mut due: Vec<Ms> = (0..owners).map(|i| i * 37).collect();
+    let mut renewed_from: Vec<Option<Ms>> = vec![None; due.len()];
+    let (mut free_at, mut longest) = (0, 0);
+    for _ in 0..owners * 50 {
+        let (i, &sent_at) = due.iter().enumerate().min_by_key(|(_, at)| **at).expect("owners");
+        free_at = sent_at.max(free_at) + append_ms;
+        let renewed = renewed_from[i].replace(sent_at);
+        longest = longest.max(renewed.map_or(0, |from| free_at - from));
+        due[i] = free_at + HEARTBEAT_MS;
+    }
+    longest
+}
+
+/// The owners' heartbeats must not queue so long behind each other that their leases expire. How many nodes own nothing does
+/// not matter, with 37 nodes or with 585, because theirs go to another partition.
+#[gtest]
+fn the_leases_of_owners_hold_while_the_store_is_slow() {
+    // 60 times, 34 times and 10 times as slow. On the largest sites 22 pools, the fleet and the caps have owners.
+    for (most, append_ms) in [(4, 240), (8, 136), (24, 40)] {
+        for owners in 1..=most {
+            let longest = longest_renewal(owners, append_ms);
+            expect_that!(longest, lt(OWNER_LEASE_MS), "{owners} at {append_ms} ms");
+        }
+    }
+    // The same partition for all 37 nodes.
+    expect_that!(longest_renewal(37, 136), gt(OWNER_LEASE_MS));
+}
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -14,7 +14,14 @@
 }
 
 fn heartbeat(incarnation: u64, sequence: u64) -> Heartbeat {
-    Heartbeat { incarnation, sequence, leaving: false, relay: None, speed: 0 }
+    Heartbeat {
+        incarnation,
+        sequence,
+        leaving: false,
+        relay: None,
+        speed: 0,
+        reads_owner_heartbeats: false,
+    }
 }
 
 fn claim(name: &str, incarnation: u64) -> Claim {
--- a/crates/schedule/tests/standbys.rs
+++ b/crates/schedule/tests/standbys.rs
@@ -14,7 +14,14 @@
 
 fn heartbeat(speed: u32, i: usize) -> Heartbeat {
     let relay = format!("10.0.{}.{}:7060", i / 200, i % 200).parse().ok();
-    Heartbeat { incarnation: 1, sequence: 1, leaving: false, relay, speed }
+    Heartbeat {
+        incarnation: 1,
+        sequence: 1,
+        leaving: false,
+        relay,
+        speed,
+        reads_owner_heartbeats: false,
+    }
 }
 
 /// Returns the views of nodes that have all received each other's heartbeats at `now`. Every fifth node is slow.
--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -1,52 +1,94 @@
-//! Sends heartbeats and receives those of other nodes.
+//! Receives the heartbeats of other nodes.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use thistle_platform::{Appended, Guard, KeyedRecord, Stored};
+use thistle_platform::Stored;
 use thistle_schedule::Ms;
-use thistle_schedule::ownership::Heartbeat;
+use thistle_schedule::ownership::{HEARTBEAT_MS, Heartbeat, HeartbeatPartition};
+use tokio::sync::Notify;
 
-use super::{CLAIMS, TOPIC, to_json};
+use super::TOPIC;
+use super::send_heartbeats::send_heartbeats;
 use crate::clock::steady_ms;
 use crate::follow::{Tail, Update};
 use crate::locks::lock;
 use crate::node::Node;
 
-/// The partition of heartbeats.
-const HEARTBEATS: u32 = 1;
+/// The common partition of heartbeats.
+pub(super) const HEARTBEATS: u32 = 1;
 /// The fallback partition, for heartbeats that the first one does not accept.
-const FALLBACK_HEARTBEATS: u32 = 4;
+pub(super) const FALLBACK_HEARTBEATS: u32 = 4;
+/// The partition of the heartbeats of owners.
+pub(super) const OWNER_HEARTBEATS: u32 = 7;
 /// The prefix of the keys of heartbeats.
-const MEMBER_PREFIX: &str = "member/";
-/// The time between two heartbeats of a node: four of them fit in an owner's lease.
-const HEARTBEAT_EVERY: Duration = Duration::from_millis(450);
-/// The number of heartbeats after which the first partition is tried first again.
-const RETRY_FIRST_EVERY: u64 = 8;
-/// The maximum number of checks whether all claims were applied.
-const CLAIMS_TRIES: u32 = 10;
-/// Pause before each further check.
-const CLAIMS_PAUSE: Duration = Duration::from_millis(20);
-/// The time between two heartbeats of a node that owns nothing, in milliseconds.
-const IDLE_HEARTBEAT_MS: Ms = 2_500;
+pub(super) const MEMBER_PREFIX: &str = "member/";
+/// The time between two heartbeats of an owner, and between two reads of heartbeats.
+pub(super) const HEARTBEAT_EVERY: Duration = Duration::from_millis(HEARTBEAT_MS);
+/// How long a read of heartbeats takes at least when the store counts as slow, in milliseconds.
+const SLOW_READ_MS: Ms = 100;
 
 /// Sends heartbeats and reads those of other nodes, concurrently: a heartbeat that a slow store leaves unanswered
 /// takes seconds, and a node that receives no heartbeats meanwhile claims no pool. With a store 46 times slower than
 /// usual and no concurrency, a released pool had no owner for 1.5 s after all nodes knew of its release.
 pub async fn run(node: Arc<Node>) {
-    tokio::join!(send_heartbeats(&node), follow_heartbeats(&node), poll_fallback_partition(&node));
+    let common_due = Notify::new();
+    tokio::join!(
+        send_heartbeats(&node),
+        follow_heartbeats(&node, &common_due),
+        follow_common_partition(&node, &common_due),
+        poll_fallback_partition(&node),
+    );
 }
 
-/// Follows the heartbeats of other nodes.
-async fn follow_heartbeats(node: &Node) {
+/// Follows the heartbeats of other nodes. Of the two partitions, this task reads the owners' one, and has the common one read
+/// when it is due, so that an unanswered read of one does not delay those of the other.
+async fn follow_heartbeats(node: &Node, common_due: &Notify) {
+    if !node.settings.policy.ownership.owner_heartbeats {
+        return;
+    }
+    let mut tail = Tail::new(TOPIC, OWNER_HEARTBEATS);
+    let mut is_slow = false;
+    for count in 0.. {
+        let due = lock(&node.ownership).partitions_to_read(
+            count,
+            is_slow || node.store.is_slow(),
+            steady_ms(),
+        );
+        if due.contains(&HeartbeatPartition::Common) {
+            common_due.notify_one();
+        }
+        if due.contains(&HeartbeatPartition::Owners) {
+            let sent_at = steady_ms();
+            read_heartbeats(node, &mut tail, HeartbeatPartition::Owners).await;
+            is_slow = steady_ms().saturating_sub(sent_at) >= SLOW_READ_MS;
+        }
+        tokio::time::sleep(HEARTBEAT_EVERY).await;
+    }
+}
+
+/// Reads the common partition of heartbeats each time it is due; without an owners' partition, regularly.
+async fn follow_common_partition(node: &Node, due: &Notify) {
     let mut tail = Tail::new(TOPIC, HEARTBEATS);
     loop {
-        if let Ok(update) = tail.read(&node.store, Duration::ZERO).await {
-            // This is the most regular of all calls, so its lack of answers shows an unresponsive store.
+        if node.settings.policy.ownership.owner_heartbeats {
+            due.notified().await;
+        }
+        read_heartbeats(node, &mut tail, HeartbeatPartition::Common).await;
+        if !node.settings.policy.ownership.owner_heartbeats {
+            tokio::time::sleep(HEARTBEAT_EVERY).await;
+        }
+    }
+}
+
+async fn read_heartbeats(node: &Node, tail: &mut Tail, partition: HeartbeatPartition) {
+    match tail.read(&node.store, Duration::ZERO).await {
+        Ok(update) => {
+            // These are the most regular of all calls, so their lack of answers shows an unresponsive store.
             node.store_health.record_call(true);
-            apply_heartbeats(node, update);
+            apply_heartbeats(node, update, tail, partition);
         }
-        tokio::time::sleep(HEARTBEAT_EVERY).await;
+        Err(e) => log::debug!("heartbeat step=not-read partition={partition:?} error=\"{e}\""),
     }
 }
 
@@ -77,94 +119,25 @@
     }
 }
 
-async fn send_heartbeats(node: &Node) {
-    let mut parts = [HEARTBEATS, FALLBACK_HEARTBEATS];
-    let mut sequence = 0;
-    loop {
-        let sent_at = steady_ms();
-        sequence += 1;
-        if sequence % RETRY_FIRST_EVERY == 0 {
-            parts = [HEARTBEATS, FALLBACK_HEARTBEATS];
-        }
-        for i in 0..parts.len() {
-            if send_heartbeat(node, parts[i], sequence).await {
-                // The partition that accepted the heartbeat is tried first next time.
-                parts.swap(0, i);
-                break;
-            }
-        }
-        wait_for_next_heartbeat(node, sent_at).await;
-    }
-}
-
-/// Sends one heartbeat and returns whether the store accepted it.
-async fn send_heartbeat(node: &Node, part: u32, sequence: u64) -> bool {
-    let sent_at = steady_ms();
-    let leaving = *node.stopping.borrow();
-    let relay = node.settings.relay_listen;
-    let speed = node.speed;
-    let heartbeat = Heartbeat { incarnation: node.me.incarnation, sequence, leaving, relay, speed };
-    let key = format!("{MEMBER_PREFIX}{}", node.me.name);
-    let record = KeyedRecord::new(key, to_json(&heartbeat));
-    match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
-        Ok(Appended::Done { .. }) => {
-            node.store_health.record_call(true);
-            // A node that owns nothing, as far as it knows, may renew its lease without knowing all claims.
-            let owns_nothing = !lock(&node.ownership).owns_any();
-            if !leaving && (node.lease_valid() || owns_nothing || claims_are_known(node).await) {
-                node.renew_lease(sent_at);
-            }
-            return true;
-        }
-        Ok(other) => log::error!("heartbeat step=refused part={part} answer={other:?}"),
-        Err(e) => {
-            node.store_health.record_call(false);
-            log::info!("heartbeat step=failed part={part} error=\"{e}\"");
-        }
-    }
-    false
-}
-
-/// Returns whether this node has applied all current claims. After its lease ended, another node may have claimed
-/// what this one owned, so a heartbeat alone does not renew the lease.
-async fn claims_are_known(node: &Node) -> bool {
-    for _ in 0..CLAIMS_TRIES {
-        let Some(end) = node.claims_end.get() else { return false };
-        match node.store.read(TOPIC, CLAIMS, end, Duration::ZERO).await {
-            Ok(batch) if batch.records.is_empty() => return true,
-            // The task that follows the claims applies them.
-            Ok(_) => tokio::time::sleep(CLAIMS_PAUSE).await,
-            Err(e) => {
-                log::info!("owner step=claims-not-known error=\"{e:?}\"");
-                return false;
-            }
-        }
-    }
-    log::info!("owner step=claims-not-known tries={CLAIMS_TRIES}");
-    false
-}
-
-/// Waits until the next heartbeat is due. A node that owns nothing sends fewer: all heartbeats share one partition,
-/// which appends one at a time.
-async fn wait_for_next_heartbeat(node: &Node, sent_at: Ms) {
-    loop {
-        tokio::time::sleep(HEARTBEAT_EVERY).await;
-        let waited = steady_ms().saturating_sub(sent_at);
-        if lock(&node.ownership).owns_any() || waited >= IDLE_HEARTBEAT_MS {
-            return;
-        }
-    }
-}
-
-fn apply_heartbeats(node: &Node, update: Update) {
+fn apply_heartbeats(node: &Node, update: Update, tail: &Tail, partition: HeartbeatPartition) {
     let now = steady_ms();
     let mut ownership = lock(&node.ownership);
-    if ownership.record_read(now) {
-        log::info!("heartbeat step=listening-again");
+    if ownership.record_partition_read(partition, tail.read_at(), now) {
+        log::info!("heartbeat step=listening-again partition={partition:?}");
     }
     let any = !update.is_empty();
-    apply_each(update, |name, heartbeat| ownership.record_heartbeat(name, heartbeat, now));
-    if any {
+    // With two partitions, the newest record of a node in one may be older than those in the other.
+    let is_outdated =
+        node.settings.policy.ownership.owner_heartbeats && matches!(update, Update::Reloaded(_));
+    apply_each(update, |name, heartbeat| match partition {
+        HeartbeatPartition::Owners => ownership.record_owner_heartbeat(name, heartbeat, now),
+        HeartbeatPartition::Common if is_outdated => {
+            ownership.record_fallback_heartbeat(name, heartbeat, now);
+        }
+        HeartbeatPartition::Common => ownership.record_heartbeat(name, heartbeat, now),
+    });
+    // While the common partition is not read, most members seem to be gone.
+    if any && partition == HeartbeatPartition::Common {
         node.store.set_peers(ownership.relays(now));
     }
 }
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod claims_end;
 mod heartbeat;
 mod overflow;
+mod send_heartbeats;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/scheduler/src/control/send_heartbeats.rs
@@ -0,0 +1,156 @@
+//! Sends the heartbeats of this node.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Duration;
+
+use thistle_platform::{Appended, Guard, KeyedRecord};
+use thistle_schedule::Ms;
+use thistle_schedule::ownership::Heartbeat;
+
+use super::heartbeat::{
+    FALLBACK_HEARTBEATS, HEARTBEAT_EVERY, HEARTBEATS, MEMBER_PREFIX, OWNER_HEARTBEATS,
+};
+use super::{CLAIMS, TOPIC, to_json};
+use crate::clock::steady_ms;
+use crate::locks::lock;
+use crate::node::Node;
+
+/// The number of heartbeats after which the first partition is tried first again.
+const RETRY_FIRST_EVERY: u64 = 8;
+/// The maximum number of checks whether all claims were applied.
+const CLAIMS_TRIES: u32 = 10;
+/// Pause before each further check.
+const CLAIMS_PAUSE: Duration = Duration::from_millis(20);
+/// The time between two heartbeats of a node that owns nothing, in milliseconds.
+const IDLE_HEARTBEAT_MS: Ms = 2_500;
+
+/// Sends heartbeats to the common partition, and those of an owner to the owners' partition at the same time. An unanswered
+/// one does not delay those to the other partition.
+pub(super) async fn send_heartbeats(node: &Node) {
+    let sequence = AtomicU64::new(0);
+    tokio::join!(send_to_common_partition(node, &sequence), send_as_owner(node, &sequence));
+}
+
+async fn send_to_common_partition(node: &Node, sequence: &AtomicU64) {
+    let mut route = Route::new(HEARTBEATS);
+    loop {
+        let sent_at = steady_ms();
+        // An owner uses the fallback partition for the heartbeats that its own partition does not accept.
+        let tries = if sends_as_owner(node) { 1 } else { 2 };
+        route.send(node, sequence, tries).await;
+        wait_for_next_heartbeat(node, sent_at).await;
+    }
+}
+
+async fn send_as_owner(node: &Node, sequence: &AtomicU64) {
+    let mut route = Route::new(OWNER_HEARTBEATS);
+    loop {
+        if sends_as_owner(node) {
+            route.send(node, sequence, 2).await;
+        }
+        tokio::time::sleep(HEARTBEAT_EVERY).await;
+    }
+}
+
+/// Returns whether this node sends heartbeats to the owners' partition.
+fn sends_as_owner(node: &Node) -> bool {
+    node.settings.policy.ownership.owner_heartbeats && lock(&node.ownership).owns_any()
+}
+
+/// The partitions to which heartbeats are sent, in the order in which they are tried.
+struct Route {
+    first: u32,
+    parts: [u32; 2],
+    sent: u64,
+}
+
+impl Route {
+    const fn new(first: u32) -> Self {
+        Self { first, parts: [first, FALLBACK_HEARTBEATS], sent: 0 }
+    }
+
+    /// Sends one heartbeat to the first of up to `tries` partitions that accepts it.
+    async fn send(&mut self, node: &Node, sequence: &AtomicU64, tries: usize) {
+        self.sent += 1;
+        if self.sent.is_multiple_of(RETRY_FIRST_EVERY) || tries == 1 {
+            self.parts = [self.first, FALLBACK_HEARTBEATS];
+        }
+        let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
+        for i in 0..tries.min(self.parts.len()) {
+            if send_heartbeat(node, self.parts[i], sequence).await {
+                // The partition that accepted the heartbeat is tried first next time.
+                self.parts.swap(0, i);
+                break;
+            }
+        }
+    }
+}
+
+/// Sends one heartbeat and returns whether the store accepted it.
+async fn send_heartbeat(node: &Node, part: u32, sequence: u64) -> bool {
+    let sent_at = steady_ms();
+    let leaving = *node.stopping.borrow();
+    let relay = node.settings.relay_listen;
+    let heartbeat = Heartbeat {
+        incarnation: node.me.incarnation,
+        sequence,
+        leaving,
+        relay,
+        speed: node.speed,
+        reads_owner_heartbeats: node.settings.policy.ownership.owner_heartbeats,
+    };
+    let key = format!("{MEMBER_PREFIX}{}", node.me.name);
+    let record = KeyedRecord::new(key, to_json(&heartbeat));
+    match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
+        Ok(Appended::Done { .. }) => {
+            node.store_health.record_call(true);
+            // A node that owns nothing, as far as it knows, may renew its lease without knowing all claims.
+            let owns_nothing = !lock(&node.ownership).owns_any();
+            if !leaving && (node.lease_valid() || owns_nothing || claims_are_known(node).await) {
+                node.renew_lease(sent_at);
+            }
+            return true;
+        }
+        Ok(other) => log::error!("heartbeat step=refused part={part} answer={other:?}"),
+        Err(e) => {
+            node.store_health.record_call(false);
+            log::info!("heartbeat step=failed part={part} error=\"{e}\"");
+        }
+    }
+    false
+}
+
+/// Returns whether this node has applied all current claims. After its lease ended, another node may have claimed
+/// what this one owned, so a heartbeat alone does not renew the lease.
+async fn claims_are_known(node: &Node) -> bool {
+    for _ in 0..CLAIMS_TRIES {
+        let Some(end) = node.claims_end.get() else { return false };
+        match node.store.read(TOPIC, CLAIMS, end, Duration::ZERO).await {
+            Ok(batch) if batch.records.is_empty() => return true,
+            // The task that follows the claims applies them.
+            Ok(_) => tokio::time::sleep(CLAIMS_PAUSE).await,
+            Err(e) => {
+                log::info!("owner step=claims-not-known error=\"{e:?}\"");
+                return false;
+            }
+        }
+    }
+    log::info!("owner step=claims-not-known tries={CLAIMS_TRIES}");
+    false
+}
+
+/// Waits until the next heartbeat to the common partition is due. A node that owns nothing sends fewer, because the partition
+/// appends one at a time, and so does an owner whose heartbeats are all read elsewhere.
+async fn wait_for_next_heartbeat(node: &Node, sent_at: Ms) {
+    loop {
+        tokio::time::sleep(HEARTBEAT_EVERY).await;
+        let now = steady_ms();
+        let is_often = {
+            let ownership = lock(&node.ownership);
+            ownership.owns_any() && ownership.must_send_to_common_partition(now)
+        };
+        if is_often || now.saturating_sub(sent_at) >= IDLE_HEARTBEAT_MS {
+            return;
+        }
+    }
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -80,13 +80,15 @@
     /// Creates a node that has not read anything yet.
     pub fn new(settings: SchedulerSettings) -> Self {
         let me = NodeIncarnation { name: settings.name.clone(), incarnation: rand::random() };
+        let ownership =
+            Ownership::new(me.clone(), steady_ms()).with_policy(settings.policy.ownership);
         Self {
             speed: crate::speed::measure(),
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
             store_health: StoreHealth::default(),
             peers: Peers::default(),
-            ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
+            ownership: Mutex::new(ownership),
             settings,
             me,
             catalog: watch::Sender::new(None),
