Hold arrival rates while submissions are not read as they come (policy.need.holds_rate, off)

Cause: an owner that reads submissions late took them for few, and dropped those that were older than a second, or took those that it read at once for a burst. With the switch on, the rate is computed for the time up to which submissions are known, held from 0.8 s after it for at most 6 s, and arrivals count at the time of their acceptance, limited to 2 s before the last complete read because clocks differ.

Ruled out: the delay of the newest arrival alone as the age of what is known; between two slow reads the rate then fell from 50 to 6 jobs a second.

--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -49,6 +49,8 @@
     /// peak load this lowers the reported need for such steps in a pool of 350 VMs from 1,100 to 1,300 cores to 400 to 700,
     /// with 2,000 in use.
     pub leaves_out_ended: bool,
+    /// Whether arrival rates are held while the owner cannot read submissions as they come, for at most six seconds.
+    pub holds_rate: bool,
     /// The minimum number of VMs of a pool, so that the first jobs start at once when its load rises.
     pub floor_vms: usize,
 }
@@ -118,6 +120,7 @@
             arrivals: 8,
             late_last: true,
             leaves_out_ended: true,
+            holds_rate: false,
             floor_vms: 4,
         }
     }
--- a/crates/schedule/src/pool/arrivals.rs
+++ b/crates/schedule/src/pool/arrivals.rs
@@ -1,4 +1,7 @@
 //! Estimation of the rate at which work arrives. Waiting tasks show a rise only after a backlog has built up.
+//!
+//! Load pattern: the store becomes 34 to 60 times as slow at the onset of a burst. The owner then reads submissions seconds
+//! late, and many at once. Few submissions read do not mean that few arrive, and many read at once are no burst.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -19,6 +22,18 @@
 /// arrivals were expected.
 const ZERO_COUNT_BOUND: f64 = 1.5;
 
+/// The age of the owner's knowledge of submissions from which rates are held, in milliseconds. A read waits for submissions for
+/// 250 ms, so the last complete one is half a second old at most while the store answers at once.
+const HOLD_AFTER_MS: Ms = 800;
+/// How long rates are held, in milliseconds.
+const MAX_HOLD_MS: Ms = 6_000;
+/// The longest time that an append of a submission waits in the store's queue, in milliseconds. A greater difference between the
+/// time of the submission and that of the read is a difference of clocks.
+const MAX_APPEND_MS: Ms = 2_000;
+/// The span over which the longest delay of arrivals is taken, in milliseconds: more than the time between two slow reads.
+const DELAY_SPAN_MS: Ms = 500;
+/// The maximum age, in milliseconds, at which a job that a new owner reads counts as an arrival. Older jobs are read all at once.
+const JUST_ACCEPTED_MS: Ms = 1_000;
 /// The number of latest arrivals from which a falling rate is detected.
 const LATEST_ARRIVALS: usize = 3;
 
@@ -28,6 +43,33 @@
     by_queue: HashMap<String, QueueArrivals>,
     /// The number of arrivals from which a rate is computed.
     counted: usize,
+    /// The time up to which all submissions are known; `None` if rates are not held or it is not known yet.
+    known_until: Option<Ms>,
+    /// The latest arrival time.
+    latest: Ms,
+    delays: Delays,
+}
+
+/// The longest time by which arrivals were recently recorded after their time.
+#[derive(Clone, Copy, Debug, Default)]
+struct Delays {
+    /// When the current span began.
+    since: Ms,
+    current: Ms,
+    previous: Ms,
+}
+
+impl Delays {
+    fn record(&mut self, delay: Ms, now: Ms) {
+        if now.saturating_sub(self.since) >= DELAY_SPAN_MS {
+            *self = Self { since: now, current: 0, previous: self.current };
+        }
+        self.current = self.current.max(delay);
+    }
+
+    fn longest(self) -> Ms {
+        self.current.max(self.previous).min(MAX_APPEND_MS)
+    }
 }
 
 impl Default for Arrivals {
@@ -49,10 +91,40 @@
 impl Arrivals {
     /// Creates an empty record that computes rates from `counted` arrivals.
     pub fn new(counted: usize) -> Self {
-        Self { by_queue: HashMap::new(), counted }
+        Self {
+            by_queue: HashMap::new(),
+            counted,
+            known_until: None,
+            latest: 0,
+            delays: Delays::default(),
+        }
+    }
+
+    /// Records that all submissions up to a time are known.
+    pub fn set_known_until(&mut self, known_until: Ms) {
+        self.known_until = self.known_until.max(Some(known_until));
+    }
+
+    /// Returns how long rates have been held because submissions are not read as they come, if they are held.
+    pub fn held_for(&self, now: Ms) -> Option<Ms> {
+        let age = now.saturating_sub(self.known_until?);
+        (HOLD_AFTER_MS..HOLD_AFTER_MS + MAX_HOLD_MS).contains(&age).then(|| age - HOLD_AFTER_MS)
     }
 
-    fn record(&mut self, queue: &str, work: f64, critical_path: f64, now: Ms) {
+    /// Returns the arrival time of a job that was accepted at `accepted` and is read now, or `None` if it does not count.
+    fn arrival_time(&self, accepted: Ms, now: Ms) -> Option<Ms> {
+        match self.known_until {
+            None => (now.saturating_sub(accepted) < JUST_ACCEPTED_MS).then_some(now),
+            Some(known_until) => {
+                let oldest = known_until.saturating_sub(MAX_APPEND_MS).min(now);
+                Some(accepted.clamp(oldest, now))
+            }
+        }
+    }
+
+    fn record(&mut self, queue: &str, work: f64, critical_path: f64, at: Ms, now: Ms) {
+        self.latest = self.latest.max(at);
+        self.delays.record(now.saturating_sub(at), now);
         if !self.by_queue.contains_key(queue) {
             let first = QueueArrivals { work, critical_path, ..QueueArrivals::default() };
             self.by_queue.insert(queue.to_owned(), first);
@@ -60,14 +132,37 @@
         let Some(known) = self.by_queue.get_mut(queue) else { return };
         known.work += WEIGHT * (work - known.work);
         known.critical_path += WEIGHT * (critical_path - known.critical_path);
-        known.arrived_at.push_front(now);
+        let later = known.arrived_at.partition_point(|&other| other > at);
+        known.arrived_at.insert(later, at);
         known.arrived_at.truncate(MAX_ARRIVALS);
     }
 
     /// Returns the CPU that jobs arriving within the next `lead` milliseconds will use at the end of that time, at the current
     /// arrival rate, in thousandths of a core.
     pub fn arriving(&self, lead: Ms, now: Ms) -> u64 {
-        self.by_queue.values().map(|queue| queue.arriving(self.counted, lead, now)).sum()
+        let current = self.current_time(now);
+        let held = self.held_time(now);
+        let arriving = |queue: &QueueArrivals| {
+            let arriving_at = |at| queue.arriving(self.counted, lead, at);
+            arriving_at(current).max(held.map_or(0, arriving_at))
+        };
+        self.by_queue.values().map(arriving).sum()
+    }
+
+    /// Returns the time at which current rates are computed. While arrivals are recorded late and many at once, it is that of the
+    /// latest arrival until the next ones are due to be recorded.
+    fn current_time(&self, now: Ms) -> Ms {
+        let due = now.saturating_sub(self.delays.longest());
+        self.known_until.map_or(now, |_| due.max(self.latest))
+    }
+
+    /// Returns the time at which held rates are computed, if they are held or fall again after they were held. From then on it
+    /// passes as usual, so that rates fall as they do without arrivals.
+    fn held_time(&self, now: Ms) -> Option<Ms> {
+        let known_until = self.known_until?;
+        let age = now.saturating_sub(known_until);
+        let passed = age.saturating_sub(HOLD_AFTER_MS + MAX_HOLD_MS);
+        (age >= HOLD_AFTER_MS).then_some(known_until + passed)
     }
 }
 
@@ -94,7 +189,8 @@
         }
         let (mut low, mut high) = (0.0_f64, f64::INFINITY);
         let mut rate = 0.0;
-        for (later, &at) in self.arrived_at.iter().enumerate() {
+        let until_now = self.arrived_at.iter().filter(|&&at| at <= now);
+        for (later, &at) in until_now.enumerate() {
             let passed = now.saturating_sub(at);
             // Older spans do not rule out a recent rise.
             if later <= LATEST_ARRIVALS {
@@ -130,18 +226,31 @@
 }
 
 impl Pool {
-    /// Records the arrival of a job, for the forecast of the pool's need.
-    pub(super) fn record_arrival(&mut self, spec: &JobSpec, now: Ms) {
+    /// Records that all submissions up to a time are known, by which their arrival rates are held.
+    pub fn set_submissions_known_until(&mut self, known_until: Ms) {
+        if self.policy.need.holds_rate {
+            self.arrivals.set_known_until(known_until);
+        }
+    }
+
+    /// Returns how long arrival rates have been held, in milliseconds, if they are held.
+    pub fn forecast_held_for(&self, now: Ms) -> Option<Ms> {
+        self.arrivals.held_for(now)
+    }
+
+    /// Records the arrival of a job that was accepted at `accepted`, for the forecast of the pool's need.
+    pub(super) fn record_arrival(&mut self, spec: &JobSpec, accepted: Ms, now: Ms) {
         // Lasting tasks arrive once and stay; repetitions are due at known times.
         if spec.is_lasting() || spec.repeats.is_some() {
             return;
         }
+        let Some(at) = self.arrivals.arrival_time(accepted, now) else { return };
         let factor = self.estimates.factor(&spec.queue);
         let work: f64 = spec.steps.iter().map(work_of).sum();
         let critical_path = spec.critical_paths().into_iter().max().unwrap_or(0);
         let critical_path = super::rank::scale(critical_path, factor);
         let critical_path = f64::from(u32::try_from(critical_path).unwrap_or(u32::MAX));
-        self.arrivals.record(&spec.queue, work * factor, critical_path, now);
+        self.arrivals.record(&spec.queue, work * factor, critical_path, at, now);
     }
 }
 
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -151,7 +151,7 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
-        self.record_arrival(&spec, now.steady);
+        self.record_arrival(&spec, now.steady, now.steady);
         let job = self.new_job(id, spec, now);
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
--- a/crates/schedule/src/pool/takeover.rs
+++ b/crates/schedule/src/pool/takeover.rs
@@ -4,17 +4,13 @@
 
 use super::job::TaskState;
 use super::run::Run;
-use super::{Ms, Now, Pool};
+use super::{Now, Pool};
 use crate::crash_history::CrashHistoryRecord;
 use crate::id::{JobId, TaskId, VmIncarnation};
 use crate::job_log::JobEntry;
 use crate::progress::{Phase, Progress, TaskPlacement, TaskRecord};
 use crate::spec::JobSpec;
 
-/// The maximum age, in milliseconds, at which a job read from the records counts towards the arrival rate. Older jobs are read
-/// all at once by a new owner.
-const JUST_ACCEPTED_MS: Ms = 1_000;
-
 impl Pool {
     /// Records that this owner has just taken over the pool.
     pub fn record_takeover(&mut self, now: Now) {
@@ -33,9 +29,7 @@
             return;
         }
         let mut job = self.new_job(id, spec.clone(), now);
-        if now.steady.saturating_sub(job.accepted) < JUST_ACCEPTED_MS {
-            self.record_arrival(spec, now.steady);
-        }
+        self.record_arrival(spec, job.accepted, now.steady);
         job.has_started = entry.progress.has_started;
         job.done_repetitions.clone_from(&entry.progress.done_repetitions);
         job.open_due_repetitions(now);
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -96,6 +96,8 @@
     quota: Quota,
     /// When all VMs were last checked.
     vms_checked_at: Ms,
+    /// Whether the forecast was held at the last step.
+    forecast_held: bool,
 }
 
 impl Owner {
@@ -222,6 +224,7 @@
     async fn step(&mut self) -> Result<(), Fenced> {
         self.pool.set_listing_is_complete(self.node.store_health.listing_is_complete());
         self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
+        self.update_forecast();
         let orders = self.pool.plan(now());
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -58,6 +58,7 @@
         advisor,
         quota: Quota::default(),
         vms_checked_at: 0,
+        forecast_held: false,
     };
     owner.apply_workspaces();
     owner.adopt_jobs();
--- a/crates/scheduler/src/owner/telemetry.rs
+++ b/crates/scheduler/src/owner/telemetry.rs
@@ -5,7 +5,7 @@
 use thistle_schedule::{CrashHistory, EndKind, VmIncarnation, VmReport};
 
 use super::Owner;
-use crate::clock::now;
+use crate::clock::{now, steady_ms};
 
 impl Owner {
     /// Logs the tasks that were abandoned because VMs crashed under them.
@@ -19,6 +19,22 @@
         }
     }
 
+    /// Tells the pool up to when submissions are known, and logs when its forecast begins and ends to be held.
+    pub(super) fn update_forecast(&mut self) {
+        let known_until = self.log.submissions_known_until();
+        self.pool.set_submissions_known_until(known_until);
+        let now = steady_ms();
+        let held = self.pool.forecast_held_for(now).is_some();
+        if std::mem::replace(&mut self.forecast_held, held) == held {
+            return;
+        }
+        let step = if held { "held" } else { "released" };
+        let age_ms = now.saturating_sub(known_until);
+        log::info!("forecast step={step} pool={} age_ms={age_ms}", self.log.pool);
+        let pool = self.log.pool.to_string();
+        gauge!("thistle_forecast_held", "pool" => pool).set(f64::from(u8::from(held)));
+    }
+
     pub(super) fn update_load_metrics(&self) {
         let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load(now());
         let pool = self.log.pool.to_string();
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -77,6 +77,8 @@
     partition_states: [PartitionState; SUBMISSION_PARTITIONS.len()],
     /// Whether the last read by `follow_records` failed: the owner's read of submissions, or a standby's read of new records.
     last_read_failed: AtomicBool,
+    /// When the last read of the first partition of submissions that reached its end was started.
+    submissions_read_at: AtomicU64,
     submitter: UnboundedSender<Submission>,
     /// The number of jobs read so far, for metrics.
     pub submitted: AtomicU64,
@@ -98,6 +100,7 @@
             had_owner: AtomicBool::new(false),
             partition_states: Default::default(),
             last_read_failed: AtomicBool::new(false),
+            submissions_read_at: AtomicU64::new(0),
             submitter,
             submitted: AtomicU64::new(0),
         });
@@ -138,6 +141,11 @@
         let _ = self.submitter.send(submission);
     }
 
+    /// Returns the time up to which all submissions to the first partition are known.
+    pub fn submissions_known_until(&self) -> Ms {
+        self.submissions_read_at.load(Ordering::Relaxed)
+    }
+
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
         match part {
             SUBMISSIONS => &self.cursors[0],
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -74,6 +74,7 @@
                 cursor.next = Some(next);
                 if reached_end {
                     cursor.read_at = began;
+                    self.record_read_at(part, began);
                 }
                 Ok(())
             }
@@ -86,6 +87,12 @@
         }
     }
 
+    fn record_read_at(&self, part: u32, began: Ms) {
+        if part == SUBMISSIONS {
+            self.submissions_read_at.fetch_max(began, Ordering::Relaxed);
+        }
+    }
+
     /// Reads new records for a standby.
     async fn read_new_records(&self, node: &Node) -> Result<(), StoreError> {
         let since = steady_ms();
@@ -121,6 +128,7 @@
         }
         if cursor.next.is_some_and(|known| known >= batch.end) {
             cursor.read_at = cursor.read_at.max(began);
+            self.record_read_at(SUBMISSIONS, began);
         }
         Ok(())
     }
