Owner: starts that were never sent count as no crash of their VM

A start waits for earlier ones to the same VM, for the lease and for a known state of the halls. If the VM was lost meanwhile, the start was dropped, but its run still counted as lost soon after its start, so that a task could be abandoned after one real crash.

The pending starts of a link now hold whether the VM may have executed each, decided under their lock right before the start is sent. When the owner handles a loss or a restart, it withdraws the others under the same lock and releases their runs first. A restart releases them too instead of moving them to the next incarnation, as no copy can exist. Starts that the VM refused count as not executed until the owner has handled the answer, which may be queued behind the loss.

Ruled out: returning NotTaken from the dropped start, as the owner may handle that event after the loss.

--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -147,6 +147,16 @@
         self.handled_loss = self.handled_loss.max(loss);
     }
 
+    /// Withdraws the starts that the VM can't have executed, and returns their runs. They are never sent afterwards.
+    pub fn withdraw_unsent_starts(&self) -> Vec<RunId> {
+        self.shared.pending_starts.withdraw_unsent()
+    }
+
+    /// Records that the owner has handled the result of a start.
+    pub fn set_start_handled(&self, run: RunId) {
+        self.shared.pending_starts.remove(run);
+    }
+
     /// Acknowledges ends up to a sequence number, so that the VM may drop them.
     pub fn acknowledge(&self, sequence: u64) {
         self.shared.acked.send_if_modified(|acked| {
@@ -172,9 +182,7 @@
         shared.pending_starts.add(order.run);
         let handled_loss = self.handled_loss;
         tokio::spawn(async move {
-            let result = orders::start(&shared, &order, handled_loss).await;
-            shared.pending_starts.remove(order.run);
-            if let Some(result) = result {
+            if let Some(result) = orders::start(&shared, &order, handled_loss).await {
                 shared.send_event(Event::Started(shared.vm.clone(), order.run, result));
             }
         });
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -21,7 +21,7 @@
 /// A start is logged if it waited at least this long for earlier starts to finish.
 const LOGGED_WAIT: Duration = Duration::from_millis(200);
 
-/// The state of a start whose outcome is not known yet.
+/// Whether a start still has to be sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum StartState {
     /// The start was neither cancelled nor listed yet.
@@ -32,13 +32,25 @@
     Listed,
 }
 
-/// The starts whose outcome is not known yet.
+/// A start whose outcome the owner has not handled yet.
+#[derive(Clone, Copy, Debug)]
+struct PendingStart {
+    state: StartState,
+    /// Whether the VM may have executed the start, or may yet execute it.
+    maybe_executed: bool,
+}
+
+/// The starts whose outcome the owner has not handled yet.
+///
+/// A start that is dropped because of a loss before it was sent stays here until the owner handles that loss: its run cannot
+/// have crashed the VM.
 #[derive(Debug, Default)]
-pub(super) struct PendingStarts(Mutex<HashMap<RunId, StartState>>);
+pub(super) struct PendingStarts(Mutex<HashMap<RunId, PendingStart>>);
 
 impl PendingStarts {
     pub fn add(&self, run: RunId) {
-        lock(&self.0).insert(run, StartState::Unknown);
+        let pending = PendingStart { state: StartState::Unknown, maybe_executed: false };
+        lock(&self.0).insert(run, pending);
     }
 
     pub fn remove(&self, run: RunId) {
@@ -48,7 +60,7 @@
     /// Cancels the start of a run that is to stop.
     pub fn cancel(&self, run: RunId) {
         if let Some(pending) = lock(&self.0).get_mut(&run) {
-            *pending = StartState::Cancelled;
+            pending.state = StartState::Cancelled;
         }
     }
 
@@ -60,27 +72,80 @@
         }
         let listed = report.running.iter().map(|r| r.run).chain(report.ended.iter().map(|e| e.run));
         for run in listed {
-            if let Some(pending) = starts.get_mut(&run).filter(|p| **p == StartState::Unknown) {
-                *pending = StartState::Listed;
+            if let Some(pending) = starts.get_mut(&run).filter(|p| p.state == StartState::Unknown) {
+                pending.state = StartState::Listed;
             }
         }
     }
 
-    fn get(&self, run: RunId) -> StartState {
-        lock(&self.0).get(&run).copied().unwrap_or(StartState::Unknown)
+    /// Withdraws the starts that the VM can't have executed, so that they are never sent, and returns their runs.
+    pub fn withdraw_unsent(&self) -> Vec<RunId> {
+        let mut starts = lock(&self.0);
+        starts.extract_if(|_, pending| !pending.maybe_executed).map(|(run, _)| run).collect()
+    }
+
+    /// Records that a start is about to be sent. Returns false if it was withdrawn and must not be sent.
+    fn begin_send(&self, run: RunId) -> bool {
+        let mut starts = lock(&self.0);
+        let Some(pending) = starts.get_mut(&run) else { return false };
+        pending.maybe_executed = true;
+        true
+    }
+
+    /// Records the result of a start. An executed or unclear start needs no entry any more. One that was not executed keeps
+    /// its entry until the owner has handled the result, as a loss of the VM may be handled first.
+    fn record_result(&self, run: RunId, result: StartResult) {
+        match result {
+            StartResult::Started | StartResult::StartedWithCopies | StartResult::Unclear => {
+                self.remove(run);
+            }
+            StartResult::NotTaken | StartResult::NoRoom | StartResult::Unhealthy => {
+                self.record_not_executed(run);
+            }
+        }
+    }
+
+    /// Records that the VM can't have executed a start. Its entry stays until the owner has handled the loss of the VM.
+    fn record_not_executed(&self, run: RunId) {
+        if let Some(pending) = lock(&self.0).get_mut(&run) {
+            pending.maybe_executed = false;
+        }
+    }
+
+    /// Returns the state of a start, or `None` if it was withdrawn.
+    fn get(&self, run: RunId) -> Option<StartState> {
+        lock(&self.0).get(&run).map(|pending| pending.state)
     }
 }
 
+/// Sends a start until its outcome is known, and records the outcome. Returns `None` if the start was dropped.
+pub(super) async fn start(
+    link: &Shared,
+    order: &StartOrder,
+    handled_loss: LossNumber,
+) -> Option<StartResult> {
+    let mut maybe_arrived = false;
+    let result = send_start(link, order, handled_loss, &mut maybe_arrived).await;
+    match result {
+        Some(result) => link.pending_starts.record_result(order.run, result),
+        // The run counts until the owner handles the loss of the VM.
+        None if maybe_arrived => link.pending_starts.remove(order.run),
+        None => link.pending_starts.record_not_executed(order.run),
+    }
+    result
+}
+
 /// Sends a start until its outcome is known or it is cancelled. Sending it again is harmless, as the VM starts a run
 /// only once.
 ///
 /// A start may wait for the store and for earlier starts, and its VM may be lost meanwhile. `handled_loss` is the newest
 /// loss that the owner had handled when it decided. Sent after a later loss, the start would run a task that the
 /// owner also starts elsewhere.
-pub(super) async fn start(
+async fn send_start(
     link: &Shared,
     order: &StartOrder,
     handled_loss: LossNumber,
+    maybe_arrived: &mut bool,
 ) -> Option<StartResult> {
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
@@ -93,11 +158,10 @@
             link.vm
         );
     }
-    let mut maybe_arrived = false;
     let mut deadline_ms = None;
     loop {
         if !link.wait_until_may_send().await {
-            log_dropped(link, order.run, maybe_arrived);
+            log_dropped(link, order.run, *maybe_arrived);
             return None;
         }
         // A copy carries the deadline of the first send and does not extend the lease. If the VM is unresponsive at
@@ -108,21 +172,25 @@
         deadline_ms = Some(until);
         // Checked after the lease is given, so that no lease given after a loss makes the order valid again.
         if link.newest_loss.is_after(handled_loss) {
-            log_dropped(link, order.run, maybe_arrived);
+            log_dropped(link, order.run, *maybe_arrived);
             return None;
         }
         match link.pending_starts.get(order.run) {
-            StartState::Unknown => (),
-            StartState::Cancelled => {
+            None => {
+                log_dropped(link, order.run, *maybe_arrived);
+                return None;
+            }
+            Some(StartState::Unknown) => (),
+            Some(StartState::Cancelled) => {
                 // Sent in parallel with the stop of the same run, the start could arrive first and run a task of a
                 // cancelled job. The outcome of copies that were sent before is known once the stop is answered.
                 log::info!("start step=called-off run={} vm={}", order.run, link.vm);
-                return (!maybe_arrived).then_some(StartResult::NotTaken);
+                return (!*maybe_arrived).then_some(StartResult::NotTaken);
             }
             // Another copy could start a finished task again in the VM's next incarnation.
-            StartState::Listed => return Some(StartResult::StartedWithCopies),
+            Some(StartState::Listed) => return Some(StartResult::StartedWithCopies),
         }
-        if maybe_arrived && lock(&link.lease).is_unresponsive() {
+        if *maybe_arrived && lock(&link.lease).is_unresponsive() {
             // The next incarnation could accept a copy, whose lease would start then and end later than the owner expects.
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
@@ -131,17 +199,23 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
-        let refused = if maybe_arrived { StartResult::Unclear } else { StartResult::NotTaken };
+        let refused = if *maybe_arrived { StartResult::Unclear } else { StartResult::NotTaken };
         if link.is_evacuated() {
             // A copy that was sent before may run; another one could start the task long after the hall was evacuated.
             log::info!(
-                "start step=hall-evacuated run={} vm={} hall={} sent={maybe_arrived}",
+                "start step=hall-evacuated run={} vm={} hall={} sent={}",
                 order.run,
                 link.vm,
-                link.hall
+                link.hall,
+                *maybe_arrived
             );
             return Some(refused);
         }
+        // Decided under the lock under which the owner withdraws unsent starts, right before the start is sent.
+        if !link.pending_starts.begin_send(order.run) {
+            log_dropped(link, order.run, *maybe_arrived);
+            return None;
+        }
         let sent_at = Instant::now();
         let start = Start {
             run: order.run,
@@ -151,14 +225,21 @@
             checkpoint: &order.checkpoint,
             ticket: order.ticket.as_deref(),
         };
-        match link.client.start(start).await {
-            Ok(StartAnswer::Started) if maybe_arrived => {
+        let result = link.client.start(start).await;
+        if result == Err(OrderError::Gone) && !*maybe_arrived {
+            // Recorded before the loss is reported, as the owner may handle that at once.
+            link.pending_starts.record_not_executed(order.run);
+        }
+        match result {
+            Ok(StartAnswer::Started) if *maybe_arrived => {
                 return Some(StartResult::StartedWithCopies);
             }
             Ok(StartAnswer::Started) => return Some(StartResult::Started),
-            Ok(StartAnswer::NoRoom) if !maybe_arrived => return Some(StartResult::NoRoom),
-            Err(OrderError::Unhealthy(_)) if !maybe_arrived => return Some(StartResult::Unhealthy),
-            Err(OrderError::NotSent(_)) if !maybe_arrived => return Some(StartResult::Unhealthy),
+            Ok(StartAnswer::NoRoom) if !*maybe_arrived => return Some(StartResult::NoRoom),
+            Err(OrderError::Unhealthy(_)) if !*maybe_arrived => {
+                return Some(StartResult::Unhealthy);
+            }
+            Err(OrderError::NotSent(_)) if !*maybe_arrived => return Some(StartResult::Unhealthy),
             Ok(answer) => {
                 log::info!("start step=refused run={} vm={} answer={answer:?}", order.run, link.vm);
                 return Some(refused);
@@ -167,7 +248,7 @@
             Err(e) => {
                 log::info!("start step=no-answer run={} vm={} error=\"{e}\"", order.run, link.vm);
                 if matches!(e, OrderError::Unanswered(_) | OrderError::Malformed(_)) {
-                    maybe_arrived = true;
+                    *maybe_arrived = true;
                     lock(&link.lease).record_unanswered_start(steady_ms());
                 }
             }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -177,6 +177,9 @@
                     log::info!("start step={result:?} run={run} vm={vm}");
                 }
                 self.pool.apply_start_result(&vm, run, result, now);
+                if let Some(link) = self.link(&vm) {
+                    link.set_start_handled(run);
+                }
             }
             Event::Stopped(vm, run) => self.pool.record_stop_answer(&vm, run, now),
             Event::Reachable(vm, reachable) => {
@@ -187,15 +190,11 @@
                 }
             }
             Event::Lost(vm, loss, number) => {
-                if let Some(link) = self.link_mut(&vm) {
-                    link.set_handled_loss(number);
-                }
+                self.begin_loss(&vm, number);
                 self.lose_vm(&vm, loss);
             }
             Event::Restarted(vm, next, number) => {
-                if let Some(link) = self.link_mut(&vm) {
-                    link.set_handled_loss(number);
-                }
+                self.begin_loss(&vm, number);
                 self.handle_restart(&vm, &next);
             }
             Event::Advised(step, answer) => {
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -5,10 +5,11 @@
 use std::sync::Arc;
 
 use metrics::counter;
-use thistle_schedule::pool::{LostRun, VmSummary};
+use thistle_schedule::pool::{LostRun, StartResult, VmSummary};
 use thistle_schedule::{Ms, TaskLease, VmFacts, VmIncarnation, VmLoss};
 
 use super::link::Link;
+use super::losses::LossNumber;
 use super::{Event, Owner};
 use crate::clock::{now, steady_ms};
 use crate::node::VmTable;
@@ -184,6 +185,17 @@
         }
     }
 
+    /// Releases the runs that a VM can't have executed before its loss is applied. They can't have crashed it, and no copy of
+    /// their starts can begin them later.
+    pub(super) fn begin_loss(&mut self, vm: &VmIncarnation, number: LossNumber) {
+        let Some(link) = self.link_mut(vm) else { return };
+        link.set_handled_loss(number);
+        for run in link.withdraw_unsent_starts() {
+            log::info!("start step=withdrawn run={run} vm={vm}");
+            self.pool.apply_start_result(vm, run, StartResult::NotTaken, now());
+        }
+    }
+
     /// Abandons the runs on a VM incarnation that is lost.
     pub(super) fn lose_vm(&mut self, vm: &VmIncarnation, loss: VmLoss) {
         let lost = self.pool.vm_lost(vm, loss, now());
--- a/crates/scheduler/tests/crashing.rs
+++ b/crates/scheduler/tests/crashing.rs
@@ -6,10 +6,14 @@
 
 mod system;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use system::{System, job, submit, wait_until, wait_until_state};
 use thistle_platform::standin::bodies;
 
+/// How many starts an owner sends to one VM at a time.
+const STARTS_IN_FLIGHT: usize = 2;
 const ID: &str = "5c0e7a21d94b36f8";
 const OTHER_JOB: &str = "00000000000000b1";
 /// How often the task may be started. The platform allows two starts after the third crash.
@@ -87,3 +91,41 @@
     .await;
     expect_that!(starts_of_task(&system), le(MAX_STARTS));
 }
+
+/// Guards against a job that is abandoned after a single real crash: starts wait for earlier ones to the same VM, and those that
+/// were never sent when the VM crashed counted as crashes soon after the start.
+async fn expect_unsent_starts_not_counted(net: u8, keep_ids: bool) {
+    let system = System::start(net, 1, 1).await;
+    let (node, machines) = (&system.nodes[0], &system.platform.machines);
+    if keep_ids {
+        machines.restart_with_same_ids();
+    }
+    let vm = machines.vms().remove(0);
+    vm.delay_starts(Duration::from_secs(1));
+    expect_that!(submit(node, ID, &job(8, 100)).await.status, eq(200));
+    let lines_with = |text: &str| node.log().lines().filter(|line| line.contains(text)).count();
+    wait_until("all starts are ordered", async || {
+        lines_with(&format!("start step=ordered run={ID}")) == 8
+    })
+    .await;
+    machines.crash("m-0").await.expect("the VM starts again");
+    vm.delay_starts(Duration::ZERO);
+    wait_until_state(node, ID, "completed").await;
+    let lost = lines_with(&format!("run step=lost run={ID}"));
+    expect_that!(lost, all![ge(1), le(STARTS_IN_FLIGHT)], "runs lost with the VM");
+    let withdrawn = lines_with(&format!("start step=withdrawn run={ID}"));
+    expect_that!(withdrawn, ge(8 - STARTS_IN_FLIGHT));
+    expect_that!(system.starts_of(ID).values().all(|&n| n <= 2), eq(true));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_that_were_never_sent_count_as_no_crash_of_their_vm() {
+    expect_unsent_starts_not_counted(63, false).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_that_were_never_sent_count_as_no_crash_of_a_vm_that_keeps_its_id() {
+    expect_unsent_starts_not_counted(64, true).await;
+}
