--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod facts;
 mod moves;
+mod order_queue;
 mod record;
 mod rows;
 mod wave;
@@ -19,6 +20,7 @@
 use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
+pub use order_queue::OrderQueue;
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
 pub use rows::FleetRow;
 use wave::Wave;
@@ -50,6 +52,8 @@
     done_at: Option<Ms>,
     /// When the order was first given.
     ordered_at: Option<Ms>,
+    /// When the order was last sent, if it had to wait for its row.
+    sent_at: Option<Ms>,
     /// Whether the VM was seen away after the order was answered. Once the VM is up again, the order is carried out.
     seen_away: bool,
 }
@@ -204,6 +208,14 @@
         self.give_orders(now)
     }
 
+    /// Records that an order which waited for its row is being sent. The minimum time until another node's order for the VM
+    /// counts from then.
+    pub fn record_order_sent(&mut self, vm: &str, now: Ms) {
+        if let Some(order) = self.order_states.get_mut(vm) {
+            order.sent_at = Some(now);
+        }
+    }
+
     /// Records the outcome of an order.
     pub fn record_order_result(&mut self, vm: &str, outcome: OrderOutcome, now: Ms) {
         if outcome == OrderOutcome::Unknown {
@@ -247,7 +259,7 @@
         for work in done {
             let order = self.order_states.remove(&work.vm);
             // If the time of the order is not known, a predecessor gave it, and the VM is already in the list.
-            if let Some(ordered_at) = order.and_then(|o| o.ordered_at) {
+            if let Some(ordered_at) = order.and_then(|o| o.sent_at.or(o.ordered_at)) {
                 self.ordered_lately.insert(work.vm.clone(), ordered_at + self.hold_off.gap);
             }
             self.record.work.remove(&work.vm);
--- a/crates/schedule/tests/fleet_succession.rs
+++ b/crates/schedule/tests/fleet_succession.rs
@@ -102,6 +102,27 @@
     expect_that!(fleet.record().ordered_lately, is_empty());
 }
 
+/// An order may wait for its row while the store is slow. If its VM's distance to the next order counted from the decision, a
+/// successor would order it too early.
+#[gtest]
+fn a_moved_vm_stays_in_the_record_for_longer_if_its_order_was_sent_late() {
+    let hold_off = HoldOff { until: 0, gap: 3_000 };
+    let mut fleet = Fleet::new(FleetRecord::default(), hold_off);
+    fleet.set_pools(["desk".into()].into(), Some("off".into()));
+    let others = up_vms(&["a", "b", "c", "d"]);
+    fleet.set_vms([others.clone(), vec![vm("o", "off", 1, VmState::Up)]].concat(), 0);
+    fleet.set_report(&"desk".into(), busy_report(0, 90_000, &[]), 10);
+    expect_that!(vms_of(&fleet.plan(20)), eq(&vec!["o"]));
+    fleet.record_order_sent("o", 1_020);
+    fleet.record_order_result("o", OrderOutcome::Done, 1_030);
+    fleet.set_vms([others, vec![vm("o", "desk", 2, VmState::Up)]].concat(), 2_700);
+    fleet.plan(2_800);
+    fleet.plan(3_900);
+    expect_that!(fleet.record().ordered_lately, eq(&vec!["o".to_owned()]));
+    fleet.plan(4_100);
+    expect_that!(fleet.record().ordered_lately, is_empty());
+}
+
 /// A VM that arrived in the pool to which the predecessor moved it must take work at once.
 /// Otherwise a pool in need gets no use of its new VMs until the hold-off is over.
 #[gtest]
