Fleet: reports of pools carry the owner's token and a number

A report that reaches the fleet's owner directly is read again from the store later, and a report of the pool's previous owner may be read after one of its next owner. Neither may replace a newer report: a VM reported as emptied by the older one may run tasks again. Reports without a token, as those of older nodes, replace each other as before, and are written as before.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -61,6 +61,17 @@
     pub idle: Vec<String>,
     /// The names of VMs that run only tasks that end by themselves, those with the least work first.
     pub light: Vec<String>,
+    /// The token of the pool's owner, or 0 if the report reaches the fleet's owner only through the store.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub token: u64,
+    /// The number of the report among those of the pool's owner. The same report may arrive directly and through the store.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub number: u64,
+}
+
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+const fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 /// The operator's request for a maintenance wave.
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -68,6 +68,8 @@
     waves: BTreeMap<u64, Wave>,
     record: FleetRecord,
     reports: HashMap<Arc<str>, PoolReport>,
+    /// The token and number of the newest numbered report of each pool.
+    report_numbers: HashMap<Arc<str>, (u64, u64)>,
     order_states: HashMap<String, OrderState>,
     /// VMs for which an unanswered order may still be carried out, and until when.
     unanswered: HashMap<String, Ms>,
@@ -117,6 +119,7 @@
             waves: BTreeMap::new(),
             record,
             reports: HashMap::new(),
+            report_numbers: HashMap::new(),
             order_states,
             unanswered: HashMap::new(),
             off_pool: None,
@@ -160,8 +163,20 @@
         self.halls = halls;
     }
 
-    /// Records the report of a pool's owner.
+    /// Returns whether this report of a pool, or a newer one, was recorded. Reports without a number come in order.
+    pub fn has_report(&self, pool: &str, report: &PoolReport) -> bool {
+        let number = (report.token, report.number);
+        report.token > 0 && self.report_numbers.get(pool).is_some_and(|newest| number <= *newest)
+    }
+
+    /// Records the report of a pool's owner, unless it has arrived before or is older than the newest one.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
+        if self.has_report(pool, &report) {
+            return;
+        }
+        if report.token > 0 {
+            self.report_numbers.insert(pool.clone(), (report.token, report.number));
+        }
         self.needs.record_report(pool, &report, now);
         let idle: HashSet<&String> = report.idle.iter().collect();
         let before = self.reports.get(pool).into_iter().flat_map(|before| &before.idle);
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -97,6 +97,8 @@
             emptied: emptied.into_iter().map(|(name, id)| (text(name), id.to_string())).collect(),
             idle: self.pool.idle().into_iter().map(text).collect(),
             light: self.pool.without_lasting_tasks(now()).into_iter().map(text).collect(),
+            token: 0,
+            number: 0,
         }
     }
 }
