Fleet owner: goes on while its record is written; pools report to it directly

With policy.moves.pipelined, appends of the fleet's record and reports of completed waves run beside the decision loop, at most one append at a time, and an order is sent once its row is written. A pool's owner hands its report to the fleet's owner through memory on the same node, or by POST /reports/POOL to its relay address. While reports are taken directly, the store gets the newest one once a second, and at once if a VM that was reported as emptied accepts work again.

Ruled out: appends in parallel (they queue in the partition, and a successor could read the rows of a later append without those of an earlier one), and a step for each event (steps are at least 20 ms apart).

--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -1,19 +1,22 @@
 //! The owner of the fleet: runs maintenance waves and moves VMs between pools.
 
+mod direct;
 mod records;
 mod rows;
+mod writer;
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use metrics::counter;
-use thistle_platform::config::{STATUS_TOPIC, WaveState, encode_wave_status};
+use metrics::{counter, gauge, histogram};
+use thistle_platform::config::WaveState;
 use thistle_platform::machines::{Holder, Machine, MachineError, MachineState};
-use thistle_platform::{Guard, KeyedRecord, MachineClient};
+use thistle_platform::{KeyedRecord, MachineClient};
 use thistle_schedule::Ms;
 use thistle_schedule::fleet::{
-    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, PoolReport, Purpose, VmState, VmWork,
+    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, OrderQueue, PoolReport, Purpose,
+    VmState, VmWork,
 };
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
@@ -22,7 +25,9 @@
 use crate::journal::{Fenced, Journal};
 use crate::node::{Node, VmTable};
 use records::{follow_reports, hold_off, read_record};
+use writer::{Writer, report_wave_state};
 
+pub use direct::{DirectReports, PATH as REPORT_PATH, Rejection, accept_report, deliver_here};
 pub use records::follow_record;
 pub use rows::apply_row;
 
@@ -36,6 +41,9 @@
 pub const POOL_PREFIX: &str = "pool/";
 /// The longest time between two steps of the schedule.
 const TICK: Duration = Duration::from_millis(100);
+/// The shortest time between two steps of a pipelined owner. Without it, each of hundreds of answers and reports a second
+/// would cause a step, and the cost of a step grows with the number of VMs.
+const STEP_INTERVAL: Duration = Duration::from_millis(20);
 /// How often the VMs are listed while work on some is in progress, in milliseconds.
 const LIST_BUSY_MS: Ms = 400;
 /// How often the VMs are listed otherwise, in milliseconds.
@@ -46,10 +54,15 @@
     format!("{POOL_PREFIX}{pool}")
 }
 
+#[derive(Debug)]
 enum Event {
     Report(Arc<str>, PoolReport),
     Result(FleetOrder, Result<(), MachineError>),
     Vms(Ms, Result<Vec<Machine>, MachineError>),
+    /// The append in flight was answered.
+    Written,
+    /// The completion of a wave was reported to the operator.
+    WaveCompleted(u64),
 }
 
 struct FleetOwner {
@@ -57,9 +70,11 @@
     token: u64,
     client: Arc<MachineClient>,
     fleet: Fleet,
-    journal: Journal,
-    /// The record as it was last written to the store in rows.
-    written: FleetRecord,
+    writer: Writer,
+    /// The record as it was last written to the store in rows, and the orders that wait for theirs.
+    queue: OrderQueue,
+    /// The waves whose completion is being reported to the operator.
+    reporting: HashSet<u64>,
     /// Whether the next write also drops the single record of older versions.
     drop_legacy: bool,
     tx: UnboundedSender<Event>,
@@ -70,12 +85,16 @@
 /// Owns the fleet until another node takes it over or the task is aborted.
 pub async fn run(node: Arc<Node>, token: u64) {
     let Some(addr) = node.settings.machine_service else { return };
+    let (tx, mut rx) = unbounded_channel();
+    let pipelined = node.settings.policy.moves.pipelined;
+    if pipelined {
+        node.direct_reports.open(token, tx.clone());
+    }
     let Ok(journal) = Journal::open(&node, TOPIC, &[RECORD], token).await else {
         log::warn!("fleet step=fenced token={token}");
         return;
     };
     let Some(record) = read_record(&node).await else { return };
-    let (tx, mut rx) = unbounded_channel();
     let hold_off = hold_off(&node, record.as_ref().map(|read| &read.record));
     let read = record.unwrap_or_default();
     let written = read.record;
@@ -85,6 +104,7 @@
         written.ordered_lately.len(),
         hold_off.until.saturating_sub(steady_ms()),
     );
+    let (writer, background) = Writer::new(&node, token, journal, &tx);
     let mut owner = FleetOwner {
         fleet: Fleet::with_policy(written.clone(), hold_off, node.settings.policy),
         // A record in the old format is rewritten as rows with the first change.
@@ -92,38 +112,47 @@
         client: Arc::new(MachineClient::new(addr)),
         node: node.clone(),
         token,
-        journal,
-        written: if read.is_legacy { FleetRecord::default() } else { written },
+        writer,
+        queue: OrderQueue::new(if read.is_legacy { FleetRecord::default() } else { written }),
+        reporting: HashSet::new(),
         tx: tx.clone(),
         listed_at: 0,
         list_in_flight: false,
     };
     let work = async {
         loop {
+            let stepped_at = tokio::time::Instant::now();
             if let Ok(Some(event)) = tokio::time::timeout(TICK, rx.recv()).await {
                 owner.handle_event(event);
             }
+            if pipelined {
+                tokio::time::sleep_until(stepped_at + STEP_INTERVAL).await;
+            }
             while let Ok(event) = rx.try_recv() {
                 owner.handle_event(event);
             }
             owner.list_vms();
             if owner.node.may_act(FLEET, token) && owner.step().await == Err(Fenced) {
-                log::warn!("fleet step=fenced token={token}");
-                return;
+                return Fenced;
             }
         }
     };
-    // Both futures are dropped with this task.
-    tokio::select! {
-        () = follow_reports(node.clone(), tx) => (),
-        () = work => (),
-    }
+    // All futures are dropped with this task.
+    let Fenced = tokio::select! {
+        () = follow_reports(node.clone(), tx) => return,
+        fenced = work => fenced,
+        fenced = background => fenced,
+    };
+    log::warn!("fleet step=fenced token={token}");
 }
 
 impl FleetOwner {
     fn handle_event(&mut self, event: Event) {
         let now = steady_ms();
         match event {
+            Event::Report(pool, report) if self.fleet.has_report(&pool, &report) => {
+                log::debug!("report pool={pool} step=known number={}", report.number);
+            }
             Event::Report(pool, report) => {
                 log::info!(
                     "report pool={pool} waiting_cpu={} used_cpu={} soon_cpu={} late_cpu={} cpu={} vms={} spread={} idle={} emptied={}",
@@ -162,6 +191,11 @@
                     Err(e) => log::debug!("fleet step=list-failed error=\"{e}\""),
                 }
             }
+            Event::Written => self.finish_append(),
+            Event::WaveCompleted(wave) => {
+                self.reporting.remove(&wave);
+                self.fleet.record_completed(wave);
+            }
         }
     }
 
@@ -180,41 +214,66 @@
     }
 
     async fn step(&mut self) -> Result<(), Fenced> {
-        let now = steady_ms();
+        let started_at = Instant::now();
         self.apply_config();
-        let orders = self.fleet.plan(now);
-        for wave in self.fleet.to_complete() {
-            self.report_wave_state(wave, WaveState::Completed).await;
-        }
-        if !self.fleet.record().has_same_work(&self.written) {
-            let mut written = self.fleet.record().clone();
-            self.node.me.name.clone_into(&mut written.owner);
-            self.write_changes(&written).await?;
-            self.log_changes(&written);
-            self.written = written;
-        }
-        for order in orders {
-            self.send_order(order);
+        let orders = self.fleet.plan(steady_ms());
+        self.report_completed_waves().await;
+        if self.writer.is_pipelined() {
+            self.queue.add(orders);
+            self.begin_append().await?;
+            self.send_written_orders();
+        } else {
+            if self.begin_append().await? {
+                self.finish_append();
+            }
+            for order in orders {
+                self.send_order(order);
+            }
         }
+        gauge!("thistle_fleet_orders_waiting").set(self.queue.len() as f64);
+        histogram!("thistle_fleet_step_seconds").record(started_at.elapsed());
         Ok(())
     }
 
-    /// Writes the rows that differ from the record in the store, in as many appends as needed. Orders are sent after
-    /// the last append.
-    async fn write_changes(&mut self, current: &FleetRecord) -> Result<(), Fenced> {
-        let mut records: Vec<KeyedRecord> =
-            current.changes_since(&self.written).iter().map(rows::to_record).collect();
+    /// Writes the rows that differ from the record in the store, unless an append is in flight. Returns whether any do.
+    async fn begin_append(&mut self) -> Result<bool, Fenced> {
+        let Some(rows) = self.queue.begin_append(self.fleet.record(), &self.node.me.name) else {
+            return Ok(false);
+        };
+        let mut records: Vec<KeyedRecord> = rows.iter().map(rows::to_record).collect();
         if std::mem::take(&mut self.drop_legacy) {
             records.push(rows::drop_legacy_record());
         }
-        let max_bytes = self.node.settings.max_append_bytes;
-        let mut rest = records.as_slice();
-        while !rest.is_empty() {
-            let (batch, later) = rest.split_at(fitting_count(rest, max_bytes));
-            self.journal.append(&self.node, batch).await?;
-            rest = later;
+        self.writer.append(&self.node, records).await?;
+        Ok(true)
+    }
+
+    fn finish_append(&mut self) {
+        if let Some(before) = self.queue.finish_append() {
+            log_changes(&before, self.queue.written());
+        }
+    }
+
+    /// Sends the orders whose rows are written.
+    fn send_written_orders(&mut self) {
+        let now = steady_ms();
+        for order in self.queue.take_sendable(self.fleet.record()) {
+            self.fleet.record_order_sent(&order.vm, now);
+            self.send_order(order);
+        }
+    }
+
+    async fn report_completed_waves(&mut self) {
+        for wave in self.fleet.to_complete() {
+            if let Some(waves) = self.writer.waves() {
+                if self.reporting.insert(wave) {
+                    // Without a receiver, this owner is ending.
+                    let _ = waves.send(wave);
+                }
+            } else if report_wave_state(&self.node, wave, WaveState::Completed).await {
+                self.fleet.record_completed(wave);
+            }
         }
-        Ok(())
     }
 
     fn apply_config(&mut self) {
@@ -229,36 +288,6 @@
         }
     }
 
-    /// Writes the state of a wave for the operator.
-    async fn report_wave_state(&mut self, wave: u64, state: WaveState) {
-        let (key, value) = encode_wave_status(wave, state);
-        let record = KeyedRecord::new(key, value);
-        match self.node.store.append(STATUS_TOPIC, 0, Guard::Always, &[record]).await {
-            Ok(_) => {
-                log::info!("wave wave={wave} step=reported state={state:?}");
-                if state == WaveState::Completed {
-                    self.fleet.record_completed(wave);
-                }
-            }
-            Err(e) => log::warn!("wave wave={wave} step=unreported state={state:?} error=\"{e}\""),
-        }
-    }
-
-    fn log_changes(&self, current: &FleetRecord) {
-        let has_changed = |work: &&VmWork| self.written.work_on(&work.vm) != Some(*work);
-        for work in current.work.iter().filter(has_changed) {
-            log::info!(
-                "fleet step=work vm={} purpose={:?} stage={:?}",
-                work.vm,
-                work.purpose,
-                work.stage
-            );
-        }
-        for work in self.written.work.iter().filter(|w| current.work_on(&w.vm).is_none()) {
-            log::info!("fleet step=finished vm={} purpose={:?}", work.vm, work.purpose);
-        }
-    }
-
     fn send_order(&self, order: FleetOrder) {
         log::info!(
             "fleet step=ordered vm={} purpose={:?} token={}",
@@ -284,14 +313,19 @@
     }
 }
 
-/// Returns how many of the first records fit into one append, at least one.
-fn fitting_count(records: &[KeyedRecord], max_bytes: usize) -> usize {
-    let mut size = 0;
-    let fits = |record: &&KeyedRecord| {
-        size += record.framed_len();
-        size <= max_bytes
-    };
-    records.iter().take_while(fits).count().max(1)
+fn log_changes(before: &FleetRecord, current: &FleetRecord) {
+    let has_changed = |work: &&VmWork| before.work_on(&work.vm) != Some(*work);
+    for work in current.work.iter().filter(has_changed) {
+        log::info!(
+            "fleet step=work vm={} purpose={:?} stage={:?}",
+            work.vm,
+            work.purpose,
+            work.stage
+        );
+    }
+    for work in before.work.iter().filter(|w| current.work_on(&w.vm).is_none()) {
+        log::info!("fleet step=finished vm={} purpose={:?}", work.vm, work.purpose);
+    }
 }
 
 fn outcome(result: &Result<(), MachineError>) -> OrderOutcome {
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -14,6 +14,7 @@
 use crate::caps::LentTable;
 use crate::clock::steady_ms;
 use crate::control::ClaimsEnd;
+use crate::fleet_owner::DirectReports;
 use crate::locks::lock;
 use crate::ownership_flag::OwnershipFlag;
 use crate::peers::Peers;
@@ -51,6 +52,8 @@
     pub vms_listed: watch::Sender<bool>,
     /// Which VMs are in maintenance or moving; empty while this node owns nothing.
     pub fleet: watch::Sender<Arc<FleetRecord>>,
+    /// Where the fleet's owner, if it runs on this node, receives the reports of pools.
+    pub direct_reports: DirectReports,
     /// How the caps of workspaces are split between pools, as far as this node has read.
     pub lent: watch::Sender<Arc<LentTable>>,
     /// The maintenance waves that the operator has requested.
@@ -93,6 +96,7 @@
             vms: watch::Sender::new(Arc::default()),
             vms_listed: watch::Sender::new(false),
             fleet: watch::Sender::new(Arc::default()),
+            direct_reports: DirectReports::default(),
             lent: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(Vec::new()),
             halls: watch::Sender::new(Arc::default()),
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of a pool: runs its schedule, writes its records and keeps the links to its VMs.
 
 mod advisor;
+mod direct_report;
 mod incarnation_order;
 mod link;
 mod losses;
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -1,17 +1,15 @@
 //! Reports the load of a pool to the owner of the fleet.
 
+use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
 
-use thistle_platform::{Guard, KeyedRecord};
 use thistle_schedule::Ms;
 use thistle_schedule::fleet::PoolReport;
 use thistle_schedule::pool::Demand;
 
 use super::Owner;
+use super::direct_report::Delivery;
 use crate::clock::{now, steady_ms};
-use crate::control::{TOPIC, to_json};
-use crate::fleet_owner::{REPORTS, pool_key};
 
 /// The shortest time between two reports, in milliseconds, if a VM has become empty or the pool needs many more VMs.
 /// These intervals, together with following the store's records only on the nodes that need them, cut calls to the
@@ -32,14 +30,22 @@
 pub(super) struct Reporter {
     last: PoolReport,
     at: Ms,
-    in_flight: Arc<AtomicBool>,
+    /// The number of the last report, if reports are sent directly.
+    number: u64,
+    delivery: Arc<Delivery>,
 }
 
 impl Owner {
     /// Reports the pool's load, if it has changed.
     pub(super) fn report_load(&mut self) {
+        let pipelined = self.node.settings.policy.moves.pipelined;
+        let delivery = &self.reporter.delivery;
+        if pipelined && delivery.is_store_due(self.reporter.number) {
+            let newest = self.numbered(&self.reporter.last);
+            delivery.store_sent(&self.node, &self.log.pool, newest);
+        }
         let waited = steady_ms().saturating_sub(self.reporter.at);
-        if waited < URGENT_INTERVAL_MS || self.reporter.in_flight.load(Ordering::Relaxed) {
+        if waited < URGENT_INTERVAL_MS || delivery.is_in_flight() {
             return;
         }
         let demand = self.pool.demand(self.lead_time_ms(), now());
@@ -58,20 +64,33 @@
             demand.late,
         );
         self.reporter.at = steady_ms();
-        self.reporter.last = report.clone();
-        self.reporter.in_flight.store(true, Ordering::Relaxed);
-        let (node, pool) = (self.node.clone(), self.log.pool.clone());
-        let in_flight = self.reporter.in_flight.clone();
-        tokio::spawn(async move {
-            let record = KeyedRecord::new(pool_key(&pool), to_json(&report));
-            let result = node.store.append(TOPIC, REPORTS, Guard::Always, &[record]).await;
-            node.store_health.record_call(result.is_ok());
-            if let Err(e) = result {
-                // The next report replaces this one.
-                log::debug!("report step=failed pool={pool} error=\"{e}\"");
-            }
-            in_flight.store(false, Ordering::Relaxed);
-        });
+        let before = std::mem::replace(&mut self.reporter.last, report.clone());
+        let (node, pool) = (&self.node, &self.log.pool);
+        if !pipelined {
+            self.reporter.delivery.send_to_store(node, pool, report);
+            return;
+        }
+        self.reporter.number += 1;
+        let also_store = self.withdraws(&before, &report);
+        let report = self.numbered(&report);
+        self.reporter.delivery.send(node, pool, report, also_store);
+    }
+
+    fn numbered(&self, report: &PoolReport) -> PoolReport {
+        PoolReport { token: self.token, number: self.reporter.number, ..report.clone() }
+    }
+
+    /// Returns whether a VM that was reported as emptied may run tasks again in the same incarnation. A successor of the
+    /// fleet's owner must not find the earlier report in the store for longer than an append takes.
+    fn withdraws(&self, before: &PoolReport, next: &PoolReport) -> bool {
+        let emptied: HashSet<&(String, String)> = next.emptied.iter().collect();
+        let mut withdrawn = before.emptied.iter().filter(|vm| !emptied.contains(vm)).peekable();
+        if withdrawn.peek().is_none() {
+            return false;
+        }
+        let accepting = self.pool.vm_summaries().into_iter().filter(|vm| vm.accepts_work);
+        let accepting: HashSet<Arc<str>> = accepting.map(|vm| vm.name).collect();
+        withdrawn.any(|(name, _)| accepting.contains(name.as_str()))
     }
 
     /// Returns how far ahead the need is computed, in milliseconds.
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -1,5 +1,5 @@
 //! The HTTP server for other nodes: forwards store calls for nodes that cannot reach the store directly, accepts forwarded
-//! submissions and answers queries. Also watches whether this node reaches the store directly.
+//! submissions and the reports of pools, and answers queries. Also watches whether this node reaches the store directly.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -16,6 +16,7 @@
 use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::TcpListener;
 
+use crate::fleet_owner::{REPORT_PATH, Rejection, accept_report};
 use crate::node::Node;
 use crate::request_body;
 use crate::{find_job, forward, query};
@@ -63,6 +64,14 @@
                 None => not_forwarded(),
             }
         }
+        Ok(body) if path.starts_with(REPORT_PATH) => {
+            let status = match accept_report(node, &path[REPORT_PATH.len()..], &body) {
+                Ok(()) => StatusCode::OK,
+                Err(Rejection::Malformed) => StatusCode::BAD_REQUEST,
+                Err(Rejection::NotOwner) => StatusCode::CONFLICT,
+            };
+            reply(status.as_u16(), Either::Left(Full::default()))
+        }
         Ok(body) if path == query::PATH => match find_job::answer_query(node, &body).await {
             Some(encoded) => reply(StatusCode::OK.as_u16(), Either::Left(encoded.into())),
             None => not_forwarded(),
