--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 mod facts;
 mod moves;
+mod order_queue;
 mod record;
 mod rows;
 mod wave;
@@ -19,6 +20,7 @@
 use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
+pub use order_queue::OrderQueue;
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
 pub use rows::FleetRow;
 use wave::Wave;
@@ -50,6 +52,8 @@
     done_at: Option<Ms>,
     /// When the order was first given.
     ordered_at: Option<Ms>,
+    /// When the order was last sent, if it had to wait for its row.
+    sent_at: Option<Ms>,
     /// Whether the VM was seen away after the order was answered. Once the VM is up again, the order is carried out.
     seen_away: bool,
 }
@@ -64,6 +68,8 @@
     waves: BTreeMap<u64, Wave>,
     record: FleetRecord,
     reports: HashMap<Arc<str>, PoolReport>,
+    /// The token and number of the newest numbered report of each pool.
+    report_numbers: HashMap<Arc<str>, (u64, u64)>,
     order_states: HashMap<String, OrderState>,
     /// VMs for which an unanswered order may still be carried out, and until when.
     unanswered: HashMap<String, Ms>,
@@ -113,6 +119,7 @@
             waves: BTreeMap::new(),
             record,
             reports: HashMap::new(),
+            report_numbers: HashMap::new(),
             order_states,
             unanswered: HashMap::new(),
             off_pool: None,
@@ -156,8 +163,20 @@
         self.halls = halls;
     }
 
-    /// Records the report of a pool's owner.
+    /// Returns whether this report of a pool, or a newer one, was recorded. Reports without a number come in order.
+    pub fn has_report(&self, pool: &str, report: &PoolReport) -> bool {
+        let number = (report.token, report.number);
+        report.token > 0 && self.report_numbers.get(pool).is_some_and(|newest| number <= *newest)
+    }
+
+    /// Records the report of a pool's owner, unless it has arrived before or is older than the newest one.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
+        if self.has_report(pool, &report) {
+            return;
+        }
+        if report.token > 0 {
+            self.report_numbers.insert(pool.clone(), (report.token, report.number));
+        }
         self.needs.record_report(pool, &report, now);
         let idle: HashSet<&String> = report.idle.iter().collect();
         let before = self.reports.get(pool).into_iter().flat_map(|before| &before.idle);
@@ -204,6 +223,14 @@
         self.give_orders(now)
     }
 
+    /// Records that an order which waited for its row is being sent. The minimum time until another node's order for the VM
+    /// counts from then.
+    pub fn record_order_sent(&mut self, vm: &str, now: Ms) {
+        if let Some(order) = self.order_states.get_mut(vm) {
+            order.sent_at = Some(now);
+        }
+    }
+
     /// Records the outcome of an order.
     pub fn record_order_result(&mut self, vm: &str, outcome: OrderOutcome, now: Ms) {
         if outcome == OrderOutcome::Unknown {
@@ -247,7 +274,7 @@
         for work in done {
             let order = self.order_states.remove(&work.vm);
             // If the time of the order is not known, a predecessor gave it, and the VM is already in the list.
-            if let Some(ordered_at) = order.and_then(|o| o.ordered_at) {
+            if let Some(ordered_at) = order.and_then(|o| o.sent_at.or(o.ordered_at)) {
                 self.ordered_lately.insert(work.vm.clone(), ordered_at + self.hold_off.gap);
             }
             self.record.work.remove(&work.vm);
