Admission by load: the decision, with its replays

A job that can no longer be of use with all VMs that its pool may get is refused (`policy.admission.by_load`, off by default; nothing calls it yet). The pool's open work is added up in the order in which it must end, without jobs that can no longer be of use; a job is refused only if it can neither be in time behind the work in time nor be of use behind all.

Many nodes decide by one outlook. Each job now has a position among those that arrive until the next outlook, and only as many are accepted as there is time for.

--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -17,6 +17,8 @@
     pub waves: WavePolicy,
     /// How tasks are ordered and placed.
     pub tasks: TaskPolicy,
+    /// Which jobs are refused when a pool is full.
+    pub admission: AdmissionPolicy,
 }
 
 /// The parameters for the number of VMs that a pool needs.
@@ -100,6 +102,14 @@
     pub pause_after_takeover_ms: Ms,
 }
 
+/// The parameters for the admission of jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionPolicy {
+    /// Whether a job is refused if it can no longer be of use with all VMs that its pool may get.
+    pub by_load: bool,
+}
+
 impl Default for NeedPolicy {
     fn default() -> Self {
         Self {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod arrivals;
+mod backlog;
 mod ends;
 mod estimate;
 mod gang;
@@ -45,6 +46,7 @@
 use advice::AdviceState;
 pub use advice::{AdviceRequest, StepId};
 use arrivals::Arrivals;
+pub use backlog::LATE_FACTOR;
 use estimate::Estimates;
 use incarnation::Vm;
 use job::Job;
--- a/crates/schedule/src/spec.rs
+++ b/crates/schedule/src/spec.rs
@@ -82,6 +82,19 @@
     pub target_ms: u32,
 }
 
+impl Objective {
+    /// Returns the time in which a job is to finish whose longest chain of work takes `chain` milliseconds.
+    #[expect(
+        clippy::cast_precision_loss,
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "times of jobs are far below 2^52 ms, and factors are not negative"
+    )]
+    pub fn time_for(&self, chain: u64) -> u64 {
+        (chain as f64 * f64::from(self.stretch)) as u64 + u64::from(self.target_ms)
+    }
+}
+
 /// One step of a job: a number of identical tasks.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
--- /dev/null
+++ b/crates/schedule/tests/admission_load.rs
@@ -0,0 +1,303 @@
+//! Replays of bursts against a pool whose nodes refuse jobs by load, compared with an oracle that knows all arrivals.
+
+mod common;
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
+
+use common::{at, end, job, report, row, starts, vm};
+use googletest::prelude::*;
+use thistle_schedule::admission::{Capacity, Decision, Gate};
+use thistle_schedule::policy::AdmissionPolicy;
+use thistle_schedule::pool::{StartOrder, StartResult};
+use thistle_schedule::{
+    EndKind, JobId, JobSpec, Ms, Objective, Policy, Pool, Room, Step, VmFacts, VmReport,
+};
+
+const TICK_MS: Ms = 20;
+const OUTLOOK_EVERY_MS: Ms = 240;
+/// The age at which nodes read an outlook.
+const OUTLOOK_DELAY_MS: Ms = 200;
+const NODES: usize = 8;
+const VM_CPU: u32 = 16_000;
+/// The time that a VM takes to accept work after it was ordered.
+const LEAD_MS: Ms = 2_500;
+
+/// A load pattern on one pool.
+struct Pattern {
+    /// The VMs of the pool at the start and those that arrive later, with the time.
+    vms: Vec<(usize, Ms)>,
+    /// The number of VMs that the owner believes the pool may reach.
+    reachable: usize,
+    /// The times of arrival.
+    arrivals: Vec<Ms>,
+    /// After how long a refused caller comes back, if it does; `None` for the time that the reply says.
+    returns_after: Option<Ms>,
+    policy: AdmissionPolicy,
+}
+
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Outcome {
+    in_time: usize,
+    late: usize,
+    useless: usize,
+    /// Jobs that were refused at their last attempt.
+    refused: usize,
+    refusals: usize,
+}
+
+/// Two steps of eight tasks of 0.8 s on 1.4 cores.
+fn short_job() -> JobSpec {
+    let demand = Room { cpu: 1_400, mem_mb: 100, gpu: 0 };
+    let first = Step { count: 8, demand, estimated_ms: 800, ..Step::default() };
+    let second = Step { depends_on: vec![0], ..first.clone() };
+    let objective = Objective { priority: 0, max_attempts: 2, stretch: 1.6, target_ms: 600 };
+    JobSpec { objective, ..JobSpec::clone(&job(vec![first, second])) }
+}
+
+const CHAIN_MS: Ms = 1_600;
+const OBJECTIVE_MS: Ms = 3_160;
+
+/// Returns arrivals at a rate, in jobs a second.
+fn arrivals(from: Ms, until: Ms, rate: u64) -> Vec<Ms> {
+    (0..(until - from) * rate / 1_000).map(|i| from + i * 1_000 / rate).collect()
+}
+
+fn large_vm(index: usize) -> Arc<VmFacts> {
+    let room = Room { cpu: VM_CPU, mem_mb: 32_000, gpu: 0 };
+    Arc::new(VmFacts { room, ..VmFacts::clone(&vm(&format!("m{index}"), 1)) })
+}
+
+struct Replay {
+    pattern: Pattern,
+    pool: Pool,
+    gates: Vec<Gate>,
+    /// Outlooks on their way to the nodes.
+    on_way: VecDeque<(Ms, thistle_schedule::admission::Outlook)>,
+    running: Vec<(Ms, StartOrder)>,
+    /// The tasks of each job that have not ended, and its first attempt.
+    open: HashMap<JobId, (usize, Ms)>,
+    /// The callers that will attempt to submit: time, job, first attempt and number of attempts.
+    callers: Vec<(Ms, JobId, Ms, usize)>,
+    outcome: Outcome,
+    sequence: u64,
+}
+
+impl Replay {
+    fn new(pattern: Pattern) -> Self {
+        let callers = (1..).zip(&pattern.arrivals).map(|(i, &at)| (at, JobId(i), at, 0)).collect();
+        Self {
+            pattern,
+            pool: Pool::with_policy(Policy::default()),
+            gates: vec![Gate::default(); NODES],
+            on_way: VecDeque::new(),
+            running: Vec::new(),
+            open: HashMap::new(),
+            callers,
+            outcome: Outcome::default(),
+            sequence: 0,
+        }
+    }
+
+    fn run(mut self) -> Outcome {
+        let last = self.pattern.arrivals.last().copied().unwrap_or(0);
+        for now in (0..last + 5 * OBJECTIVE_MS).step_by(TICK_MS as usize) {
+            self.add_vms(now);
+            self.end_runs(now);
+            self.submit(now);
+            self.plan(now);
+            self.publish(now);
+        }
+        self.outcome.useless += self.open.len();
+        self.outcome
+    }
+
+    fn add_vms(&mut self, now: Ms) {
+        let mut index = 0;
+        for &(count, from) in &self.pattern.vms {
+            for i in index..index + count {
+                if (from..from + TICK_MS).contains(&now) {
+                    let facts = large_vm(i);
+                    self.pool.list_vm(facts.clone());
+                    self.pool.apply_report(&facts.id, &VmReport::default(), at(now));
+                }
+            }
+            index += count;
+        }
+    }
+
+    fn end_runs(&mut self, now: Ms) {
+        let (ended, running): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.running).into_iter().partition(|(ends, _)| *ends <= now);
+        self.running = running;
+        for (_, start) in &ended {
+            self.sequence += 1;
+            let others = self.running.iter().filter(|(_, other)| other.vm == start.vm);
+            let rows = others.map(|(_, other)| row(other.run, 0)).collect();
+            let ended = vec![end(self.sequence, start.run, EndKind::Done)];
+            self.pool.apply_report(&start.vm, &report(now, rows, ended), at(now));
+            let job = start.run.task.job;
+            let Some((left, first)) = self.open.get_mut(&job) else { continue };
+            *left -= 1;
+            if *left == 0 {
+                let took = now - *first;
+                self.open.remove(&job);
+                match took {
+                    _ if took <= OBJECTIVE_MS + TICK_MS => self.outcome.in_time += 1,
+                    _ if took <= 3 * OBJECTIVE_MS => self.outcome.late += 1,
+                    _ => self.outcome.useless += 1,
+                }
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Ms) {
+        let (due, later): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.callers).into_iter().partition(|c| c.0 <= now);
+        self.callers = later;
+        for (_, id, first, attempts) in due {
+            let accepted_ms = common::WALL_CLOCK_MS + first;
+            let spec = JobSpec { accepted_ms, ..short_job() };
+            // The balancer sends each attempt to some node.
+            let gate = &mut self.gates[(id.0 as usize * 7 + attempts * 3) % NODES];
+            match gate.decide(id, &spec, NODES, &self.pattern.policy, now) {
+                Decision::Accept => {
+                    self.pool.submit(id, Arc::new(spec), at(now));
+                    self.open.insert(id, (16, first));
+                }
+                Decision::Refuse { retry_after_s, .. } => {
+                    self.outcome.refusals += 1;
+                    let again = now + self.pattern.returns_after.unwrap_or(retry_after_s * 1_000);
+                    if attempts < 4 && again <= first + 3_000 {
+                        self.callers.push((again, id, first, attempts + 1));
+                    } else {
+                        self.outcome.refused += 1;
+                    }
+                }
+            }
+        }
+    }
+
+    fn plan(&mut self, now: Ms) {
+        for start in starts(&self.pool.plan(at(now))) {
+            self.pool.apply_start_result(&start.vm, start.run, StartResult::Started, at(now));
+            self.running.push((now + 800, start));
+        }
+        self.pool.take_records();
+    }
+
+    fn publish(&mut self, now: Ms) {
+        while self.on_way.front().is_some_and(|(made, _)| made + OUTLOOK_DELAY_MS <= now) {
+            let Some((made, outlook)) = self.on_way.pop_front() else { return };
+            for gate in &mut self.gates {
+                gate.update(outlook.clone(), made);
+            }
+        }
+        if now.is_multiple_of(OUTLOOK_EVERY_MS) {
+            let reachable_cpu = self.pattern.reachable as u64 * u64::from(VM_CPU);
+            let cpu = self.pool.cpu_for_jobs();
+            let capacity = Capacity { cpu, reachable_cpu, reachable_in: LEAD_MS };
+            let mut outlook = self.pool.outlook(&capacity, at(now));
+            outlook.number = now + 1;
+            if outlook.is_filling() {
+                self.on_way.push_back((now, outlook));
+            }
+        }
+    }
+}
+
+/// Returns the largest number of jobs that can be in time. All jobs are alike, so those that begin in order of arrival, and not
+/// at all if they would be late, are as many as possible.
+fn oracle(pattern: &Pattern) -> usize {
+    let tasks_per_vm = VM_CPU as usize / 1_400;
+    let jobs_at = |now: Ms| -> usize {
+        let there = pattern.vms.iter().filter(|(_, from)| *from <= now);
+        there.map(|(count, _)| count * tasks_per_vm / 8).sum()
+    };
+    let mut running: Vec<Ms> = Vec::new();
+    let mut in_time = 0;
+    for &arrived in &pattern.arrivals {
+        for now in arrived..=arrived + OBJECTIVE_MS - CHAIN_MS {
+            if running.iter().filter(|&&began| now < began + CHAIN_MS).count() < jobs_at(now) {
+                running.push(now);
+                in_time += 1;
+                break;
+            }
+        }
+    }
+    in_time
+}
+
+const BY_LOAD: AdmissionPolicy = AdmissionPolicy { by_load: true };
+const OFF: AdmissionPolicy = AdmissionPolicy { by_load: false };
+
+fn burst(vms: Vec<(usize, Ms)>, reachable: usize, rate: u64, policy: AdmissionPolicy) -> Pattern {
+    let mut times = arrivals(0, 3_000, rate / 5);
+    times.extend(arrivals(3_000, 7_500, rate));
+    times.extend(arrivals(7_500, 12_000, rate / 20 + 1));
+    Pattern { vms, reachable, arrivals: times, returns_after: None, policy }
+}
+
+/// A job must not be refused if it could have been of use. Pools of all sizes get bursts of all heights, with and without VMs
+/// that arrive later; a burst that loses nothing without admission must lose nothing with it.
+#[gtest]
+fn a_burst_that_can_be_served_loses_nothing() {
+    let mut served = 0;
+    for rate in [10, 15, 20, 30] {
+        for (own, moved) in [(5, 0), (8, 0), (11, 0), (16, 0), (5, 6), (8, 8), (11, 20)] {
+            let vms = vec![(own, 0), (moved, 5_500)];
+            let run = |policy| Replay::new(burst(vms.clone(), own + moved, rate, policy)).run();
+            let without = run(OFF);
+            if without.useless > 0 {
+                continue;
+            }
+            served += 1;
+            let with = run(BY_LOAD);
+            expect_that!(with, eq(&without), "{rate} jobs/s, {own} VMs and {moved} more");
+        }
+    }
+    expect_that!(served, ge(15));
+}
+
+/// Accepted jobs that are never of use hold VMs and their callers. A burst of four times what the pool can do, with half of its
+/// VMs gone, must be refused in part, without loss to jobs that can be in time: compared with the most that any order of all
+/// jobs, known in advance, gets done in time.
+#[gtest]
+fn a_burst_with_half_of_the_vms_gone_is_served_like_by_the_oracle() {
+    let pattern = |policy| burst(vec![(6, 0)], 6, 20, policy);
+    let (without, with) = (Replay::new(pattern(OFF)).run(), Replay::new(pattern(BY_LOAD)).run());
+    expect_that!(with.in_time * 10, ge(oracle(&pattern(OFF)) * 9));
+    expect_that!(with.in_time, ge(without.in_time));
+    expect_that!(with.in_time + with.late, ge(without.in_time + without.late));
+}
+
+/// The same with a burst of nine times what the pool can do. At most one useful job in ten may be lost, and half of the useless
+/// ones must be refused.
+#[gtest]
+fn a_burst_far_beyond_the_pool_is_refused_in_large_part() {
+    let pattern = |policy| burst(vec![(6, 0)], 6, 40, policy);
+    let (without, with) = (Replay::new(pattern(OFF)).run(), Replay::new(pattern(BY_LOAD)).run());
+    expect_that!(with.in_time, ge(without.in_time));
+    expect_that!((with.in_time + with.late) * 10, ge((without.in_time + without.late) * 9));
+    expect_that!(with.useless * 10, le(without.useless * 6));
+}
+
+/// Two pools burst at once and share the VMs that are switched off, so that each may reach all of them but gets half.
+#[gtest]
+fn of_two_bursts_at_once_neither_loses_useful_jobs() {
+    let pattern = |policy| burst(vec![(6, 0), (4, 5_500)], 14, 40, policy);
+    let (without, with) = (Replay::new(pattern(OFF)).run(), Replay::new(pattern(BY_LOAD)).run());
+    expect_that!(with.in_time, ge(without.in_time));
+    expect_that!((with.in_time + with.late) * 10, ge((without.in_time + without.late) * 9));
+}
+
+/// Callers that ignore the retry time come back together a second after their refusal. Their returns must not displace jobs
+/// that can be in time.
+#[gtest]
+fn callers_that_return_in_step_displace_no_job_in_time() {
+    let pattern =
+        |policy| Pattern { returns_after: Some(1_000), ..burst(vec![(6, 0)], 6, 40, policy) };
+    let (without, with) = (Replay::new(pattern(OFF)).run(), Replay::new(pattern(BY_LOAD)).run());
+    expect_that!(with.in_time, ge(without.in_time));
+    expect_that!((with.in_time + with.late) * 10, ge((without.in_time + without.late) * 9));
+}
