Nodes refuse jobs by the outlook of their pool

With `policy.admission.by_load`, the owner of a pool writes its outlook every 400 ms while jobs may be refused, to the partition of heartbeats, which all nodes read every 450 ms anyway; in calm nothing is written. Ruled out: the partition of claims, where each record would wake the long polls of all nodes and make claims miss the end of the partition.

The owner counts the VMs that it may still get: once a second, and only while its own VMs do not suffice, it asks the machine service for the VMs and the store for the pools' reports. Without an answer nothing is published.

--- a/crates/schedule/src/admission/mod.rs
+++ b/crates/schedule/src/admission/mod.rs
@@ -5,10 +5,12 @@
 mod load;
 mod outlook;
 mod queue;
+mod reach;
 mod store;
 
 pub use gate::{Decision, Gate};
 pub use load::{Arrival, Competition, RETRY_SPREAD_S, Verdict, retry_after_s};
 pub use outlook::{ClassOutlook, Curve, Outlook, Point, workspace_hash};
 pub use queue::{Capacity, Class, OpenWork};
+pub use reach::FleetView;
 pub use store::StoreView;
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -20,6 +20,7 @@
 use tokio::sync::oneshot;
 
 use crate::access::caller_of;
+use crate::admission::refuse_by_load;
 use crate::clock::steady_ms;
 use crate::find_job::{self, SearchResult, find_log, search_pools};
 use crate::node::Node;
@@ -90,7 +91,10 @@
 async fn answer(node: &Arc<Node>, req: Request<Incoming>) -> Reply {
     let started_at = steady_ms();
     let Some(catalog) = node.catalog.borrow().clone() else {
-        return reply::unavailable("this node has no configuration yet: ask another, or come back");
+        return reply::unavailable(
+            "this node has no configuration yet: ask another, or come back",
+            reply::STORE_RETRY_S,
+        );
     };
     let host = host(&req);
     let path = req.uri().path().to_owned();
@@ -205,6 +209,9 @@
         log::info!("accept id={id} queue={} step=duplicate theirs={theirs}", queue.name);
         return if theirs { reply::accepted() } else { reply::id_taken() };
     }
+    if let Some(refusal) = refuse_by_load(node, catalog, queue, caller, id, &spec).await {
+        return refusal;
+    }
     let started_at = steady_ms();
     let record = KeyedRecord::new(submit_key(id), encode_spec(&spec));
     let written = if node.store_health.view().accepts_submissions(steady_ms()) {
@@ -246,6 +253,7 @@
         WriteOutcome::Kept => reply::accepted(),
         WriteOutcome::NotKept => reply::unavailable(
             "the store cannot be reached from here; nothing was taken: come back",
+            reply::STORE_RETRY_S,
         ),
         WriteOutcome::Unknown => reply::outcome_unknown(),
     }
@@ -298,7 +306,10 @@
         }
         SearchResult::NotRead => {
             log::info!("state id={id} queue={} step=not-read", queue.name);
-            reply::unavailable("the job's records cannot be read from here: come back")
+            reply::unavailable(
+                "the job's records cannot be read from here: come back",
+                reply::STORE_RETRY_S,
+            )
         }
     }
 }
@@ -308,7 +319,10 @@
         Some(count) => reply::pending(count),
         None => {
             log::info!("pending queue={} step=not-read", queue.name);
-            reply::unavailable("the queue's records cannot be read from here: come back")
+            reply::unavailable(
+                "the queue's records cannot be read from here: come back",
+                reply::STORE_RETRY_S,
+            )
         }
     }
 }
--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -12,9 +12,10 @@
 use crate::follow::{Tail, Update};
 use crate::locks::lock;
 use crate::node::Node;
+use crate::outlook;
 
-/// The partition of heartbeats.
-const HEARTBEATS: u32 = 1;
+/// The partition of heartbeats, and of the outlooks of pools.
+pub const HEARTBEATS: u32 = 1;
 /// The fallback partition, for heartbeats that the first one does not accept.
 const FALLBACK_HEARTBEATS: u32 = 4;
 /// The prefix of the keys of heartbeats.
@@ -41,9 +42,11 @@
 async fn follow_heartbeats(node: &Node) {
     let mut tail = Tail::new(TOPIC, HEARTBEATS);
     loop {
+        let previous_read_at = tail.read_at();
         if let Ok(update) = tail.read(&node.store, Duration::ZERO).await {
             // This is the most regular of all calls, so its lack of answers shows an unresponsive store.
             node.store_health.record_call(true);
+            outlook::apply_records(node, &update, previous_read_at);
             apply_heartbeats(node, update);
         }
         tokio::time::sleep(HEARTBEAT_EVERY).await;
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -23,6 +23,7 @@
 use crate::{caps, fleet_owner, owner};
 
 pub use claims_end::ClaimsEnd;
+pub use heartbeat::HEARTBEATS;
 use overflow::OVERFLOW_PREFIX;
 pub use overflow::announce_overflow;
 
--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -89,7 +89,13 @@
     if all_read { SearchResult::NotFound } else { SearchResult::NotRead }
 }
 
-async fn search_pool(node: &Node, log: &Arc<PoolLog>, id: JobId, caller: &Caller) -> SearchResult {
+/// Searches one pool for a job.
+pub async fn search_pool(
+    node: &Node,
+    log: &Arc<PoolLog>,
+    id: JobId,
+    caller: &Caller,
+) -> SearchResult {
     // A settled state is final, so it needs no newer records.
     let settled = known_reply(log, id, caller).filter(|&reply| is_settled(reply));
     let reply = match settled {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -7,6 +7,7 @@
 //! then the node's tables; no lock but a cursor's is held across an await.
 
 mod access;
+mod admission;
 mod append;
 mod callers;
 mod caps;
@@ -21,6 +22,7 @@
 mod listing;
 mod locks;
 mod node;
+mod outlook;
 mod overview;
 mod owner;
 pub mod ownership_flag;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -15,6 +15,7 @@
 use crate::clock::steady_ms;
 use crate::control::ClaimsEnd;
 use crate::locks::lock;
+use crate::outlook::Outlooks;
 use crate::ownership_flag::OwnershipFlag;
 use crate::peers::Peers;
 use crate::pool_log::PoolLog;
@@ -41,6 +42,8 @@
     pub secret: KeySecret,
     /// The health of the store as seen by this node.
     pub store_health: StoreHealth,
+    /// The outlooks of the pools.
+    pub outlooks: Outlooks,
     /// The HTTP clients of other nodes.
     pub peers: Peers,
     /// The configuration in force.
@@ -85,6 +88,7 @@
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
             store_health: StoreHealth::default(),
+            outlooks: Outlooks::default(),
             peers: Peers::default(),
             ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
             settings,
--- /dev/null
+++ b/crates/scheduler/src/outlook.rs
@@ -0,0 +1,84 @@
+//! The outlooks of pools as this node knows them, and their records in the store.
+//!
+//! The owner of a pool writes the outlook to the partition of heartbeats, which all nodes read every 450 ms anyway. The
+//! partition of claims was rejected: records there would wake the long polls of all nodes, and a claim is accepted only at
+//! the end of that partition.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+
+use thistle_platform::KeyedRecord;
+use thistle_schedule::admission::{Decision, Gate, Outlook};
+use thistle_schedule::policy::AdmissionPolicy;
+use thistle_schedule::{JobId, JobSpec, Ms};
+
+use crate::clock::steady_ms;
+use crate::follow::Update;
+use crate::locks::lock;
+use crate::node::Node;
+
+/// The prefix of the keys of outlooks; the pool's name follows.
+const OUTLOOK_PREFIX: &str = "outlook/";
+/// The first byte of an encoded outlook. Records with another one are ignored.
+const FORMAT: u8 = 1;
+
+/// The outlooks of pools, and this node's decisions by them.
+#[derive(Debug, Default)]
+pub struct Outlooks {
+    gates: Mutex<HashMap<Arc<str>, Gate>>,
+    /// The number of live nodes when outlooks were last read.
+    nodes: AtomicUsize,
+}
+
+impl Outlooks {
+    /// Records an outlook that was made at `made_at` or later.
+    pub fn record(&self, pool: &str, outlook: Outlook, made_at: Ms) {
+        lock(&self.gates).entry(pool.into()).or_default().update(outlook, made_at);
+    }
+
+    /// Decides on a submission to a pool.
+    pub fn decide(
+        &self,
+        pool: &str,
+        id: JobId,
+        spec: &JobSpec,
+        policy: &AdmissionPolicy,
+    ) -> Decision {
+        let nodes = self.nodes.load(Ordering::Relaxed).max(1);
+        let mut gates = lock(&self.gates);
+        let Some(gate) = gates.get_mut(pool) else { return Decision::Accept };
+        gate.decide(id, spec, nodes, policy, steady_ms())
+    }
+}
+
+/// Returns the record of a pool's outlook.
+pub fn to_record(pool: &str, outlook: &Outlook) -> Result<KeyedRecord, postcard::Error> {
+    let value = postcard::to_extend(outlook, vec![FORMAT])?;
+    Ok(KeyedRecord::new(format!("{OUTLOOK_PREFIX}{pool}"), value))
+}
+
+/// Applies the outlooks among the records of the partition of heartbeats. The store wrote them after the previous read that
+/// reached the end of the partition. Records of unknown age are ignored.
+pub fn apply_records(node: &Node, update: &Update, previous_read_at: Option<Ms>) {
+    if !node.settings.policy.admission.by_load {
+        return;
+    }
+    let (Update::Records(records), Some(made_at)) = (update, previous_read_at) else { return };
+    for stored in records {
+        let Some(pool) = stored.record.key.strip_prefix(OUTLOOK_PREFIX) else { continue };
+        let Some((&FORMAT, value)) = stored.record.value().and_then(|v| v.split_first()) else {
+            continue;
+        };
+        match postcard::from_bytes::<Outlook>(value) {
+            Ok(outlook) => {
+                let nodes = lock(&node.ownership).relays(steady_ms()).len() + 1;
+                node.outlooks.nodes.store(nodes, Ordering::Relaxed);
+                node.outlooks.record(pool, outlook, made_at);
+            }
+            Err(e) => {
+                log::error!("outlook step=unreadable offset={} error=\"{e}\"", stored.offset);
+            }
+        }
+    }
+}
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -4,6 +4,7 @@
 mod incarnation_order;
 mod link;
 mod losses;
+mod outlook;
 mod progress;
 mod purge;
 mod quota;
@@ -30,6 +31,7 @@
 use incarnation_order::IncarnationOrder;
 use link::Link;
 use losses::{LossCounter, LossNumber};
+use outlook::OutlookPublisher;
 use progress::ProgressWriter;
 use quota::Quota;
 use report::Reporter;
@@ -92,6 +94,7 @@
     tx: UnboundedSender<Event>,
     purged_at: Ms,
     reporter: Reporter,
+    outlook_publisher: OutlookPublisher,
     advisor: Advisor,
     quota: Quota,
     /// When all VMs were last checked.
@@ -240,6 +243,7 @@
         self.check_vms();
         self.report_cap_use();
         self.report_load();
+        self.publish_outlook();
         // Repairs and purges run after the orders are sent, and not while the store is slow: up to three appends of a
         // quarter of a second each would delay the orders of each step.
         if self.node.store.is_slow() {
--- /dev/null
+++ b/crates/scheduler/src/owner/outlook.rs
@@ -0,0 +1,171 @@
+//! Makes the outlook of a pool and publishes it while jobs may be refused by it.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
+
+use thistle_platform::machines::{Machine, MachineState};
+use thistle_platform::{Guard, KeyedRecord, MachineClient};
+use thistle_schedule::Ms;
+use thistle_schedule::admission::{Capacity, FleetView, Outlook};
+use thistle_schedule::fleet::{FleetVm, PoolReport, VmState};
+
+use super::Owner;
+use crate::clock::{now, steady_ms};
+use crate::control::{HEARTBEATS, TOPIC};
+use crate::fleet_owner::{POOL_PREFIX, REPORTS};
+use crate::locks::lock;
+use crate::node::Node;
+use crate::outlook::to_record;
+
+/// The time between two outlooks, in milliseconds. Nodes read them every 450 ms.
+const INTERVAL_MS: Ms = 400;
+/// The time between two requests for the VMs that the pool may still get, in milliseconds.
+const REACHABLE_INTERVAL_MS: Ms = 1_000;
+/// The age from which the answer is not used any more, in milliseconds.
+const REACHABLE_MAX_AGE_MS: Ms = 3_000;
+
+/// The largest CPU capacity that the pool may reach and when it was requested, by the steady clock.
+type Reachable = Arc<Mutex<Option<(u64, Ms)>>>;
+
+/// The state of the pool's outlook.
+#[derive(Debug, Default)]
+pub(super) struct OutlookPublisher {
+    number: u64,
+    made_at: Ms,
+    in_flight: Arc<AtomicBool>,
+    reachable: Reachable,
+    reachable_requested_at: Ms,
+    reachable_in_flight: Arc<AtomicBool>,
+}
+
+impl Owner {
+    /// Publishes the outlook if jobs may be refused by it before the next one.
+    pub(super) fn publish_outlook(&mut self) {
+        let at = steady_ms();
+        if !self.node.settings.policy.admission.by_load
+            || at.saturating_sub(self.outlook_publisher.made_at) < INTERVAL_MS
+        {
+            return;
+        }
+        self.outlook_publisher.made_at = at;
+        let cpu = self.pool.cpu_for_jobs();
+        let alone = Capacity { cpu, reachable_cpu: cpu, reachable_in: 0 };
+        if !self.pool.outlook(&alone, now()).is_filling() {
+            return;
+        }
+        self.request_reachable(at);
+        let reachable = *lock(&self.outlook_publisher.reachable);
+        let Some((reachable_cpu, _)) =
+            reachable.filter(|(_, from)| at.saturating_sub(*from) < REACHABLE_MAX_AGE_MS)
+        else {
+            return;
+        };
+        // Lasting tasks keep what they have reserved.
+        let reserved = self.pool.load(now()).cpu.saturating_sub(cpu);
+        let reachable_cpu = reachable_cpu.saturating_sub(reserved).max(cpu);
+        let capacity = Capacity { cpu, reachable_cpu, reachable_in: self.lead_time_ms() };
+        let outlook = self.pool.outlook(&capacity, now());
+        if !outlook.is_filling() {
+            return;
+        }
+        self.outlook_publisher.number += 1;
+        let (token, number) = (self.token, self.outlook_publisher.number);
+        self.send_outlook(Outlook { token, number, ..outlook }, &capacity, at);
+    }
+
+    fn send_outlook(&self, outlook: Outlook, capacity: &Capacity, at: Ms) {
+        let pool = &self.log.pool;
+        // Appends to a slow partition of heartbeats would delay the heartbeats.
+        let published =
+            !self.node.store.is_slow() && !self.outlook_publisher.in_flight.load(Ordering::Relaxed);
+        log::info!(
+            "outlook pool={pool} step=full number={} cpu={} reachable_cpu={} classes={} beyond_share={} \
+             published={published}",
+            outlook.number,
+            capacity.cpu,
+            capacity.reachable_cpu,
+            outlook.classes.len(),
+            outlook.beyond_share.len(),
+        );
+        let record = to_record(pool, &outlook);
+        self.node.outlooks.record(pool, outlook, at);
+        match record {
+            Ok(record) if published => self.append_outlook(record),
+            Ok(_) => (),
+            Err(e) => log::error!("outlook pool={pool} step=not-encoded error=\"{e}\""),
+        }
+    }
+
+    fn append_outlook(&self, record: KeyedRecord) {
+        let in_flight = self.outlook_publisher.in_flight.clone();
+        in_flight.store(true, Ordering::Relaxed);
+        let (node, pool) = (self.node.clone(), self.log.pool.clone());
+        tokio::spawn(async move {
+            let result = node.store.append(TOPIC, HEARTBEATS, Guard::Always, &[record]).await;
+            node.store_health.record_call(result.is_ok());
+            if let Err(e) = result {
+                // The next outlook replaces this one.
+                log::info!("outlook pool={pool} step=not-published error=\"{e}\"");
+            }
+            in_flight.store(false, Ordering::Relaxed);
+        });
+    }
+
+    /// Requests the capacity that the pool may reach, if it is due.
+    fn request_reachable(&mut self, at: Ms) {
+        let publisher = &mut self.outlook_publisher;
+        if at.saturating_sub(publisher.reachable_requested_at) < REACHABLE_INTERVAL_MS
+            || publisher.reachable_in_flight.swap(true, Ordering::Relaxed)
+        {
+            return;
+        }
+        publisher.reachable_requested_at = at;
+        let (reachable, in_flight) =
+            (publisher.reachable.clone(), publisher.reachable_in_flight.clone());
+        let (node, pool) = (self.node.clone(), self.log.pool.clone());
+        tokio::spawn(async move {
+            match request_reachable_cpu(&node, &pool).await {
+                Ok(cpu) => *lock(&reachable) = Some((cpu, at)),
+                Err(e) => log::info!("outlook pool={pool} step=vms-not-known error=\"{e}\""),
+            }
+            in_flight.store(false, Ordering::Relaxed);
+        });
+    }
+}
+
+/// Asks the machine service for all VMs and the store for the reports of all pools, and returns the largest CPU capacity
+/// that the pool may reach. Without a machine service, no VM moves.
+async fn request_reachable_cpu(node: &Node, pool: &str) -> Result<u64, String> {
+    let Some(addr) = node.settings.machine_service else { return Ok(0) };
+    let client = MachineClient::new(addr);
+    let (machines, newest) = tokio::join!(client.list(), node.store.newest(TOPIC, REPORTS));
+    let vms: Vec<FleetVm> =
+        machines.map_err(|e| e.to_string())?.into_iter().map(fleet_vm).collect();
+    let mut reports: HashMap<Arc<str>, PoolReport> = HashMap::new();
+    for stored in newest.map_err(|e| e.to_string())?.records {
+        let Some(name) = stored.record.key.strip_prefix(POOL_PREFIX) else { continue };
+        let Some(value) = stored.record.value() else { continue };
+        reports.insert(name.into(), serde_json::from_slice(value).map_err(|e| e.to_string())?);
+    }
+    let catalog = node.catalog.borrow().clone();
+    let switched_off = catalog.as_ref().and_then(|c| c.pools.iter().find(|p| p.switched_off));
+    let record = node.fleet.borrow().clone();
+    let view = FleetView {
+        vms: &vms,
+        reports: &reports,
+        record: &record,
+        switched_off: switched_off.map(|p| &*p.name),
+    };
+    view.reachable_cpu(pool).ok_or_else(|| "no report tells the size of VMs".to_owned())
+}
+
+fn fleet_vm(machine: Machine) -> FleetVm {
+    let state = match machine.state {
+        MachineState::Up => VmState::Up,
+        MachineState::Moving | MachineState::Upkeep => VmState::Away,
+        MachineState::Down => VmState::Down,
+    };
+    let Machine { name, pool, hall, rack, incarnation, .. } = machine;
+    FleetVm { name, pool, state, hall, rack, incarnation }
+}
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -75,7 +75,7 @@
     }
 
     /// Returns how far ahead the need is computed, in milliseconds.
-    fn lead_time_ms(&self) -> Ms {
+    pub(super) fn lead_time_ms(&self) -> Ms {
         match self.node.settings.policy.need.lead_ms {
             0 => 0,
             usual => self.node.fleet.borrow().lead_ms().unwrap_or(usual),
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -9,6 +9,7 @@
 
 use super::advisor::Advisor;
 use super::incarnation_order::IncarnationOrder;
+use super::outlook::OutlookPublisher;
 use super::progress::ProgressWriter;
 use super::quota::Quota;
 use super::report::Reporter;
@@ -55,6 +56,7 @@
         tx: tx.clone(),
         purged_at: steady_ms(),
         reporter: Reporter::default(),
+        outlook_publisher: OutlookPublisher::default(),
         advisor,
         quota: Quota::default(),
         vms_checked_at: 0,
--- a/crates/scheduler/src/reply.rs
+++ b/crates/scheduler/src/reply.rs
@@ -12,9 +12,9 @@
 /// An HTTP reply.
 pub type Reply = Response<Full<Bytes>>;
 
-/// The number of seconds after which a caller should retry: an outage of the store lasts for seconds, and another node may
-/// reach the store immediately.
-const RETRY_AFTER_S: &str = "1";
+/// The number of seconds after which a caller should retry if this node cannot reach the store: an outage lasts for seconds,
+/// and another node may reach the store immediately.
+pub const STORE_RETRY_S: u64 = 1;
 
 /// The job or its cancellation is stored.
 pub fn accepted() -> Reply {
@@ -72,10 +72,10 @@
     error(StatusCode::METHOD_NOT_ALLOWED, "use POST, GET or DELETE")
 }
 
-/// This node cannot handle the request now and accepted nothing; the caller may retry.
-pub fn unavailable(remedy: &str) -> Reply {
+/// This node cannot handle the request now and accepted nothing; the caller may retry after some seconds.
+pub fn unavailable(remedy: &str, retry_after_s: u64) -> Reply {
     let mut reply = error(StatusCode::SERVICE_UNAVAILABLE, remedy);
-    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_S));
+    reply.headers_mut().insert(RETRY_AFTER, HeaderValue::from(retry_after_s));
     reply
 }
 
