--- a/crates/scheduler/tests/load_admission.rs
+++ b/crates/scheduler/tests/load_admission.rs
@@ -11,7 +11,7 @@
 use googletest::prelude::*;
 use system::{KEY, Node, System, job, submit, wait_until, wait_until_state};
 use thistle_platform::KEY_HEADER;
-use thistle_platform::standin::bodies;
+use thistle_platform::standin::{Fault, bodies};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -19,6 +19,8 @@
 const OUTLOOK_KEY: &str = "outlook/desk";
 /// How long the store must have been healthy before jobs are refused, and a margin.
 const HEALTHY: Duration = Duration::from_millis(3_500);
+/// The time in which each node makes several calls to the store.
+const SLOW_KNOWN: Duration = Duration::from_millis(1_500);
 /// The number of tasks of a job, each of half a core for a second: as many as two VMs can run at once.
 const TASKS: u32 = 64;
 
@@ -108,6 +110,30 @@
     }
 }
 
+fn refusals(system: &System) -> usize {
+    system.nodes.iter().map(|node| node.log().matches("written=Refused").count()).sum()
+}
+
+/// Beside a slow store, an earlier attempt of the same job may still be written after the job was not found. A refusal would
+/// then be untrue, so jobs must take the usual path until the store is fast again.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_slow_store_refuses_no_job_by_load() {
+    let system = start(209, BY_LOAD).await;
+    submit_many(&system, 0..30).await;
+    expect_that!(refusals(&system), ge(1));
+    system.platform.store.set_fault(Fault::Slow);
+    tokio::time::sleep(SLOW_KNOWN).await;
+    let before = refusals(&system);
+    // The owner makes outlooks for itself all the time, and so many jobs fill its pool anew.
+    let owner = &system.nodes[system.owner().expect("the pool has an owner")];
+    for number in 100..130 {
+        let status = submit(owner, &id(number), &job(TASKS, 1_000)).await.status;
+        expect_that!(status, eq(200));
+    }
+    expect_that!(refusals(&system), eq(before));
+}
+
 /// With the setting left out, the same load must be accepted as before, and nothing be published.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
