--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -14,6 +14,7 @@
 use crate::follow::{Tail, Update};
 use crate::locks::lock;
 use crate::node::Node;
+use crate::outlook;
 
 /// The common partition of heartbeats.
 pub(super) const HEARTBEATS: u32 = 1;
@@ -28,6 +29,14 @@
 /// How long a read of heartbeats takes at least when the store counts as slow, in milliseconds.
 const SLOW_READ_MS: Ms = 100;
 
+/// Returns the partition of the pools' outlooks: the one with heartbeats that all nodes read most often.
+pub fn outlook_partition(node: &Node) -> u32 {
+    match node.settings.policy.ownership.owner_heartbeats {
+        true => OWNER_HEARTBEATS,
+        false => HEARTBEATS,
+    }
+}
+
 /// Sends heartbeats and reads those of other nodes, concurrently: a heartbeat that a slow store leaves unanswered
 /// takes seconds, and a node that receives no heartbeats meanwhile claims no pool. With a store 46 times slower than
 /// usual and no concurrency, a released pool had no owner for 1.5 s after all nodes knew of its release.
@@ -82,10 +91,12 @@
 }
 
 async fn read_heartbeats(node: &Node, tail: &mut Tail, partition: HeartbeatPartition) {
+    let previous_read_at = tail.read_at();
     match tail.read(&node.store, Duration::ZERO).await {
         Ok(update) => {
             // These are the most regular of all calls, so their lack of answers shows an unresponsive store.
             node.store_health.record_call(true);
+            outlook::apply_records(node, &update, previous_read_at);
             apply_heartbeats(node, update, tail, partition);
         }
         Err(e) => log::debug!("heartbeat step=not-read partition={partition:?} error=\"{e}\""),
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -26,6 +26,7 @@
 use crate::{caps, fleet_owner, owner};
 
 pub use claims_end::ClaimsEnd;
+pub use heartbeat::outlook_partition;
 use overflow::OVERFLOW_PREFIX;
 pub use overflow::announce_overflow;
 use release::{hand_over, handover_due, release_all};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -16,6 +16,7 @@
 use crate::control::ClaimsEnd;
 use crate::fleet_owner::DirectReports;
 use crate::locks::lock;
+use crate::outlook::Outlooks;
 use crate::ownership_flag::OwnershipFlag;
 use crate::peers::Peers;
 use crate::pool_log::PoolLog;
@@ -42,6 +43,8 @@
     pub secret: KeySecret,
     /// The health of the store as seen by this node.
     pub store_health: StoreHealth,
+    /// The outlooks of the pools.
+    pub outlooks: Outlooks,
     /// The HTTP clients of other nodes.
     pub peers: Peers,
     /// The configuration in force.
@@ -90,6 +93,7 @@
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
             store_health: StoreHealth::default(),
+            outlooks: Outlooks::default(),
             peers: Peers::default(),
             ownership: Mutex::new(ownership),
             settings,
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -5,6 +5,7 @@
 mod incarnation_order;
 mod link;
 mod losses;
+mod outlook;
 mod progress;
 mod purge;
 mod quota;
@@ -31,6 +32,7 @@
 use incarnation_order::IncarnationOrder;
 use link::Link;
 use losses::{LossCounter, LossNumber};
+use outlook::OutlookPublisher;
 use progress::ProgressWriter;
 use quota::Quota;
 use report::Reporter;
@@ -93,6 +95,7 @@
     tx: UnboundedSender<Event>,
     purged_at: Ms,
     reporter: Reporter,
+    outlook_publisher: OutlookPublisher,
     advisor: Advisor,
     quota: Quota,
     /// When all VMs were last checked.
@@ -243,6 +246,7 @@
         self.check_vms();
         self.report_cap_use();
         self.report_load();
+        self.publish_outlook();
         // Repairs and purges run after the orders are sent, and not while the store is slow: up to three appends of a
         // quarter of a second each would delay the orders of each step.
         if self.node.store.is_slow() {
