Tests of the pipelined fleet owner with real nodes

fleet_orders.rs and fleet_record.rs run their scenarios for the pipelined owner too, beside the unchanged ones: a paused owner whose orders wait, and an owner that is killed amid waves of thousands of VMs. System::start_with_settings is System::start with additional settings.

--- a/crates/scheduler/tests/fleet_orders.rs
+++ b/crates/scheduler/tests/fleet_orders.rs
@@ -28,8 +28,8 @@
 
 /// Pauses the fleet's owner until another node has given an order, and resumes it while it cannot read the claims. Returns
 /// the tokens of all orders in the sequence of their arrival.
-async fn tokens_across_pause(net: u8) -> Vec<u64> {
-    let system = System::start(net, 4, 2).await;
+async fn tokens_across_pause(net: u8, settings: &str) -> Vec<u64> {
+    let system = System::start_with_settings(net, 4, 2, settings).await;
     expect_that!(submit(&system.nodes[0], ID, &job(1, 10)).await.status, eq(200));
     wait_until_state(&system.nodes[0], ID, "completed").await;
     wait_until("the fleet has an owner", async || fleet_owner(&system).is_some()).await;
@@ -51,6 +51,14 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_paused_fleet_owner_that_cannot_read_the_claims_gives_no_order_after_its_successor() {
-    let tokens = tokens_across_pause(113).await;
+    let tokens = tokens_across_pause(113, "").await;
+    expect_that!(tokens.is_sorted(), eq(true), "{tokens:?}");
+}
+
+/// A pipelined owner keeps orders that wait for their rows over the pause.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_paused_pipelined_owner_gives_no_order_after_its_successor() {
+    let tokens = tokens_across_pause(140, "policy: { moves: { pipelined: true } }\n").await;
     expect_that!(tokens.is_sorted(), eq(true), "{tokens:?}");
 }
--- a/crates/scheduler/tests/fleet_record.rs
+++ b/crates/scheduler/tests/fleet_record.rs
@@ -29,7 +29,18 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn waves_are_maintained_however_many_vms_the_fleet_record_holds() {
-    let mut system = System::start(205, 4, 2).await;
+    maintain_two_waves(205, "").await;
+}
+
+/// The appends of a pipelined owner, and its reports of completed waves, run beside its decisions.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_pipelined_owner_maintains_waves_however_many_vms_the_record_holds() {
+    maintain_two_waves(141, "policy: { moves: { pipelined: true } }\n").await;
+}
+
+async fn maintain_two_waves(net: u8, settings: &str) {
+    let mut system = System::start_with_settings(net, 4, 2, settings).await;
     let machines = system.platform.machines.clone();
     for (wave, known) in [(1, ["m-0", "m-1"]), (2, ["m-2", "m-3"])] {
         let request = bodies::wave(wave, &wave_vms(wave, &known), 1);
--- a/crates/scheduler/tests/system/mod.rs
+++ b/crates/scheduler/tests/system/mod.rs
@@ -171,6 +171,11 @@
 impl System {
     /// Starts a platform with VMs and nodes. `net` is the third part of their addresses; see [`ip`].
     pub async fn start(net: u8, vms: u8, nodes: u8) -> Self {
+        Self::start_with_settings(net, vms, nodes, "").await
+    }
+
+    /// The same with additional lines in the settings of the nodes.
+    pub async fn start_with_settings(net: u8, vms: u8, nodes: u8, extra_settings: &str) -> Self {
         let ip = |host: u8| ip(net, host);
         let platform = FakePlatform::start(ip(1)).await.expect("the fake platform starts");
         for i in 0..vms {
@@ -179,7 +184,7 @@
         }
         let dir = std::env::temp_dir().join(format!("thistle-{}-{net}", std::process::id()));
         std::fs::create_dir_all(&dir).expect("the folder is made");
-        let extra_settings = String::new();
+        let extra_settings = extra_settings.to_owned();
         let program = PathBuf::from(env!("CARGO_BIN_EXE_thistle-scheduler"));
         let mut system =
             Self { platform, nodes: Vec::new(), cap: None, extra_settings, program, dir };
