Owner: an entry or a lagging clock ends the link to an earlier incarnation

A VM whose hold answers contain no start time may restart under its ID and answer only when its clock has passed the last reading of its previous incarnation. The link then continued. When the VM's entry named the later incarnation, the link was polled, which showed nothing; it was closed once the previous incarnation had no runs, and no link to the listed one was opened until the next change of the VM list.

The entry now ends such a link. As an entry may be wrong, all runs count in the listed incarnation until its first answer under the new link's token, and a crash counts only under those that this answer does not list. After a link is closed as unused, the VM list is applied again.

Until the entry is read, the continuing link also acknowledged ends of the next incarnation by the numbers of the previous one, so that tasks were started again. A reading that is behind the last one plus the time that has passed, less the 2% by which a clock may run slow, therefore ends the link in the same way.

--- a/crates/schedule/src/lease.rs
+++ b/crates/schedule/src/lease.rs
@@ -6,6 +6,8 @@
 const SLOW_PERCENT: u64 = 2;
 /// The margin added to every bound for rounding and for timers that fire late, in milliseconds.
 const MARGIN_MS: Ms = 150;
+/// How far two readings may seem apart because both clocks are rounded, in milliseconds.
+const CLOCK_ROUNDING_MS: Ms = 5;
 /// How long after its call timed out a start may still arrive at the VM, in milliseconds.
 const LATE_START_MS: Ms = 500;
 
@@ -38,6 +40,14 @@
         self.clock.is_some_and(|(before, _)| clock_ms < before)
     }
 
+    /// Returns whether a reading is behind the one that the same incarnation must at least give to a call sent at
+    /// `requested_at`: the VM has probably restarted. After a restart, the clock may have passed the last reading already.
+    pub fn is_clock_behind(&self, clock_ms: u64, requested_at: Ms) -> bool {
+        let Some((before, read_at)) = self.clock else { return false };
+        let elapsed = requested_at.saturating_sub(read_at);
+        clock_ms + CLOCK_ROUNDING_MS < before + elapsed * (100 - SLOW_PERCENT) / 100
+    }
+
     /// Records a reading of the VM's clock.
     pub fn record_clock(&mut self, clock_ms: u64, now: Ms) {
         self.clock = Some((clock_ms, now));
--- a/crates/schedule/src/pool/losses.rs
+++ b/crates/schedule/src/pool/losses.rs
@@ -20,10 +20,32 @@
     pub may_exist: bool,
 }
 
+/// The next incarnation of a VM that was lost.
+#[derive(Clone, Copy)]
+enum Successor<'a> {
+    /// No run can exist there.
+    Unrelated,
+    /// It has the same ID, and its restart is certain.
+    Restarted(&'a VmIncarnation),
+    /// It has the same ID, but the restart is not certain.
+    Uncertain(&'a VmIncarnation),
+}
+
+impl<'a> Successor<'a> {
+    /// Returns the incarnation in which a run may exist, if there is one.
+    fn may_have(self, run: &Run) -> Option<&'a VmIncarnation> {
+        match self {
+            Self::Unrelated => None,
+            Self::Restarted(next) => (!run.ends_with_incarnation()).then_some(next),
+            Self::Uncertain(next) => Some(next),
+        }
+    }
+}
+
 impl Pool {
     /// Records that nothing runs in a VM incarnation any more, and returns the runs that were lost with it.
     pub fn vm_lost(&mut self, id: &VmIncarnation, loss: VmLoss, now: Now) -> Vec<LostRun> {
-        self.end_incarnation(id, loss, None, now)
+        self.end_incarnation(id, loss, Successor::Unrelated, now)
     }
 
     /// Records that a VM has restarted under its ID, and returns the runs that were lost with its previous incarnation.
@@ -38,7 +60,22 @@
         next: &VmIncarnation,
         now: Now,
     ) -> Vec<LostRun> {
-        self.end_incarnation(previous, VmLoss::Replaced, Some(next), now)
+        self.end_incarnation(previous, VmLoss::Replaced, Successor::Restarted(next), now)
+    }
+
+    /// Records that a VM has probably restarted under its ID, and returns the runs of the earlier incarnation: an entry names a
+    /// later one, or the VM's clock lags. All runs count in the later incarnation until its first answer under this owner's
+    /// token, and the VM counts as crashed under those that this answer does not list. `previous` and `next` may be equal.
+    ///
+    /// Load pattern: a VM whose hold answers contain no start time restarts under its ID, and its clock has passed the last
+    /// reading of the earlier incarnation by the time of its first answer.
+    pub fn vm_maybe_restarted(
+        &mut self,
+        previous: &VmIncarnation,
+        next: &VmIncarnation,
+        now: Now,
+    ) -> Vec<LostRun> {
+        self.end_incarnation(previous, VmLoss::Replaced, Successor::Uncertain(next), now)
     }
 
     /// Ends the previous incarnations of a VM, known from records, when the listed incarnation answers for the first time. The
@@ -59,14 +96,14 @@
         &mut self,
         id: &VmIncarnation,
         loss: VmLoss,
-        next: Option<&VmIncarnation>,
+        successor: Successor<'_>,
         now: Now,
     ) -> Vec<LostRun> {
         if loss == VmLoss::Replaced {
             self.resolve_unclear_loss(id, true, now);
         }
         let Some(&key) = self.vm_keys.get(id) else { return Vec::new() };
-        let crashes = self.crashes_under(key, now);
+        let mut crashes = self.crashes_under(key, now);
         let vm = &mut self.vms[key];
         vm.token_confirmed = false;
         vm.reachable = false;
@@ -75,7 +112,7 @@
         let lost = |(&task, run): (&TaskId, &Run)| LostRun {
             run: RunId { task, attempt: run.attempt },
             age: now.steady.saturating_sub(run.started),
-            may_exist: next.is_some() && !run.ends_with_incarnation(),
+            may_exist: successor.may_have(run).is_some(),
         };
         let lost: Vec<LostRun> = vm.runs.iter().map(lost).collect();
         let unclear = UnclearLoss {
@@ -83,10 +120,19 @@
             name: vm.name().map(|n| n.as_ref().to_owned()).unwrap_or_default(),
             at_ms: now.wall,
         };
+        if let Successor::Uncertain(_) = successor {
+            for (task, crash) in crashes.drain(..) {
+                if let Some(run) = self.vms[key].runs.get_mut(&task) {
+                    run.crash_if_missing = Some(crash);
+                }
+            }
+        }
         for lost in &lost {
+            let next =
+                self.vms[key].runs.get(&lost.run.task).and_then(|run| successor.may_have(run));
             match next {
-                Some(next) if lost.may_exist => self.move_run(key, next, lost.run, now),
-                Some(_) | None => self.release(key, lost.run, now),
+                Some(next) => self.move_run(key, next, lost.run, now),
+                None => self.release(key, lost.run, now),
             }
         }
         self.count_loss(&unclear, crashes, loss, now);
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -90,7 +90,7 @@
             (run.progress, run.progress_at) = (reported.percent, now.steady);
             // A listed run exists, even if this owner did not order it and never received an answer about it.
             run.confirmed.get_or_insert(requested_at);
-            (run.listed, run.unclear) = (true, false);
+            (run.listed, run.unclear, run.crash_if_missing) = (true, false, None);
             if !reported.checkpoint.is_empty() {
                 run.checkpoint.clone_from(&reported.checkpoint);
             }
@@ -147,12 +147,15 @@
         let missing: Vec<RunId> = vm.runs.iter().filter_map(missing).collect();
         let (unclear, gone): (Vec<RunId>, Vec<RunId>) =
             missing.into_iter().partition(|run| !is_first_report && vm.runs[&run.task].unclear);
+        let crash = |run: &RunId| Some((run.task, vm.runs[&run.task].crash_if_missing?));
+        let crashes = gone.iter().filter_map(crash).collect();
         for run in unclear {
             self.block_start(key, run, now);
         }
         for &run in &gone {
             self.release(key, run, now);
         }
+        self.count_crashes(crashes, now);
         gone
     }
 
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -1,6 +1,7 @@
 //! The state of a task's run within a pool's schedule.
 
 use crate::Ms;
+use crate::crash_history::Crash;
 use crate::spec::Step;
 use crate::vm::Room;
 
@@ -30,6 +31,8 @@
     pub of_previous_incarnation: bool,
     /// Whether a copy of the start was refused while an earlier copy may have run or still be in flight.
     pub unclear: bool,
+    /// The crash to count against the task if the VM does not list the run: the VM has probably restarted under it.
+    pub crash_if_missing: Option<Crash>,
     pub stopping: bool,
     /// When the run was last ordered to stop.
     pub stop_ordered: Ms,
@@ -73,6 +76,7 @@
             has_copies: true,
             of_previous_incarnation: false,
             unclear: false,
+            crash_if_missing: None,
             stopping: false,
             stop_ordered: 0,
             tail_target_ms: step_spec.tail_target_ms,
--- a/crates/schedule/src/pool/suspects.rs
+++ b/crates/schedule/src/pool/suspects.rs
@@ -83,8 +83,9 @@
     fn crash_under(&self, task: TaskId, run: &Run, ended: Ms) -> Option<Crash> {
         let ordered_after = run.confirmed.is_none() && run.ordered_at.is_some_and(|at| at > ended);
         if ordered_after || run.of_previous_incarnation && !run.listed {
-            // The run was ordered after the VM ended, or it may never have existed there.
-            return None;
+            // The run was ordered after the VM ended, or it may never have existed there. A crash of an earlier incarnation
+            // that was not counted yet counts.
+            return run.crash_if_missing;
         }
         // The answer to the start may arrive after the end of the VM.
         let soon = ended.saturating_sub(run.started) <= CRASH_AT_START_MS;
@@ -114,14 +115,23 @@
         loss: VmLoss,
         now: Now,
     ) {
-        if loss == VmLoss::Replaced && !crashes.is_empty() {
+        match loss {
+            VmLoss::Replaced => self.count_crashes(crashes, now),
+            VmLoss::LeaseOver => {
+                for (task, _) in crashes {
+                    self.update_crash_history(task, now, |history| history.add_unclear(vm.clone()));
+                }
+            }
+        }
+    }
+
+    /// Counts crashes against the tasks that were lost with their VMs.
+    pub(super) fn count_crashes(&mut self, crashes: Vec<(TaskId, Crash)>, now: Now) {
+        if !crashes.is_empty() {
             self.last_crash_at = Some(now.steady);
         }
         for (task, crash) in crashes {
-            self.update_crash_history(task, now, |history| match loss {
-                VmLoss::Replaced => history.add_crash(crash),
-                VmLoss::LeaseOver => history.add_unclear(vm.clone()),
-            });
+            self.update_crash_history(task, now, |history| history.add_crash(crash));
         }
     }
 
--- a/crates/schedule/tests/incarnations.rs
+++ b/crates/schedule/tests/incarnations.rs
@@ -114,3 +114,41 @@
     expect_that!(starts(&after.plan(at(110))), is_empty());
     expect_that!(after.take_records()[0].1.phase, eq(Phase::Completed));
 }
+
+/// Guards against a task that runs twice because an entry names a later start of its VM and the entry is wrong: the VM has not
+/// restarted, and its answers contain no start time that would show it.
+#[gtest]
+fn a_run_continues_if_only_an_entry_names_a_later_incarnation_and_the_vm_still_lists_the_run() {
+    let (mut pool, previous, next) = pool_of_one();
+    pool.submit(JOB, job(vec![step(1, 700)]), at(0));
+    let run = starts(&pool.plan(at(10)))[0].run;
+    pool.apply_start_result(&previous, run, StartResult::Started, at(20));
+    pool.apply_report(&previous, &report(30, vec![row(run, 10)], vec![]), at(30));
+    pool.list_vm(facts_started_at("a", 2_000));
+    let lost = pool.vm_maybe_restarted(&previous, &next, at(40));
+    expect_that!((lost.len(), lost[0].may_exist), eq((1, true)));
+    expect_that!(starts(&pool.plan(at(50))), is_empty());
+    pool.apply_report(&next, &report(60, vec![row(run, 20)], vec![]), at(60));
+    expect_that!(starts(&pool.plan(at(AFTER_CRASH_PAUSE))), is_empty());
+    expect_that!(pool.crash_history_of(run.task), none());
+    pool.apply_report(&next, &report(1_100, vec![], vec![end(1, run, EndKind::Done)]), at(1_100));
+    pool.plan(at(1_110));
+    expect_that!(pool.take_records().pop().map(|(_, p)| p.phase), some(eq(Phase::Completed)));
+}
+
+/// Guards against a task that crashes its VMs and is never suspected, because the restart of each VM is known from its entry
+/// only. The crash counts once the next incarnation has answered without the run.
+#[gtest]
+fn a_crash_known_from_an_entry_counts_once_the_next_incarnation_does_not_list_the_run() {
+    let (mut pool, previous, next) = pool_of_one();
+    pool.submit(JOB, job(vec![step(1, 700)]), at(0));
+    let run = starts(&pool.plan(at(10)))[0].run;
+    pool.apply_start_result(&previous, run, StartResult::Started, at(20));
+    pool.apply_report(&previous, &report(30, vec![row(run, 10)], vec![]), at(30));
+    pool.list_vm(facts_started_at("a", 2_000));
+    pool.vm_maybe_restarted(&previous, &next, at(40));
+    expect_that!(pool.crash_history_of(run.task), none());
+    pool.apply_report(&next, &report(60, vec![], vec![]), at(60));
+    expect_that!(pool.crash_history_of(run.task).map(|history| history.crashes), some(eq(1)));
+    expect_that!(starts(&pool.plan(at(AFTER_CRASH_PAUSE))).len(), eq(1));
+}
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -362,3 +362,17 @@
         expect_that!(first_claim(nodes), some(le(1_100 + extra_ms)), "{nodes}");
     }
 }
+
+/// Guards against a restart that stays unnoticed because the VM's new clock has passed the last reading of the old one: the link
+/// then acknowledges ends of the next incarnation that it has not received, and their tasks run again.
+#[gtest]
+fn a_clock_that_lags_behind_the_time_since_its_last_reading_shows_a_restart() {
+    let mut lease = TaskLease::new(6_000, 0);
+    expect_that!(lease.is_clock_behind(0, 1_000), eq(false), "there is no reading yet");
+    lease.record_clock(50, 1_000);
+    // A clock that runs 2% slow is allowed, and the call may be answered later.
+    expect_that!(lease.is_clock_behind(50 + 980, 2_000), eq(false));
+    expect_that!(lease.is_clock_behind(50 + 3_000, 2_000), eq(false));
+    expect_that!(lease.was_clock_reset(200), eq(false));
+    expect_that!(lease.is_clock_behind(200, 2_000), eq(true), "down for 100 ms, up for 200 ms");
+}
--- a/crates/scheduler/src/owner/link/hold.rs
+++ b/crates/scheduler/src/owner/link/hold.rs
@@ -65,6 +65,13 @@
         answered_at = result.is_ok().then(steady_ms);
         counter!("thistle_vm_calls").increment(1);
         match result {
+            Ok(held) if lock(&link.lease).is_clock_behind(held.clock_ms, sent_at) => {
+                // Ends of the next incarnation must not be acknowledged by the numbers of this one.
+                log::info!("vm step=clock-behind vm={} clock_ms={}", link.vm, held.clock_ms);
+                link.send_possible_restart(&link.vm);
+                link.over.store(true, Ordering::Relaxed);
+                return;
+            }
             Ok(held) => {
                 lock(&link.lease).record_clock(held.clock_ms, steady_ms());
                 if !reachable {
@@ -76,6 +83,7 @@
                     Some(_) => Duration::from_millis(link.wait_ms.load(Ordering::Relaxed)),
                 };
                 (reachable, loss_reported) = (true, false);
+                link.omits_start_time.store(!held.has_start_time, Ordering::Relaxed);
                 link.pending_starts.record_listed(&held.report);
                 let last = held.report.ended.iter().map(|e| e.sequence).max();
                 link.send_event(Event::Report(link.vm.clone(), held.report));
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -50,6 +50,8 @@
     closed: AtomicBool,
     /// Whether this incarnation of the VM has ended or another node owns the pool.
     over: AtomicBool,
+    /// Whether the VM's latest answer contained no start time, so that its answers do not tell its incarnations apart.
+    omits_start_time: AtomicBool,
     /// How long a call may wait for an end, in milliseconds.
     wait_ms: AtomicU64,
     losses: Arc<LossCounter>,
@@ -98,6 +100,7 @@
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
             over: AtomicBool::new(false),
+            omits_start_time: AtomicBool::new(false),
             wait_ms: AtomicU64::new(millis(LEASE_WAIT)),
             losses,
             newest_loss: NewestLoss::default(),
@@ -126,6 +129,11 @@
         self.shared.over.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the VM's latest answer contained no start time.
+    pub fn omits_start_time(&self) -> bool {
+        self.shared.omits_start_time.load(Ordering::Relaxed)
+    }
+
     /// Calls the VM immediately, because another incarnation of the VM is listed.
     pub fn poll_now(&self) {
         self.shared.wake_poll.notify_one();
@@ -142,6 +150,11 @@
         self.shared.send_restart(next);
     }
 
+    /// Reports to the owner that an entry names a later incarnation of the VM, whose answers can't confirm it.
+    pub fn report_possible_restart(&self, next: &VmIncarnation) {
+        self.shared.send_possible_restart(next);
+    }
+
     /// Records that the owner has abandoned the runs lost with the VM.
     pub fn set_handled_loss(&mut self, loss: LossNumber) {
         self.handled_loss = self.handled_loss.max(loss);
@@ -261,15 +274,25 @@
         true
     }
 
-    fn send_restart(&self, next: &VmIncarnation) {
+    /// Records a loss, after which no order is sent that was decided before the owner handles the loss.
+    fn record_loss(&self) -> LossNumber {
         let number = self.losses.next();
         self.newest_loss.record(number);
+        number
+    }
+
+    fn send_restart(&self, next: &VmIncarnation) {
+        let number = self.record_loss();
         self.send_event(Event::Restarted(self.vm.clone(), next.clone(), number));
     }
 
+    fn send_possible_restart(&self, next: &VmIncarnation) {
+        let number = self.record_loss();
+        self.send_event(Event::MaybeRestarted(self.vm.clone(), next.clone(), number));
+    }
+
     fn send_loss(&self, loss: VmLoss) {
-        let number = self.losses.next();
-        self.newest_loss.record(number);
+        let number = self.record_loss();
         self.send_event(Event::Lost(self.vm.clone(), loss, number));
     }
 }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -61,6 +61,8 @@
     Lost(VmIncarnation, VmLoss, LossNumber),
     /// A VM restarted under its ID: its previous incarnation, its next incarnation and the number of this loss.
     Restarted(VmIncarnation, VmIncarnation, LossNumber),
+    /// A VM has probably restarted under its ID; the fields are as for a restart.
+    MaybeRestarted(VmIncarnation, VmIncarnation, LossNumber),
     /// A VM rejected a call because it has seen a higher token.
     Fenced(VmIncarnation),
     /// An advice request for a step was answered, or failed.
@@ -197,6 +199,10 @@
                 self.begin_loss(&vm, number);
                 self.handle_restart(&vm, &next);
             }
+            Event::MaybeRestarted(vm, next, number) => {
+                self.begin_loss(&vm, number);
+                self.handle_possible_restart(&vm, &next);
+            }
             Event::Advised(step, answer) => {
                 let good = answer.as_ref().map(|(tickets, _)| tickets.len());
                 log::info!(
@@ -255,6 +261,7 @@
             return;
         }
         self.vms_checked_at = now;
+        self.end_superseded_links();
         self.close_unused_links();
         for link in self.links.values() {
             link.set_poll_reason(self.pool.poll_reason(link.vm()));
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -136,6 +136,27 @@
     pub(super) fn handle_restart(&mut self, previous: &VmIncarnation, next: &VmIncarnation) {
         let lost = self.pool.vm_restarted(previous, next, now());
         log::info!("vm step=restarted vm={previous} life={next} runs={}", lost.len());
+        self.link_next_incarnation(previous, next, lost);
+    }
+
+    /// Handles the probable restart of a VM under its ID: each run counts in the next incarnation until its first answer.
+    pub(super) fn handle_possible_restart(
+        &mut self,
+        previous: &VmIncarnation,
+        next: &VmIncarnation,
+    ) {
+        let lost = self.pool.vm_maybe_restarted(previous, next, now());
+        log::info!("vm step=maybe-restarted vm={previous} life={next} runs={}", lost.len());
+        self.link_next_incarnation(previous, next, lost);
+    }
+
+    /// Opens a link to the next incarnation of a VM that has restarted under its ID.
+    fn link_next_incarnation(
+        &mut self,
+        previous: &VmIncarnation,
+        next: &VmIncarnation,
+        lost: Vec<LostRun>,
+    ) {
         self.log_lost(previous, VmLoss::Replaced, lost);
         let Some(link) = self.link(previous) else { return };
         // The next incarnation has to be listed with its current facts before any task starts there.
@@ -150,6 +171,23 @@
         }
     }
 
+    /// Ends the links to incarnations whose VM is listed as a later one, if the VM's answers contain no start time: they
+    /// neither confirm the restart nor refute it, and the listed incarnation would never answer.
+    pub(super) fn end_superseded_links(&self) {
+        let table = self.node.vms.borrow().clone();
+        let answers_for_any = |link: &&Link| !link.is_over() && link.omits_start_time();
+        for link in self.links.values().filter(answers_for_any) {
+            let Some(listed) = table.get(link.vm().id()) else { continue };
+            if listed.pool == self.log.pool
+                && listed.id.started_at().is_some()
+                && listed.id.is_other_incarnation_of(link.vm())
+                && self.incarnation_order.is_later(&listed.id, link.vm())
+            {
+                link.report_possible_restart(&listed.id);
+            }
+        }
+    }
+
     /// Queues an event that another incarnation has replaced a VM.
     fn report_replaced(&self, vm: &VmIncarnation) {
         if let Some(link) = self.link(vm) {
@@ -227,11 +265,17 @@
         }
     }
 
-    /// Closes the links to VMs that are not listed and have no runs.
+    /// Closes the links to VMs that are not listed and have no runs, and opens those to their listed incarnations: a link that
+    /// is closed can no longer report that its VM has restarted.
     pub(super) fn close_unused_links(&mut self) {
         let known: HashSet<VmIncarnation> =
             self.pool.vm_summaries().into_iter().map(|vm| vm.id).collect();
+        let open = self.links.len();
         self.links.retain(|_, link| known.contains(link.vm()));
+        if self.links.len() < open {
+            let table = self.node.vms.borrow().clone();
+            self.apply_vm_list(&table);
+        }
     }
 }
 
--- a/crates/scheduler/tests/vm_incarnations.rs
+++ b/crates/scheduler/tests/vm_incarnations.rs
@@ -7,7 +7,7 @@
 
 mod system;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use system::{System, job, submit, wait_until, wait_until_state};
@@ -76,6 +76,54 @@
     expect_work_and_maintenance(207, false, true).await;
 }
 
+/// Guards against a VM that never gets work again because it restarts, reports its start time only in its entry, and answers
+/// only when its clock has passed the last reading of its previous incarnation. The link then takes its answers for those of
+/// the previous incarnation, and the listed one never answers.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_vm_gets_work_after_a_restart_that_only_its_entry_shows() {
+    expect_work_after_restart_in_entry(208, 20).await;
+}
+
+/// The same with tasks that run when the VM restarts: they are started again, and each ends once.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn tasks_are_started_again_after_a_restart_that_only_the_entry_of_their_vm_shows() {
+    expect_work_after_restart_in_entry(209, 6_000).await;
+}
+
+async fn expect_work_after_restart_in_entry(net: u8, first_ms: u32) {
+    let system = System::start(net, 0, 1).await;
+    system.platform.machines.omit_start_times(false, true);
+    let started = Instant::now();
+    let ip = system::ip(net, 100);
+    system.platform.machines.add("m-0", system::POOL, ip).await.expect("the VM starts");
+    let node = &system.nodes[0];
+    let first = "00000000000000b1";
+    expect_that!(submit(node, first, &job(4, first_ms)).await.status, eq(200));
+    wait_until("all tasks are started", async || system.starts_of(first).len() == 4).await;
+    wait_until("an answer lists them or their ends", async || {
+        node.log().contains("end run=") || started.elapsed() > Duration::from_millis(2_500)
+    })
+    .await;
+    let vm = system.platform.machines.vms().remove(0);
+    vm.set_unresponsive(true);
+    let last_reading = started.elapsed();
+    wait_until("the VM is unresponsive", async || node.log().contains("reachable=false")).await;
+    vm.restart_with_same_id();
+    tokio::time::sleep(last_reading + DOWNTIME).await;
+    vm.set_unresponsive(false);
+    wait_until("the VM answers again", async || {
+        ["step=clock-behind", "reachable=true"].iter().any(|text| node.log().contains(text))
+    })
+    .await;
+    system.platform.machines.rewrite_entry(&vm.id);
+    expect_that!(submit(node, ID, &job(4, 20)).await.status, eq(200));
+    wait_until_state(node, ID, "completed").await;
+    expect_that!(system.starts_of(ID).values().copied().collect::<Vec<_>>(), eq(&[1; 4]));
+    wait_until_state(node, first, "completed").await;
+}
+
 async fn expect_each_end_received(system: &System) {
     let node = &system.nodes[0];
     let first = "00000000000000b1";
