VM restart test: the entry comes after the VM has answered again

Both new tests passed without the rule that an entry ends the link, as the entry could be read before the new link's first answer, or the second job could run before the entry was read. They now wait for both.

--- a/crates/scheduler/tests/vm_incarnations.rs
+++ b/crates/scheduler/tests/vm_incarnations.rs
@@ -85,11 +85,12 @@
     expect_work_after_restart_in_entry(208, 20).await;
 }
 
-/// The same with tasks that run when the VM restarts: they are started again, and each ends once.
+/// The same with tasks that run when the VM restarts: they are started again, and the VM gets further work while they run. A
+/// link that ends only once no run is left would block the VM until then.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn tasks_are_started_again_after_a_restart_that_only_the_entry_of_their_vm_shows() {
-    expect_work_after_restart_in_entry(209, 6_000).await;
+    expect_work_after_restart_in_entry(209, 10_000).await;
 }
 
 async fn expect_work_after_restart_in_entry(net: u8, first_ms: u32) {
@@ -117,9 +118,21 @@
         ["step=clock-behind", "reachable=true"].iter().any(|text| node.log().contains(text))
     })
     .await;
+    // Tasks that the restart has ended run again before the entry is read.
+    let starts = if first_ms < 1_000 { 4 } else { 8 };
+    wait_until("all tasks have run or run again", async || {
+        system.starts_of(first).values().sum::<usize>() >= starts
+    })
+    .await;
     system.platform.machines.rewrite_entry(&vm.id);
+    wait_until("the later incarnation is listed", async || {
+        node.log().matches("vm step=listed").count() == 2
+    })
+    .await;
     expect_that!(submit(node, ID, &job(4, 20)).await.status, eq(200));
     wait_until_state(node, ID, "completed").await;
+    let first_has_ended = system::state(node, first).await == "completed";
+    expect_that!(first_has_ended, eq(first_ms < 1_000));
     expect_that!(system.starts_of(ID).values().copied().collect::<Vec<_>>(), eq(&[1; 4]));
     wait_until_state(node, first, "completed").await;
 }
