Stalled connections test: judge the node, not the kernel's queue

The test opened 2,000 connections as fast as it could. Beyond the node's queue of 1,024 connections to accept, the kernel drops the first packet, which is retried a second later, when the node has closed the first connections: fewer than 1,000 were held at once though the node was right.

The openers now wait while more than 200 connections are not accepted, and bodies are continued by a byte each second until all connections are open, so that the number held at once depends on the node alone. The number that must be held and the closing of all of them are asked for as before. A stalled head can't be continued, as its limit covers the whole head; that test is only paced.

--- a/crates/scheduler/tests/stalled_connections.rs
+++ b/crates/scheduler/tests/stalled_connections.rs
@@ -7,7 +7,7 @@
 
 use googletest::prelude::*;
 use hyper::Method;
-use system::{System, job, send, submit, wait_until, wait_until_state};
+use system::{Node, System, job, send, submit, wait_until, wait_until_state};
 use thistle_platform::standin::{Stall, TcpProxy};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -131,27 +131,49 @@
 
 /// The longest time that a node holds a stalled connection.
 const MAX_HOLD: Duration = Duration::from_secs(3);
-/// The number of connections that are opened in parallel. A connection whose first packet is dropped, because too many
-/// wait to be accepted, is retried after a second. With a single opener it would delay all later ones until the first are
-/// closed.
-const OPENERS: usize = 50;
-
-/// Opens connections, sends the same text on each, and sends nothing more.
-async fn open_and_stall(addr: SocketAddr, text: &str) -> Vec<TcpStream> {
-    let open_some = || async {
-        let mut open = Vec::new();
-        for _ in 0..STALLED_CONNECTIONS / OPENERS {
-            let mut stream = TcpStream::connect(addr).await.expect("the connection opens");
-            stream.write_all(text.as_bytes()).await.expect("the text is sent");
-            open.push(stream);
-        }
-        open
+/// The number of connections that are opened in parallel.
+const OPENERS: usize = 100;
+/// The most connections that wait to be accepted while more are opened. If the node's queue of 1,024 is full, the kernel drops
+/// the first packet of a connection, which is retried a second later, when the first connections may be closed already.
+const MAX_UNACCEPTED: usize = 200;
+
+/// How often a body is continued while further connections are opened.
+const PROLONG_EVERY: Duration = Duration::from_secs(1);
+
+/// Opens connections to a node with `before` descriptors, sends the same text on each, and sends nothing more. Opens no more
+/// while too many are not accepted yet, unless the node may have closed some. A body is continued until all connections are open,
+/// so that their number does not depend on how many a busy machine opens before the node closes the first.
+async fn open_and_stall(
+    node: &Node,
+    before: usize,
+    addr: SocketAddr,
+    text: &str,
+) -> Vec<TcpStream> {
+    let open_one = || async {
+        let mut stream = TcpStream::connect(addr).await.expect("the connection opens");
+        stream.write_all(text.as_bytes()).await.expect("the text is sent");
+        stream
     };
-    futures::future::join_all((0..OPENERS).map(|_| open_some()))
-        .await
-        .into_iter()
-        .flatten()
-        .collect()
+    let began = Instant::now();
+    let mut open: Vec<TcpStream> = Vec::new();
+    let is_body = text.contains("content-length");
+    let mut prolonged = began;
+    while open.len() < STALLED_CONNECTIONS {
+        if is_body && prolonged.elapsed() >= PROLONG_EVERY {
+            prolonged = Instant::now();
+            for stream in &mut open {
+                stream.write_all(b" ").await.expect("the connection is open");
+            }
+        }
+        open.extend(futures::future::join_all((0..OPENERS).map(|_| open_one())).await);
+        while node.descriptors() + MAX_UNACCEPTED < before + open.len()
+            && (is_body || began.elapsed() < MAX_HOLD)
+            && prolonged.elapsed() < PROLONG_EVERY
+        {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+    open
 }
 
 /// Checks that a node closes stalled connections, and returns the node's log. If only request heads had a time limit and
@@ -166,7 +188,7 @@
     let node = &system.nodes[0];
     // Opening all connections may take longer than a node holds each of them; the first are then closed before the last
     // are open. The test therefore checks the highest number held at any time.
-    let mut opening = std::pin::pin!(open_and_stall(addr(&system), text));
+    let mut opening = std::pin::pin!(open_and_stall(node, before, addr(&system), text));
     let mut max_held = before;
     let open = loop {
         tokio::select! {
