Metrics of evacuated halls

An evacuation was visible in log lines only. Each node now tells how many halls it applies and how old its knowledge of them is, and the owner of a pool how many of its VMs are there, how many of them still work or are cold, and how many starts have room only there.

Held starts are counted by the pool's owner, as the fleet's owner knows CPU but not tasks. The test of the count uses functions that this change adds.

--- a/crates/schedule/src/halls.rs
+++ b/crates/schedule/src/halls.rs
@@ -52,6 +52,11 @@
     }
 }
 
+/// Returns the age of the newest read that reached the end of the operator's requests, in milliseconds.
+pub fn read_age(read_at: Option<Ms>, now: Ms) -> Option<Ms> {
+    read_at.map(|at| now.saturating_sub(at))
+}
+
 /// Returns whether the known evacuations are recent enough to start tasks. `read_at` is when the newest read that reached the
 /// end of the operator's requests was sent. `within` is the time allowed until an evacuation takes effect, or `None` on sites
 /// without evacuations.
--- a/crates/schedule/src/pool/incarnation.rs
+++ b/crates/schedule/src/pool/incarnation.rs
@@ -97,10 +97,15 @@
 
     /// Returns whether new tasks may be placed on the VM, regardless of its free room.
     pub fn accepts_work(&self) -> bool {
+        self.could_accept_work() && !self.evacuated
+    }
+
+    /// Returns whether new tasks may be placed on the VM unless its hall is evacuated.
+    pub fn could_accept_work(&self) -> bool {
         let usable =
             self.listed && self.token_confirmed && self.reachable && self.unknown_runs.is_empty();
         let readable = self.facts.as_ref().is_some_and(|f| !f.unreadable);
-        usable && readable && !self.cordoned && !self.evacuated && !self.draining()
+        usable && readable && !self.cordoned && !self.draining()
     }
 
     pub fn free(&self) -> Room {
--- a/crates/schedule/tests/evacuation.rs
+++ b/crates/schedule/tests/evacuation.rs
@@ -14,7 +14,8 @@
 use fleet_common::{busy_report, two_pools, vms_of};
 use googletest::prelude::*;
 use thistle_schedule::fleet::{Fleet, FleetRecord, FleetVm, HoldOff, VmState};
-use thistle_schedule::halls::is_current;
+use thistle_schedule::halls::{is_current, read_age};
+use thistle_schedule::pool::EvacuationLoad;
 use thistle_schedule::{EndKind, Evacuation, Halls, JobId, Pool, Step, VmFacts, VmReport};
 
 fn evacuated(names: &[&str]) -> Arc<Halls> {
@@ -196,3 +197,36 @@
     expect_that!(cold, len(eq(2)), "cold VMs take work all the same");
     expect_that!(cold.iter().all(|s| s.vm.id().starts_with("i-a")), eq(true));
 }
+
+/// Guards against an evacuation whose effect operators can't see: which VMs are there, which of them still work, and how many
+/// starts wait for them although nothing else keeps them back.
+#[gtest]
+fn the_load_of_an_evacuation_is_counted() {
+    let mut pool = two_halls();
+    pool.submit(JOB, job(vec![step(13, 1_000)]), at(0));
+    plan_and_start(&mut pool, 10);
+    expect_that!(pool.evacuation_load(), eq(EvacuationLoad::default()));
+    pool.set_halls(evacuated(&["a"]), true);
+    let cold = VmFacts { cold: true, ..vm_in("a", "a1").as_ref().clone() };
+    pool.list_vm(Arc::new(cold));
+    let before = pool.evacuation_load();
+    expect_that!((before.vms, before.cold, before.held), eq((2, 1, 0)));
+    expect_that!(before.busy, ge(1));
+    // Three of the sixteen places are free, in whichever halls, and all tasks need one.
+    pool.submit(JobId(2), job(vec![step(16, 1_000)]), at(20));
+    let started = plan_and_start(&mut pool, 20).len();
+    let after = pool.evacuation_load();
+    expect_that!(after.held as usize, eq(3 - started), "of {started} started elsewhere");
+    // While the halls are not known, nothing starts in any of them.
+    pool.set_halls(evacuated(&[]), false);
+    expect_that!(
+        pool.evacuation_load(),
+        eq(EvacuationLoad { held: after.held, ..Default::default() })
+    );
+}
+
+#[gtest]
+fn the_age_of_the_newest_read_of_requests_is_known_after_the_first_one() {
+    expect_that!(read_age(None, 5_000), none());
+    expect_that!(read_age(Some(2_000), 5_000), some(eq(3_000)));
+}
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -146,10 +146,19 @@
 
     /// Returns whether this node's knowledge of evacuated data halls is recent enough to start tasks.
     pub fn halls_known(&self) -> bool {
-        let read_at = self.operator_read_at.load(Ordering::Relaxed);
         let within = self.settings.evacuate_within.map(|span| span.0.as_millis());
         let within = within.map(|ms| Ms::try_from(ms).unwrap_or(Ms::MAX));
-        halls::is_current((read_at > 0).then_some(read_at), within, steady_ms())
+        halls::is_current(self.operator_read_at(), within, steady_ms())
+    }
+
+    /// Returns the age of this node's knowledge of evacuated data halls, or `None` before the first complete read.
+    pub fn halls_read_age(&self) -> Option<Ms> {
+        halls::read_age(self.operator_read_at(), steady_ms())
+    }
+
+    fn operator_read_at(&self) -> Option<Ms> {
+        let read_at = self.operator_read_at.load(Ordering::Relaxed);
+        (read_at > 0).then_some(read_at)
     }
 
     /// Returns whether this node may currently act as owner.
--- a/crates/scheduler/src/owner/telemetry.rs
+++ b/crates/scheduler/src/owner/telemetry.rs
@@ -1,7 +1,7 @@
 //! Metrics and log lines of an owner: its load, abandoned tasks and ends of runs.
 
 use metrics::{counter, gauge};
-use thistle_schedule::pool::{AbandonedTask, Load, ReportChanges};
+use thistle_schedule::pool::{AbandonedTask, EvacuationLoad, Load, ReportChanges};
 use thistle_schedule::{CrashHistory, EndKind, VmIncarnation, VmReport};
 
 use super::Owner;
@@ -28,6 +28,17 @@
         gauge!("thistle_pool_vms", "pool" => pool.clone()).set(f64::from(vms));
         let used = used_cpu as f64 / (cpu as f64).max(1.0);
         gauge!("thistle_pool_cpu_used", "pool" => pool).set(used);
+        self.update_evacuation_metrics();
+    }
+
+    fn update_evacuation_metrics(&self) {
+        let EvacuationLoad { vms, busy, cold, held } = self.pool.evacuation_load();
+        let pool = self.log.pool.to_string();
+        for (state, count) in [("listed", vms), ("busy", busy), ("cold", cold)] {
+            gauge!("thistle_evacuated_vms", "pool" => pool.clone(), "state" => state)
+                .set(f64::from(count));
+        }
+        gauge!("thistle_starts_held_by_evacuation", "pool" => pool).set(f64::from(held));
     }
 }
 
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -15,6 +15,10 @@
     gauge!("thistle_store_in_touch").set(f64::from(u8::from(node.store_health.is_reachable())));
     gauge!("thistle_lease_valid").set(f64::from(u8::from(node.lease_valid())));
     gauge!("thistle_vms_listed").set(node.vms.borrow().len() as f64);
+    gauge!("thistle_halls_evacuated").set(node.halls.borrow().evacuated().count() as f64);
+    // Before the first complete read the age is unknown.
+    let read_age = node.halls_read_age().map_or(f64::NAN, |ms| ms as f64 / 1_000.0);
+    gauge!("thistle_halls_read_age_seconds").set(read_age);
     for log in node.pool_logs() {
         let pool = log.pool.to_string();
         gauge!("thistle_jobs_held", "pool" => pool.clone()).set(log.jobs().len() as f64);
