show: evacuated halls with what runs there and what waits

For each hall that the operator evacuates, show tells the offset of the request and, for each pool with VMs there, its owner, its VMs, the tasks that the records place there and the work that its last report says is waiting. It reads the store alone, and the jobs of a pool only if the pool has VMs in an evacuated hall.

--- a/crates/scheduler/src/overview.rs
+++ b/crates/scheduler/src/overview.rs
@@ -1,5 +1,7 @@
 //! An overview of the system for operators, read directly from the store without the help of any node.
 
+mod evacuation;
+
 use std::collections::BTreeMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -12,6 +14,8 @@
 use thistle_schedule::quota::{CapUse, LentCap};
 use thistle_schedule::{JobId, JobLog, KeySecret, VmFacts};
 
+use evacuation::{EvacuationView, VmPlace, write_evacuation};
+
 use crate::caps::{CAPS, LENT, LENT_PREFIX, USE_PREFIX, USES};
 use crate::control::{CLAIMS, OWNER_PREFIX, TOPIC};
 use crate::fleet_owner::{FLEET, POOL_PREFIX, RECORD, REPORTS, apply_row};
@@ -27,6 +31,8 @@
     fleet_owner: Option<OwnerView>,
     /// VMs in maintenance or moving, with the reason, and the progress of waves.
     fleet: FleetRecord,
+    /// The data halls that the operator has asked to evacuate.
+    evacuations: BTreeMap<String, EvacuationView>,
     /// The requested job, if it is known.
     job: Option<JobView>,
     /// Workspaces with caps: how each cap is split, and the use that pools last reported.
@@ -82,14 +88,16 @@
         pools: BTreeMap::new(),
         fleet_owner: None,
         fleet: FleetRecord::default(),
+        evacuations: BTreeMap::new(),
         job: None,
         workspaces: BTreeMap::new(),
         unreadable: Vec::new(),
     };
     overview.read_config(&store).await?;
-    overview.read_vms(&store).await?;
+    let vms = overview.read_vms(&store).await?;
     overview.read_owners(&store).await?;
     overview.read_fleet(&store).await?;
+    overview.read_evacuations(&store, &vms).await?;
     overview.read_caps(&store).await?;
     if let Some(id) = job.and_then(|id| id.parse().ok()) {
         overview.read_job(&store, id).await?;
@@ -119,7 +127,8 @@
         Ok(())
     }
 
-    async fn read_vms(&mut self, store: &Store) -> Result<(), StoreError> {
+    async fn read_vms(&mut self, store: &Store) -> Result<Vec<VmPlace>, StoreError> {
+        let mut places = Vec::new();
         for stored in store.newest(listing::TOPIC, 0).await?.records {
             let Some(value) = stored.record.value() else { continue };
             let facts: VmFacts = match listing::decode(&stored.record.key, value) {
@@ -133,8 +142,14 @@
             let line =
                 format!("{} {} {} {}{leaving}", facts.name, facts.id, facts.hall, facts.rack);
             self.pool(&facts.pool).vms.push(line);
+            places.push(VmPlace {
+                incarnation: facts.id.to_string(),
+                pool: facts.pool.as_ref().to_owned(),
+                hall: facts.hall.as_ref().to_owned(),
+                cold: facts.cold,
+            });
         }
-        Ok(())
+        Ok(places)
     }
 
     async fn read_owners(&mut self, store: &Store) -> Result<(), StoreError> {
@@ -178,13 +193,7 @@
 
     async fn read_job(&mut self, store: &Store, id: JobId) -> Result<(), StoreError> {
         for pool in self.pools.keys().cloned().collect::<Vec<_>>() {
-            let mut log = JobLog::default();
-            for part in [SUBMISSIONS, FALLBACK_SUBMISSIONS, PROGRESS, FALLBACK_PROGRESS] {
-                for stored in store.newest(&topic_of(&pool), part).await?.records {
-                    log.apply(&stored.record.key, stored.record.value())
-                        .map_err(|e| StoreError::Malformed(e.0))?;
-                }
-            }
+            let log = read_jobs(store, &pool).await?;
             let Some(entry) = log.get(id) else { continue };
             let Some((spec, state)) = entry.spec.as_ref().zip(entry.state()) else { continue };
             let history = |h: &thistle_schedule::crash_history::CrashHistoryRecord| {
@@ -223,6 +232,18 @@
     }
 }
 
+/// Reads the records of a pool's jobs.
+async fn read_jobs(store: &Store, pool: &str) -> Result<JobLog, StoreError> {
+    let mut log = JobLog::default();
+    for part in [SUBMISSIONS, FALLBACK_SUBMISSIONS, PROGRESS, FALLBACK_PROGRESS] {
+        for stored in store.newest(&topic_of(pool), part).await?.records {
+            log.apply(&stored.record.key, stored.record.value())
+                .map_err(|e| StoreError::Malformed(e.0))?;
+        }
+    }
+    Ok(log)
+}
+
 /// Reads the newest record of each key from a partition with records about caps.
 async fn read_cap_records<T: serde::de::DeserializeOwned>(
     store: &Store,
@@ -301,6 +322,9 @@
         for work in &self.fleet.work {
             writeln!(f, "vm {} {:?} {:?}", work.vm, work.purpose, work.stage)?;
         }
+        for (hall, view) in &self.evacuations {
+            write_evacuation(f, hall, view)?;
+        }
         for (name, view) in &self.workspaces {
             write_workspace(f, name, view)?;
         }
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use system::{System, job, submit, wait_until, wait_until_state};
+use system::{System, WAIT_TIMEOUT, job, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
 
 /// The time within which an evacuation must be in force, as in [`SETTINGS`].
@@ -82,6 +82,57 @@
     expect_that!(started_since(&system, "hall-a", returned_at), ge(24));
 }
 
+/// Guards against an evacuation that operators can only follow in the logs of all nodes: the metrics and `show` tell which VMs
+/// are there, what still runs there and what waits.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_see_what_an_evacuation_does() {
+    let system = start_with_two_halls(206, 1).await;
+    let node = &system.nodes[0];
+    submit(node, &id(1), &job(4, 0)).await;
+    wait_until("both halls work", async || {
+        HALLS.iter().all(|hall| !system.starts_in(hall).is_empty())
+    })
+    .await;
+    let has = async |line: &str| node.metrics().await.lines().any(|found| found == line);
+    wait_until("no hall is evacuated", async || has("thistle_halls_evacuated 0").await).await;
+    expect_that!(node.show(&[]), not(contains_substring("evacuated")));
+    system.platform.evacuate("hall-a");
+    for line in [
+        "thistle_halls_evacuated 1",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"listed\"} 2",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"busy\"} 2",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"cold\"} 0",
+        "thistle_starts_held_by_evacuation{pool=\"desk\"} 0",
+    ] {
+        wait_until(line, async || has(line).await).await;
+    }
+    let age = async || -> f64 {
+        let metrics = node.metrics().await;
+        let line = metrics.lines().find(|l| l.starts_with("thistle_halls_read_age_seconds "));
+        line.and_then(|l| l.split(' ').next_back()?.parse().ok()).unwrap_or(f64::NAN)
+    };
+    expect_that!(age().await, lt(WAIT_TIMEOUT.as_secs_f64()));
+    let shown = node.show(&[]);
+    expect_that!(shown, contains_substring("hall hall-a evacuated since offset"));
+    expect_that!(
+        shown,
+        contains_substring("pool desk (node-10): 2 VMs, 0 cold, 2 tasks run there")
+    );
+    // A job with more tasks than the other hall has room for waits for the evacuated one.
+    submit(node, &id(2), &job(100, 5_000)).await;
+    let held = async || {
+        let metrics = node.metrics().await;
+        let line = metrics.lines().find(|l| l.starts_with("thistle_starts_held_by_evacuation{"));
+        line.is_some_and(|l| !l.ends_with(" 0"))
+    };
+    wait_until("starts are held by the evacuation", async || held().await).await;
+    system.platform.return_to_service("hall-a");
+    wait_until("the evacuation is over", async || has("thistle_halls_evacuated 0").await).await;
+    wait_until("no start is held any more", async || !held().await).await;
+    expect_that!(node.show(&[]), not(contains_substring("evacuated since")));
+}
+
 /// Nothing starts while all halls are evacuated. Waiting tasks start as soon as a hall is back in service.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
