Fleet: idle VMs of evacuated halls may be switched off

VMs of an evacuated hall stay paid for though no task may start there. With policy.moves.switch_off_evacuated, the owner of a pool reports those without runs, and the fleet's owner switches them off once they have been idle for keep_ms, if their pool has what it needs in other halls. Once the request is withdrawn, any pool may get them.

Off by default; reports and decisions are then as before. Ruled out: switching off at once, which costs two moves for an evacuation of seconds. Its effect on the value earned has not been measured.

--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -59,6 +59,9 @@
     pub spread: u32,
     /// The names of VMs without running tasks.
     pub idle: Vec<String>,
+    /// The names of VMs without running tasks in evacuated halls, if such VMs are to be switched off.
+    #[serde(default)]
+    pub evacuated_idle: Vec<String>,
     /// The names of VMs that run only tasks that end by themselves, those with the least work first.
     pub light: Vec<String>,
 }
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -3,6 +3,7 @@
 //! One node owns the fleet and gives all orders to the machine service. To empty a VM, it lists the VM in its record, which
 //! the pools' owners read. It gives the order only once the pool's owner reports the VM as empty.
 
+mod evacuation;
 mod facts;
 mod moves;
 mod record;
@@ -77,6 +78,8 @@
     moved_at: HashMap<String, Ms>,
     /// The time since which VMs have had no running tasks, by their pools' reports.
     idle_since: HashMap<String, Ms>,
+    /// Since when VMs in evacuated halls have been idle.
+    evacuated_idle_since: HashMap<String, Ms>,
     /// VMs that are being emptied and have no running tasks by their pools' newest reports, with their pools and incarnations.
     emptied: HashMap<String, (Arc<str>, String)>,
     /// The time since which VMs of waves have been missing from the list.
@@ -121,6 +124,7 @@
             needs: moves::Needs::new(policy),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
+            evacuated_idle_since: HashMap::new(),
             emptied: HashMap::new(),
             missing_since: HashMap::new(),
             hold_off,
@@ -167,6 +171,7 @@
         for vm in &report.idle {
             self.idle_since.entry(vm.clone()).or_insert(now);
         }
+        self.record_evacuated_idle(pool, &report, now);
         self.emptied.retain(|_, (of, _)| of != pool);
         let emptied = report.emptied.iter();
         self.emptied.extend(
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -136,6 +136,7 @@
             moves_left -= 1;
         }
         self.switch_off_idle(moves_left, now);
+        self.switch_off_evacuated(now);
     }
 
     /// Divides the VMs among the pools. Each pool gets what it needs, or a proportional share of the available VMs. Work that
@@ -181,7 +182,7 @@
         }
     }
 
-    fn moves(&self) -> impl Iterator<Item = &VmWork> {
+    pub(super) fn moves(&self) -> impl Iterator<Item = &VmWork> {
         self.record.work.iter().filter(|w| matches!(w.purpose, Purpose::Move { .. }))
     }
 
@@ -251,16 +252,20 @@
     /// Returns whether a VM is up in a pool and has no open work or orders. A VM in an evacuated hall is not free: it could do
     /// no work in another pool, and its pool needs it when the evacuation is withdrawn.
     fn is_free(&self, name: &str, pool: &Arc<str>) -> bool {
-        let up = |vm: &super::FleetVm| {
-            vm.pool == *pool && vm.state == VmState::Up && self.halls.accepts_work(&vm.hall)
-        };
+        let in_use = |vm: &super::FleetVm| self.halls.accepts_work(&vm.hall);
+        self.vms.get(name).is_some_and(in_use) && self.is_unoccupied(name, pool)
+    }
+
+    /// Returns whether a VM is up in a pool and has no open work or orders, whichever hall it is in.
+    pub(super) fn is_unoccupied(&self, name: &str, pool: &Arc<str>) -> bool {
+        let up = |vm: &super::FleetVm| vm.pool == *pool && vm.state == VmState::Up;
         self.vms.get(name).is_some_and(up)
             && self.record.work_on(name).is_none()
             && !self.unanswered.contains_key(name)
             && !self.held_off.contains_key(name)
     }
 
-    fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
+    pub(super) fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
         self.begin_emptying(vm, Purpose::Move { to: to.as_ref().to_owned() });
     }
 
--- a/crates/schedule/src/pool/evacuation.rs
+++ b/crates/schedule/src/pool/evacuation.rs
@@ -1,5 +1,7 @@
 //! What the evacuation of data halls means for a pool, for operators.
 
+use std::sync::Arc;
+
 use super::Pool;
 use super::incarnation::Vm;
 use crate::progress::Phase;
@@ -19,6 +21,12 @@
 }
 
 impl Pool {
+    /// Returns the stable names of VMs in evacuated halls that would accept work otherwise and have no runs.
+    pub fn idle_in_evacuated_halls(&self) -> Vec<Arc<str>> {
+        let idle = |vm: &&Vm| vm.evacuated && vm.could_accept_work() && vm.runs.is_empty();
+        self.vms.values().filter(idle).filter_map(|vm| vm.name().cloned()).collect()
+    }
+
     /// Returns the pool's VMs in evacuated halls and the tasks that wait because of them. While it is not known which halls are
     /// evacuated, no task may start anywhere, and `held` counts those that have room on any VM.
     ///
--- a/crates/schedule/tests/evacuation.rs
+++ b/crates/schedule/tests/evacuation.rs
@@ -13,8 +13,9 @@
 };
 use fleet_common::{busy_report, two_pools, vms_of};
 use googletest::prelude::*;
-use thistle_schedule::fleet::{Fleet, FleetRecord, FleetVm, HoldOff, VmState};
+use thistle_schedule::fleet::{Fleet, FleetRecord, FleetVm, HoldOff, PoolReport, VmState};
 use thistle_schedule::halls::{is_current, read_age};
+use thistle_schedule::policy::Policy;
 use thistle_schedule::pool::EvacuationLoad;
 use thistle_schedule::{EndKind, Evacuation, Halls, JobId, Pool, Step, VmFacts, VmReport};
 
@@ -136,7 +137,11 @@
 
 /// Returns a fleet with six VMs in a pool, half of them in each hall, and four VMs that are switched off.
 fn pool_in_two_halls() -> Fleet {
-    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    pool_in_two_halls_with(Policy::default())
+}
+
+fn pool_in_two_halls_with(policy: Policy) -> Fleet {
+    let mut fleet = Fleet::with_policy(FleetRecord::default(), HoldOff::default(), policy);
     fleet.set_pools(["desk".into()].into(), Some("off".into()));
     let mut vms = Vec::new();
     for i in 0..3 {
@@ -230,3 +235,79 @@
     expect_that!(read_age(None, 5_000), none());
     expect_that!(read_age(Some(2_000), 5_000), some(eq(3_000)));
 }
+
+/// Returns a fleet as [`pool_in_two_halls`] that switches off idle VMs of evacuated halls, with hall a evacuated.
+fn switching_off() -> Fleet {
+    let mut policy = Policy::default();
+    policy.moves.switch_off_evacuated = true;
+    let mut fleet = pool_in_two_halls_with(policy);
+    fleet.set_halls(evacuated(&["a"]));
+    fleet
+}
+
+/// Returns the VMs of hall a that are being moved.
+fn worked_on_in_a(fleet: &Fleet) -> Vec<&str> {
+    fleet
+        .record()
+        .work
+        .iter()
+        .map(|work| work.vm.as_str())
+        .filter(|vm| vm.starts_with('a'))
+        .collect()
+}
+
+/// Returns the report of a pool that needs some CPU, with idle VMs in hall a.
+fn report_with_idle_in_a(needed: u64) -> PoolReport {
+    let evacuated_idle = ["a0", "a1", "a2"].map(str::to_owned).to_vec();
+    PoolReport { evacuated_idle, ..busy_report(0, needed, &[]) }
+}
+
+/// Guards against VMs of an evacuated hall that stay paid for although they may get no task. They are switched off when they
+/// have been idle for as long as pools keep VMs, and are free for any pool once their hall is back.
+#[gtest]
+fn idle_vms_of_an_evacuated_hall_are_switched_off_and_are_free_once_it_is_back() {
+    let mut fleet = switching_off();
+    let keep_ms = Policy::default().moves.keep_ms;
+    fleet.set_report(&"desk".into(), report_with_idle_in_a(10_000), 10);
+    fleet.plan(keep_ms);
+    expect_that!(worked_on_in_a(&fleet), is_empty(), "not idle for long enough");
+    expect_that!(fleet.plan(keep_ms + 10), is_empty(), "their pool has yet to report them empty");
+    expect_that!(worked_on_in_a(&fleet), eq(&["a0", "a1", "a2"]));
+    let emptied = ["a0", "a1", "a2"].map(|vm| (vm.to_owned(), format!("{vm}-1"))).to_vec();
+    let report = PoolReport { emptied, ..busy_report(0, 10_000, &[]) };
+    fleet.set_report(&"desk".into(), report, keep_ms + 20);
+    let mut ordered = vms_of(&fleet.plan(keep_ms + 30)).join(" ");
+    expect_that!(ordered, eq("a0 a1 a2"));
+
+    let mut vms = Vec::new();
+    for i in 0..3 {
+        vms.push(fleet_vm(&format!("a{i}"), "off", "a"));
+        vms.push(fleet_vm(&format!("b{i}"), "desk", "b"));
+    }
+    let mut fleet = Fleet::new(FleetRecord::default(), HoldOff::default());
+    fleet.set_pools(["desk".into()].into(), Some("off".into()));
+    fleet.set_vms(vms, 0);
+    fleet.set_halls(evacuated(&["a"]));
+    fleet.set_report(&"desk".into(), busy_report(0, 80_000, &[]), 10);
+    expect_that!(fleet.plan(20), is_empty(), "the hall is still evacuated");
+    fleet.set_halls(evacuated(&[]));
+    ordered = vms_of(&fleet.plan(30)).join(" ");
+    expect_that!(ordered, starts_with("a"));
+}
+
+#[gtest]
+fn idle_vms_of_an_evacuated_hall_stay_if_their_pool_needs_them_or_the_switch_is_off() {
+    let late = Policy::default().moves.keep_ms + 1_000;
+    let mut fleet = switching_off();
+    fleet.set_report(&"desk".into(), report_with_idle_in_a(500_000), 10);
+    fleet.plan(20);
+    fleet.plan(late);
+    expect_that!(worked_on_in_a(&fleet), is_empty(), "the pool is short of VMs");
+
+    let mut fleet = pool_in_two_halls();
+    fleet.set_halls(evacuated(&["a"]));
+    fleet.set_report(&"desk".into(), report_with_idle_in_a(10_000), 10);
+    fleet.plan(20);
+    fleet.plan(late);
+    expect_that!(worked_on_in_a(&fleet), is_empty(), "off in the settings");
+}
--- a/crates/scheduler/src/owner/report.rs
+++ b/crates/scheduler/src/owner/report.rs
@@ -96,6 +96,10 @@
             spread: load.spread,
             emptied: emptied.into_iter().map(|(name, id)| (text(name), id.to_string())).collect(),
             idle: self.pool.idle().into_iter().map(text).collect(),
+            evacuated_idle: match self.node.settings.policy.moves.switch_off_evacuated {
+                true => self.pool.idle_in_evacuated_halls().into_iter().map(text).collect(),
+                false => Vec::new(),
+            },
             light: self.pool.without_lasting_tasks(now()).into_iter().map(text).collect(),
         }
     }
@@ -107,7 +111,11 @@
         next.soon_cpu > last.soon_cpu + (last.soon_cpu / JUMP_DIVISOR).max(average_vm_cpu(next));
     if jumped || next.emptied != last.emptied {
         URGENT_INTERVAL_MS
-    } else if next.idle != last.idle || next.vms != last.vms || next.soon_cpu != last.soon_cpu {
+    } else if next.idle != last.idle
+        || next.evacuated_idle != last.evacuated_idle
+        || next.vms != last.vms
+        || next.soon_cpu != last.soon_cpu
+    {
         CHANGE_INTERVAL_MS
     } else if next == last {
         Ms::MAX
