--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -206,3 +206,46 @@
     wait_until_state(&system.nodes[0], &id(1), "completed").await;
     expect_that!(started_since(&system, "hall-a", cannot_read_since), eq(0));
 }
+
+/// Guards against VMs of an evacuated hall that stay paid for: idle ones are switched off after their replacements from another
+/// hall are there, and work again once the hall is back in service.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_vms_of_an_evacuated_hall_are_switched_off_and_come_back() {
+    let net = 207;
+    let mut system = System::start(net, 0, 0).await;
+    let machines = &system.platform.machines;
+    machines.set_off_pool("off");
+    for (hall, pool, host) in
+        [("hall-a", "desk", 100), ("hall-a", "desk", 101), ("hall-b", "desk", 110)]
+            .into_iter()
+            .chain([("hall-b", "desk", 111), ("hall-c", "off", 120), ("hall-c", "off", 121)])
+    {
+        let (name, ip) = (format!("m-{hall}-{host}"), system::ip(net, host));
+        machines.add_in(hall, &name, pool, ip).await.expect("the VM starts");
+    }
+    let policy = "policy:\n  need:\n    floor_vms: 4\n  moves:\n    switch_off_evacuated: true\n";
+    system.extra_settings = format!("{SETTINGS}{policy}");
+    system.add_node(system::ip(net, 10));
+    wait_until("the node is ready", || system.nodes[0].is_ready()).await;
+    run_large_job(&system, 1).await;
+    let in_desk = |hall: &str| {
+        let vms = system.platform.machines.vms();
+        vms.iter().filter(|vm| vm.place.hall == hall && vm.place.pool == system::POOL).count()
+    };
+    expect_that!(HALLS.map(in_desk), eq([2, 2]));
+    system.platform.evacuate("hall-a");
+    wait_until("the VMs of hall c replace those of hall a", async || {
+        (in_desk("hall-a"), in_desk("hall-b"), in_desk("hall-c")) == (0, 2, 2)
+    })
+    .await;
+    run_large_job(&system, 2).await;
+    // Both other halls are evacuated, so that all work needs the VMs that were switched off.
+    system.platform.return_to_service("hall-a");
+    HALLS[1..].iter().chain(&["hall-c"]).for_each(|hall| system.platform.evacuate(hall));
+    let returned_at = Instant::now();
+    submit(&system.nodes[0], &id(3), &job(24, 100)).await;
+    wait_until("work starts in hall a", async || started_since(&system, "hall-a", returned_at) > 0)
+        .await;
+    wait_until_state(&system.nodes[0], &id(3), "completed").await;
+}
