--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -77,6 +77,8 @@
     pub stop_tasks: bool,
     /// Whether the fleet's owner goes on while it writes its record, and gets the reports of pools directly.
     pub pipelined: bool,
+    /// Whether VMs without work in evacuated halls are switched off, if their pool can do without them.
+    pub switch_off_evacuated: bool,
 }
 
 /// The parameters for maintenance waves.
@@ -150,6 +152,7 @@
             at_once_percent: 50,
             stop_tasks: true,
             pipelined: false,
+            switch_off_evacuated: false,
         }
     }
 }
