--- a/crates/scheduler/tests/handovers.rs
+++ b/crates/scheduler/tests/handovers.rs
@@ -94,3 +94,41 @@
     wait_until_state(&system.nodes[1], id, "completed").await;
     expect_started_once(&system, id, 4);
 }
+
+/// Starts that a node recorded and did not send before it stopped are not known to their VM. The successor must order them
+/// again once the VM has answered it, and not when their leases end, seconds later.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_that_were_not_sent_are_ordered_again_after_a_handover() {
+    let system = start_with_one_owner(78).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for vm in system.platform.machines.vms() {
+        vm.lose_starts(true);
+    }
+    let id = "00000000000000c1";
+    expect_that!(submit(&system.nodes[1], id, &job(40, 100)).await.status, eq(200));
+    let ordered = format!("start step=ordered run={id}");
+    wait_until("starts were ordered", async || system.nodes[0].log().contains(&ordered)).await;
+    system.nodes[0].signal("TERM");
+    wait_until("the pool is released", async || system.owner() != Some(0)).await;
+    for vm in system.platform.machines.vms() {
+        vm.lose_starts(false);
+    }
+    wait_until_state(&system.nodes[1], id, "completed").await;
+    expect_started_once(&system, id, 40);
+    let successor = system.owner().expect("the pool has an owner");
+    let log = system.nodes[successor].log();
+    let took_over = log.lines().rfind(|line| line.contains("pool=desk step=took-over"));
+    let reordered = log.lines().rfind(|line| line.contains(&ordered));
+    let passed = time_of(reordered.expect("ordered again")) - time_of(took_over.expect("a line"));
+    // It takes at most 100 ms on an idle machine; the rest is for a busy one.
+    expect_that!(passed, all![ge(0), le(500)]);
+}
+
+/// Returns the time of a log line in milliseconds since midnight. The test fails if midnight comes between two lines.
+fn time_of(line: &str) -> i64 {
+    let digits: String = line[..12].chars().filter(char::is_ascii_digit).collect();
+    let number: i64 = digits.parse().expect("a time");
+    let (hours, minutes, ms) = (number / 10_000_000, number / 100_000 % 100, number % 100_000);
+    (hours * 60 + minutes) * 60_000 + ms
+}
--- a/crates/scheduler/tests/slow_heartbeats.rs
+++ b/crates/scheduler/tests/slow_heartbeats.rs
@@ -1,4 +1,5 @@
-//! Leases of owners while the store is slow and many nodes own nothing.
+//! Heartbeats of owners in a partition of their own: while the store is slow, while the partition is down, and beside nodes
+//! that do not read it.
 
 mod system;
 
@@ -10,8 +11,10 @@
 use thistle_platform::standin::Fault;
 use thistle_platform::{Guard, KeyedRecord, Store};
 
-/// The third part of the addresses of this file's test.
-const NET: u8 = 72;
+/// The settings of a node that uses the partition.
+const WITH_PARTITION: &str = "policy:\n  ownership:\n    owner_heartbeats: true\n";
+/// The partition of the heartbeats of owners.
+const OWNER_HEARTBEATS: u32 = 7;
 /// The partitions of heartbeats that a node without shards uses.
 const HEARTBEATS: [u32; 2] = [1, 4];
 
@@ -40,10 +43,10 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn owners_keep_their_leases_while_heartbeats_of_idle_nodes_fill_a_partition() {
-    let mut system = System::start(NET, 1, 0).await;
-    system.extra_settings = "policy:\n  ownership:\n    owner_heartbeats: true\n".to_owned();
+    let mut system = System::start(72, 1, 0).await;
+    system.extra_settings = WITH_PARTITION.to_owned();
     for host in [10, 11] {
-        system.add_node(ip(NET, host));
+        system.add_node(ip(72, host));
     }
     wait_until("the pool has an owner", async || system.owner().is_some()).await;
     let fleet = || system.platform.store.offset_of("control", 0, "owner/#fleet");
@@ -74,3 +77,58 @@
     expect_that!(submit(node, id, &job(1, 10)).await.status, eq(200));
     wait_until_state(node, id, "completed").await;
 }
+
+/// Starts a node that owns the pool, and then another one. `settings` are their additional settings.
+async fn start_two(net: u8, settings: [&str; 2]) -> System {
+    let mut system = System::start(net, 2, 0).await;
+    for (i, settings) in settings.into_iter().enumerate() {
+        system.extra_settings = settings.to_owned();
+        system.add_node(ip(net, 10 + u8::try_from(i).expect("small")));
+        wait_until("a node is ready", || system.nodes[i].is_ready()).await;
+    }
+    assert_eq!(system.owner(), Some(0));
+    system
+}
+
+/// An older node reads only the common partition, to which owners send few heartbeats. It would take an owner for unresponsive
+/// 2.7 s after its own start, unless the owner notices it and sends all heartbeats there. When the owner is killed, either
+/// takes over from the other.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_without_the_partition_takes_no_shard_from_a_live_owner() {
+    for (net, settings) in [(75, [WITH_PARTITION, ""]), (76, ["", WITH_PARTITION])] {
+        let mut system = start_two(net, settings).await;
+        let claim = |system: &System| system.platform.store.offset_of("control", 0, "owner/desk");
+        let first = claim(&system);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        // At the interval of other nodes, heartbeats would now be read 2.9 s after each other.
+        system.platform.store.set_part_fault("control", 1, Fault::Slow);
+        tokio::time::sleep(Duration::from_secs(10)).await;
+        expect_that!(claim(&system), eq(first), "{settings:?}");
+        system.platform.store.set_part_fault("control", 1, Fault::None);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        system.nodes[0].kill();
+        let killed_at = Instant::now();
+        wait_until("the other node owns the pool", async || system.owner() == Some(1)).await;
+        // The owner's last heartbeat is read up to 0.9 s after it was sent. The rest is for a busy machine.
+        expect_that!(killed_at.elapsed(), lt(Duration::from_secs(10)), "{settings:?}");
+    }
+}
+
+/// Owners that depend on their partition of heartbeats lose their right to act within 2.2 s while it is down.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn owners_keep_their_pools_while_their_partition_of_heartbeats_is_down() {
+    let system = start_two(77, [WITH_PARTITION, WITH_PARTITION]).await;
+    for (i, fault) in [Fault::Busy, Fault::Unresponsive].into_iter().enumerate() {
+        system.platform.store.set_part_fault("control", OWNER_HEARTBEATS, fault);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        let id = format!("{:016x}", i + 1);
+        expect_that!(submit(&system.nodes[0], &id, &job(2, 100)).await.status, eq(200));
+        wait_until_state(&system.nodes[1], &id, "completed").await;
+        expect_that!(system.owner(), eq(Some(0)), "{fault:?}");
+        system.platform.store.set_part_fault("control", OWNER_HEARTBEATS, Fault::None);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        expect_that!(system.owner(), eq(Some(0)), "after {fault:?}");
+    }
+}
