--- a/crates/schedule/src/ownership/spread.rs
+++ b/crates/schedule/src/ownership/spread.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::standbys::standby_rank;
-use super::vacancy::RANK_STEP_MS;
+use super::vacancy::{RANK_STEP_MS, SLOW_NODE_PENALTY};
 use super::{Member, Ownership};
 use crate::Ms;
 
@@ -72,7 +72,7 @@
     }
 
     /// Returns the shards with the nodes that are to own them next when this node stops, a different one for each shard as
-    /// long as there are enough nodes.
+    /// long as there are enough fast nodes.
     pub fn successors(&self, shards: &[Arc<str>], now: Ms) -> Vec<Option<String>> {
         if !self.policy.spread {
             return vec![None; shards.len()];
@@ -85,7 +85,8 @@
             let others = self.live_members(now).filter(|(name, _)| *name != self.me.name);
             let best = others.min_by_key(|(name, m)| {
                 let slow = m.speed < slow_below;
-                (slow, owned.get(name).copied().unwrap_or(0), standby_rank(shard, name, slow))
+                let counted = usize::from(slow) * SLOW_NODE_PENALTY;
+                (owned.get(name).copied().unwrap_or(0) + counted, standby_rank(shard, name, slow))
             });
             if let Some((name, _)) = best {
                 *owned.entry(name).or_default() += 1;
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -14,7 +14,7 @@
 /// The number of shards that a node with less than half the speed of the fastest one is counted as owning in addition. An
 /// owner of 100 VMs or more uses an eighth of a core, which is all that some nodes have. With 350 VMs this lowers the median
 /// time from submission to the first start from 788 ms to 55 ms.
-const SLOW_NODE_PENALTY: usize = 3;
+pub(super) const SLOW_NODE_PENALTY: usize = 3;
 /// How long a new node reads heartbeats before it claims shards that never had an owner, in milliseconds: two reads, as the
 /// first may come before the nodes that start with it have sent their heartbeats. With hundreds of nodes the wait is longer.
 const INITIAL_WAIT_MS: Ms = 1_000;
