Max-min division of the VMs in a shortage, off by default

In proportion to their needs, a pool whose forecast is many times the fleet leaves the others hardly more than their floor. With policy.moves.max_min every pool gets its need up to a common number. Late work still comes after all work in time.

The need of pools moves to fleet/demand.rs and the division to fleet/division.rs, without other changes. With the switch off the parts are the same; pools are handled in the order of their names, where a map's order decided before.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -3,6 +3,8 @@
 //! One node owns the fleet and gives all orders to the machine service. To empty a VM, it lists the VM in its record, which
 //! the pools' owners read. It gives the order only once the pool's owner reports the VM as empty.
 
+mod demand;
+mod division;
 mod facts;
 mod moves;
 mod record;
@@ -72,7 +74,7 @@
     working_pools: HashSet<Arc<str>>,
     /// The evacuated data halls. Their VMs do not count as capacity and are not moved.
     halls: Arc<Halls>,
-    needs: moves::Needs,
+    needs: demand::Needs,
     /// When VMs arrived in their pools.
     moved_at: HashMap<String, Ms>,
     /// The time since which VMs have had no running tasks, by their pools' reports.
@@ -118,7 +120,7 @@
             off_pool: None,
             working_pools: HashSet::new(),
             halls: Arc::default(),
-            needs: moves::Needs::new(policy),
+            needs: demand::Needs::new(policy),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
             emptied: HashMap::new(),
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -6,114 +6,9 @@
 use std::collections::{HashMap, VecDeque};
 use std::sync::Arc;
 
-use super::{Fleet, PoolReport, Purpose, VmState, VmWork};
+use super::division::{Share, neediest};
+use super::{Fleet, Purpose, VmState, VmWork};
 use crate::Ms;
-use crate::policy::Policy;
-
-/// The CPU capacity of a VM if a pool has no VMs to derive it from, in thousandths of a core: that of the sites' VMs.
-const DEFAULT_VM_CPU: u64 = 16_000;
-
-/// The number of VMs that each pool needed over the last seconds.
-#[derive(Debug)]
-pub(super) struct Needs {
-    pools: HashMap<Arc<str>, Need>,
-    policy: Policy,
-}
-
-#[derive(Debug, Default)]
-struct Need {
-    /// The number of VMs needed by each report of the last seconds, with the time of the report.
-    recent: VecDeque<(Ms, usize)>,
-    /// The number of VMs needed for work that can finish in time, by the newest report.
-    in_time: usize,
-    vm_cpu: u64,
-}
-
-impl Needs {
-    pub fn new(policy: Policy) -> Self {
-        Self { pools: HashMap::new(), policy }
-    }
-
-    pub fn record_report(&mut self, pool: &Arc<str>, report: &PoolReport, now: Ms) {
-        let need = self.pools.entry(pool.clone()).or_default();
-        if report.vms > 0 {
-            need.vm_cpu = report.cpu / u64::from(report.vms);
-        }
-        let vm_cpu = if need.vm_cpu > 0 { need.vm_cpu } else { DEFAULT_VM_CPU };
-        let fill_percent = self.policy.need.fill_percent;
-        let spread = usize::try_from(report.spread).unwrap_or(usize::MAX);
-        let vms_for = |cpu: u64| {
-            let vms = (cpu * 100).div_ceil(vm_cpu * fill_percent);
-            usize::try_from(vms).unwrap_or(usize::MAX).max(spread)
-        };
-        need.in_time = vms_for(report.soon_cpu);
-        need.recent.push_back((now, vms_for(report.soon_cpu + report.late_cpu)));
-        need.drop_old(self.policy.moves.keep_ms, now);
-    }
-
-    /// Returns the number of VMs that a pool needs by its newest report.
-    pub fn current(&self, pool: &str) -> usize {
-        let newest = self.pools.get(pool).and_then(|need| need.recent.back());
-        newest.map_or(0, |(_, vms)| *vms).max(self.policy.need.floor_vms)
-    }
-
-    /// Returns the number of VMs that a pool needs for work that can finish in time, by its newest report.
-    fn in_time(&self, pool: &str) -> usize {
-        let in_time = self.pools.get(pool).map_or(0, |need| need.in_time);
-        in_time.max(self.policy.need.floor_vms)
-    }
-
-    /// Returns the mean number of VMs that a pool needed over the last seconds, or `None` before its first report.
-    ///
-    /// This is the mean and not the maximum, because the need is estimated from the last thirty arrivals and varies by a half.
-    /// An idle VM that its pool does need is used again within the time for which idle VMs are kept anyway. The mean costs
-    /// 0.1605 instead of 0.1657 of the value for VM-seconds, and 0.0275 instead of 0.0252 for moves (350 VMs, means of five
-    /// days with faults).
-    fn recent_mean(&mut self, pool: &str, now: Ms) -> Option<usize> {
-        let need = self.pools.get_mut(pool)?;
-        need.drop_old(self.policy.moves.keep_ms, now);
-        let floor = self.policy.need.floor_vms;
-        let sum: usize = need.recent.iter().map(|&(_, vms)| vms.max(floor)).sum();
-        sum.checked_div(need.recent.len())
-    }
-}
-
-impl Need {
-    /// Drops old reports. The newest one is kept until there is another.
-    fn drop_old(&mut self, keep_ms: Ms, now: Ms) {
-        while self.recent.len() > 1 && self.recent[1].0 + keep_ms < now {
-            self.recent.pop_front();
-        }
-    }
-}
-
-/// The target and the current number of VMs of a pool, including VMs that are moving to it.
-#[derive(Clone, Copy, Debug)]
-struct Share {
-    target: usize,
-    size: usize,
-}
-
-/// A number of available VMs that is split among the pools that want VMs.
-#[derive(Clone, Copy, Debug)]
-struct Split {
-    available: usize,
-    wanted: usize,
-}
-
-impl Split {
-    fn new(available: usize, wanted: usize) -> Self {
-        Self { available, wanted }
-    }
-
-    /// Returns the part for a pool that wants `wanted` VMs: all of them, or a proportional share.
-    fn part(self, wanted: usize) -> usize {
-        match self.wanted <= self.available {
-            true => wanted,
-            false => wanted * self.available / self.wanted,
-        }
-    }
-}
 
 impl Fleet {
     /// Starts the moves that the pools' needs require.
@@ -138,31 +33,6 @@
         self.switch_off_idle(moves_left, now);
     }
 
-    /// Divides the VMs among the pools. Each pool gets what it needs, or a proportional share of the available VMs. Work that
-    /// will be late gets the VMs that are left over by work that can finish in time.
-    fn shares(&self, switched_off: usize) -> HashMap<Arc<str>, Share> {
-        let sizes: Vec<(Arc<str>, usize)> = self.sizes().into_iter().collect();
-        let total = switched_off + sizes.iter().map(|(_, size)| size).sum::<usize>();
-        let floor = self.policy.need.floor_vms;
-        let first_need = |pool: &str| match self.policy.need.late_last {
-            true => self.needs.in_time(pool) - floor,
-            false => self.needs.current(pool) - floor,
-        };
-        let last_need = |pool: &str| self.needs.current(pool) - floor - first_need(pool);
-        let sum = |need: &dyn Fn(&str) -> usize| -> usize {
-            sizes.iter().map(|(pool, _)| need(pool)).sum()
-        };
-        let available = total.saturating_sub(floor * sizes.len());
-        let first_split = Split::new(available, sum(&first_need));
-        let last_split = Split::new(available.saturating_sub(first_split.wanted), sum(&last_need));
-        let share = |(pool, size): (Arc<str>, usize)| {
-            let target =
-                floor + first_split.part(first_need(&pool)) + last_split.part(last_need(&pool));
-            (pool, Share { target, size })
-        };
-        sizes.iter().cloned().map(share).collect()
-    }
-
     /// Switches off idle VMs that their pools have not needed recently, at most `limit` of them.
     fn switch_off_idle(&mut self, limit: usize, now: Ms) {
         let Some(off) = self.off_pool.clone() else { return };
@@ -271,15 +141,6 @@
     }
 }
 
-/// Returns the pool that has the smallest part of its target.
-fn neediest(shares: &HashMap<Arc<str>, Share>) -> Option<Arc<str>> {
-    shares
-        .iter()
-        .filter(|(_, share)| share.size < share.target)
-        .min_by_key(|(pool, share)| (share.size * 1_000 / share.target.max(1), (*pool).clone()))
-        .map(|(pool, _)| pool.clone())
-}
-
 /// Removes and returns the first spare VM, with its pool, that is not already in the given pool.
 fn take_spare_for(
     spare: &mut VecDeque<(Arc<str>, Arc<str>)>,
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -58,6 +58,8 @@
     pub at_once_percent: usize,
     /// Whether tasks with checkpoints are stopped on VMs that another pool needs.
     pub stop_tasks: bool,
+    /// Whether VMs are divided by max-min fairness when pools need more than there are, instead of in proportion to their needs.
+    pub max_min: bool,
 }
 
 /// The parameters for maintenance waves.
@@ -121,6 +123,7 @@
             stay_ms: 1_500,
             at_once_percent: 50,
             stop_tasks: true,
+            max_min: false,
         }
     }
 }
--- a/crates/schedule/tests/onset.rs
+++ b/crates/schedule/tests/onset.rs
@@ -20,7 +20,7 @@
     let small = |jobs_per_s| Kind { jobs_per_s, steps: 1.6, task_ms: 800, cpu: 1_400 };
     let large = |jobs_per_s| Kind { jobs_per_s, steps: 2.0, task_ms: 1_700, cpu: 3_000 };
     let kinds = [small(24.8), large(4.9), small(31.0), large(6.0)];
-    Load { kinds, burst, vms: 350, off: 56, bursts, seed }
+    Load { kinds, burst, together: 1, vms: 350, off: 56, bursts, seed }
 }
 
 fn percentile(mut times: Vec<Ms>, percent: usize) -> Option<Ms> {
--- a/crates/schedule/tests/onset_world/mod.rs
+++ b/crates/schedule/tests/onset_world/mod.rs
@@ -57,6 +57,8 @@
 pub struct Load {
     pub kinds: [Kind; POOLS],
     pub burst: f64,
+    /// The number of pools that are in a burst at once.
+    pub together: usize,
     pub vms: usize,
     pub off: usize,
     pub bursts: usize,
@@ -268,7 +270,9 @@
 
     fn begin_burst(&mut self, i: usize) {
         let pool = i % POOLS;
-        self.rates[pool] = self.load.kinds[pool].jobs_per_s * self.load.burst;
+        for p in (pool..pool + self.load.together).map(|p| p % POOLS) {
+            self.rates[p] = self.load.kinds[p].jobs_per_s * self.load.burst;
+        }
         let needed = self.load.kinds[pool].vms_at(self.load.burst).min(self.load.vms);
         self.outcome.bursts.push(Burst { pool, needed, ..Burst::default() });
     }
