VMs move only for work that can be in time when they arrive, off by default

Waiting work counted as work in time until it was late at present. A job of one step of 800 ms is due 1.9 s after it arrives, and VMs that are ordered now come after 1.9 s, so all VMs ordered for such jobs came too late and stayed idle when the burst was over. With policy.need.in_time_only such work counts as late, and late work keeps the VMs that its pool has but gets none from other pools.

--- a/crates/schedule/src/fleet/division.rs
+++ b/crates/schedule/src/fleet/division.rs
@@ -69,18 +69,27 @@
         sizes.sort_unstable();
         let total = switched_off + sizes.iter().map(|(_, size)| size).sum::<usize>();
         let floor = self.policy.need.floor_vms;
-        let first_need = |pool: &str| match self.policy.need.late_last {
+        let first_need = |(pool, _): &(Arc<str>, usize)| match self.policy.need.late_last {
             true => self.needs.in_time(pool) - floor,
             false => self.needs.current(pool) - floor,
         };
-        let last_need = |pool: &str| self.needs.current(pool) - floor - first_need(pool);
+        let last_need = |share: &(Arc<str>, usize)| {
+            let (pool, size) = share;
+            let all = self.needs.current(pool) - floor;
+            // VMs that are moved for work that is late arrive when it is worth little or nothing.
+            let held = match self.policy.need.in_time_only {
+                true => size.saturating_sub(floor),
+                false => all,
+            };
+            all.min(held).saturating_sub(first_need(share))
+        };
         let split = match self.policy.moves.max_min {
             true => Split::max_min,
             false => Split::proportional,
         };
         let available = total.saturating_sub(floor * sizes.len());
-        let first: Vec<usize> = sizes.iter().map(|(pool, _)| first_need(pool)).collect();
-        let last: Vec<usize> = sizes.iter().map(|(pool, _)| last_need(pool)).collect();
+        let first: Vec<usize> = sizes.iter().map(first_need).collect();
+        let last: Vec<usize> = sizes.iter().map(last_need).collect();
         let mut first_split = split(available, &first);
         let mut last_split = split(available.saturating_sub(first.iter().sum()), &last);
         let parts = first.into_iter().zip(last);
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -41,6 +41,9 @@
     pub leaves_out_ended: bool,
     /// The minimum number of VMs of a pool, so that the first jobs start at once when its load rises.
     pub floor_vms: usize,
+    /// Whether VMs are moved only for work that can still finish in time once they have arrived. Other work keeps the VMs that
+    /// its pool has.
+    pub in_time_only: bool,
 }
 
 /// The parameters for moving VMs between pools.
@@ -111,6 +114,7 @@
             late_last: true,
             leaves_out_ended: true,
             floor_vms: 4,
+            in_time_only: false,
         }
     }
 }
--- a/crates/schedule/src/pool/need.rs
+++ b/crates/schedule/src/pool/need.rs
@@ -87,7 +87,11 @@
                 waiting.waiting = waiting.waiting.min(*left);
                 *left -= waiting.waiting;
             }
-            if late.contains(&job.id) {
+            let arrival = now.steady + lead;
+            let late_on_arrival = self.policy.need.in_time_only
+                && job.ready_steps().next().is_some()
+                && self.rank(job, arrival).is_late();
+            if late_on_arrival || late.contains(&job.id) {
                 demand.late += waiting.in_time();
             } else {
                 demand.waiting += waiting.waiting;
--- a/crates/schedule/tests/division.rs
+++ b/crates/schedule/tests/division.rs
@@ -7,7 +7,7 @@
 use fleet_common::vm;
 use googletest::prelude::*;
 use thistle_schedule::fleet::{Fleet, FleetRecord, HoldOff, PoolReport, Purpose, VmState};
-use thistle_schedule::policy::{MovePolicy, Policy};
+use thistle_schedule::policy::{MovePolicy, NeedPolicy, Policy};
 
 /// Divides switched-off VMs of 16 cores among pools that need the given numbers of VMs, and returns the number that each gets.
 fn divide(vms: usize, needed: [u64; 3], max_min: bool) -> BTreeMap<String, usize> {
@@ -43,3 +43,21 @@
     expect_that!(divide(60, [10, 20, 30], true), eq(&given(10, 20, 30)));
     expect_that!(divide(60, [5, 6, 7], true), eq(&given(5, 6, 7)));
 }
+
+/// Guards against moves for work that is late before the VMs arrive. They cost as much as moves for work in time, and the VMs
+/// come when the next pool needs them.
+#[gtest]
+fn late_work_gets_no_vms_from_other_pools_if_only_work_in_time_counts() {
+    for (in_time_only, moves) in [(false, 3), (true, 0)] {
+        let need = NeedPolicy { in_time_only, ..NeedPolicy::default() };
+        let policy = Policy { need, ..Policy::default() };
+        let mut fleet = Fleet::with_policy(FleetRecord::default(), HoldOff::default(), policy);
+        fleet.set_pools(["desk".into()].into(), Some("off".into()));
+        let desk = (0..6).map(|i| vm(&format!("d{i}"), "desk", 1, VmState::Up));
+        let off = (0..6).map(|i| vm(&format!("o{i}"), "off", 1, VmState::Up));
+        fleet.set_vms(desk.chain(off).collect(), 0);
+        let late_cpu = 9 * 16_000 * 80 / 100;
+        fleet.set_report(&"desk".into(), PoolReport { late_cpu, ..PoolReport::default() }, 10);
+        expect_that!(fleet.plan(20), len(eq(moves)));
+    }
+}
--- a/crates/schedule/tests/need.rs
+++ b/crates/schedule/tests/need.rs
@@ -7,6 +7,7 @@
 };
 use googletest::prelude::*;
 use thistle_schedule::job_log::JobEntry;
+use thistle_schedule::policy::{NeedPolicy, Policy};
 use thistle_schedule::{JobId, JobSpec, Pool, Room, Step, VmReport};
 
 /// Offers room for one task to a job accepted at time 0 and a job accepted at `now`, each with one task of a second
@@ -167,3 +168,23 @@
     expect_that!(need(2_100), eq(12_000), "none shares one");
     expect_that!(need(4_000), eq(12_000));
 }
+
+/// Guards against VMs that are ordered for waiting work which will be late when they arrive: such work counted as work in time
+/// until it was late at present.
+#[gtest]
+fn waiting_work_that_will_be_late_when_vms_arrive_counts_as_late_if_only_work_in_time_counts() {
+    for in_time_only in [false, true] {
+        let need = NeedPolicy { in_time_only, ..NeedPolicy::default() };
+        let mut pool = Pool::with_policy(Policy { need, ..Policy::default() });
+        let facts = vm("a", 1);
+        pool.list_vm(facts.clone());
+        pool.apply_report(&facts.id, &VmReport::default(), at(0));
+        pool.submit(JOB, job(vec![step(8, 1_000)]), at(0));
+        expect_that!(plan_and_start(&mut pool, 0), len(eq(4)));
+        let soon = pool.demand(1_000, at(0));
+        expect_that!((soon.waiting, soon.late), eq((4_000, 0)), "due at 2,100");
+        let later = pool.demand(LEAD_TIME, at(0));
+        let expected = if in_time_only { (0, 4_000) } else { (4_000, 0) };
+        expect_that!((later.waiting, later.late), eq(expected));
+    }
+}
