No VM is switched off while a pool is short, off by default

VMs were switched off by the mean need of their own pool over keep_ms, also while another pool waited. They left for 1.5 s and came back with a second move. With policy.moves.keep_while_short - no VM is switched off while a pool has fewer VMs than it needs, - VMs that are being emptied to be switched off go to the pool that becomes short, or back to their own; no order was given about them, - a pool gives up idle VMs beyond its need at once, without margin_percent. VMs with work still keep the margin. Switching off moves to fleet/switch_off.rs. WorkList::set_purpose is new; the rows of the record stay as they are.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 mod moves;
 mod record;
 mod rows;
+mod switch_off;
 mod wave;
 mod work;
 
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -1,4 +1,4 @@
-//! Moves VMs to the pools that need them, and switches off VMs that no pool needs.
+//! Moves VMs to the pools that need them.
 //!
 //! Load shifts from one pool to another within seconds, and a move takes about two seconds. A pool's need is met at once
 //! from idle VMs. A VM is taken away only after its pool has not needed it for some seconds.
@@ -14,7 +14,12 @@
     /// Starts the moves that the pools' needs require.
     pub(super) fn begin_moves(&mut self, now: Ms) {
         let mut spare = VecDeque::from(self.off_vms());
-        let mut shares = self.shares(spare.len());
+        let leaving = match self.policy.moves.keep_while_short {
+            true => self.emptying_to_switch_off(),
+            false => Vec::new(),
+        };
+        let mut shares = self.shares(spare.len() + leaving.len());
+        self.redirect_switch_offs(leaving, &mut shares);
         spare.extend(self.spare_vms(&shares, now));
         let mut moves_left = (self.vms.len() * self.policy.moves.at_once_percent / 100)
             .saturating_sub(self.moves().count());
@@ -30,25 +35,7 @@
             }
             moves_left -= 1;
         }
-        self.switch_off_idle(moves_left, now);
-    }
-
-    /// Switches off idle VMs that their pools have not needed recently, at most `limit` of them.
-    fn switch_off_idle(&mut self, limit: usize, now: Ms) {
-        let Some(off) = self.off_pool.clone() else { return };
-        let mut unneeded = Vec::new();
-        let sizes = self.sizes();
-        for pool in self.working_pools.iter().cloned().collect::<Vec<_>>() {
-            let Some(needed) = self.needs.recent_mean(&pool, now) else { continue };
-            let surplus = sizes.get(&pool).map_or(0, |size| size.saturating_sub(needed));
-            let Some(report) = self.reports.get(&pool) else { continue };
-            let idle = report.idle.iter().filter(|vm| self.has_been_idle(vm, now));
-            let idle = idle.filter(|vm| self.is_free(vm, &pool));
-            unneeded.extend(idle.take(surplus).cloned());
-        }
-        for vm in unneeded.into_iter().take(limit) {
-            self.begin_move(&vm, &off);
-        }
+        self.switch_off(&shares, moves_left, now);
     }
 
     fn moves(&self) -> impl Iterator<Item = &VmWork> {
@@ -94,13 +81,17 @@
         let mut light = Vec::new();
         for (pool, report) in &self.reports {
             let Some(share) = shares.get(pool) else { continue };
-            let keep =
-                share.target + (share.target * self.policy.moves.margin_percent).div_ceil(100);
-            let surplus = share.size.saturating_sub(keep);
+            let margin = (share.target * self.policy.moves.margin_percent).div_ceil(100);
+            let surplus = share.size.saturating_sub(share.target + margin);
+            let idle_surplus = match self.policy.moves.keep_while_short {
+                true => share.size.saturating_sub(share.target),
+                false => surplus,
+            };
             let named = |name: &String| (Arc::from(name.as_str()), pool.clone());
             let free = |name: &&String| self.is_free(name, pool);
-            let idle: Vec<_> = report.idle.iter().filter(free).take(surplus).map(named).collect();
-            let rest = surplus - idle.len();
+            let idle: Vec<_> =
+                report.idle.iter().filter(free).take(idle_surplus).map(named).collect();
+            let rest = surplus.saturating_sub(idle.len());
             spare.extend(idle);
             // Moving a VM that has just arrived would waste the time of its last move.
             let stayed = |name: &&String| self.has_stayed(name, now);
@@ -120,7 +111,7 @@
 
     /// Returns whether a VM is up in a pool and has no open work or orders. A VM in an evacuated hall is not free: it could do
     /// no work in another pool, and its pool needs it when the evacuation is withdrawn.
-    fn is_free(&self, name: &str, pool: &Arc<str>) -> bool {
+    pub(super) fn is_free(&self, name: &str, pool: &Arc<str>) -> bool {
         let up = |vm: &super::FleetVm| {
             vm.pool == *pool && vm.state == VmState::Up && self.halls.accepts_work(&vm.hall)
         };
@@ -130,15 +121,9 @@
             && !self.held_off.contains_key(name)
     }
 
-    fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
+    pub(super) fn begin_move(&mut self, vm: &str, to: &Arc<str>) {
         self.begin_emptying(vm, Purpose::Move { to: to.as_ref().to_owned() });
     }
-
-    fn has_been_idle(&self, vm: &str, now: Ms) -> bool {
-        self.idle_since
-            .get(vm)
-            .is_some_and(|&since| now.saturating_sub(since) >= self.policy.moves.keep_ms)
-    }
 }
 
 /// Removes and returns the first spare VM, with its pool, that is not already in the given pool.
--- a/crates/schedule/src/fleet/work.rs
+++ b/crates/schedule/src/fleet/work.rs
@@ -4,7 +4,7 @@
 use indexmap::map::Values;
 use serde::{Serialize, Serializer};
 
-use super::{Stage, VmWork};
+use super::{Purpose, Stage, VmWork};
 
 /// The open work on VMs, in the order in which it started.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -33,6 +33,13 @@
         }
     }
 
+    /// Sets the purpose of the work on a VM.
+    pub fn set_purpose(&mut self, vm: &str, purpose: Purpose) {
+        if let Some(work) = self.0.get_mut(vm) {
+            work.purpose = purpose;
+        }
+    }
+
     /// Returns the work on all VMs.
     pub fn iter(&self) -> Values<'_, String, VmWork> {
         self.0.values()
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -63,6 +63,9 @@
     pub stop_tasks: bool,
     /// Whether VMs are divided by max-min fairness when pools need more than there are, instead of in proportion to their needs.
     pub max_min: bool,
+    /// Whether idle VMs beyond a pool's need are given up without a margin as soon as another pool is short of VMs, and no VM is
+    /// switched off meanwhile.
+    pub keep_while_short: bool,
 }
 
 /// The parameters for maintenance waves.
@@ -128,6 +131,7 @@
             at_once_percent: 50,
             stop_tasks: true,
             max_min: false,
+            keep_while_short: false,
         }
     }
 }
--- a/crates/schedule/tests/onset.rs
+++ b/crates/schedule/tests/onset.rs
@@ -13,7 +13,7 @@
 use googletest::prelude::*;
 use onset_world::{Arrival, Kind, Load, Outcome, POOLS, Replay};
 use thistle_schedule::Ms;
-use thistle_schedule::policy::Policy;
+use thistle_schedule::policy::{MovePolicy, Policy};
 
 /// Four pools that burst in turn, on 350 VMs of which 56 are switched off.
 fn load(burst: f64, bursts: usize, seed: u64) -> Load {
@@ -73,3 +73,14 @@
     expect_that!(half_at_work.count(), eq(4));
     expect_that!(outcome.jobs.map(value), each(ge(0.5)));
 }
+
+/// Guards against VMs that are switched off while a pool in a burst waits for VMs.
+#[gtest]
+fn hardly_any_vm_is_switched_off_while_a_pool_is_short() {
+    let before = Replay::new(load(5.0, 4, 2), Policy::default()).run();
+    let moves = MovePolicy { keep_while_short: true, ..MovePolicy::default() };
+    let after = Replay::new(load(5.0, 4, 2), Policy { moves, ..Policy::default() }).run();
+    print_table("keep_while_short", &after);
+    expect_that!(after.switched_off_while_short * 2, lt(before.switched_off_while_short));
+    expect_that!(after.jobs.map(value), each(ge(0.5)));
+}
