The limit of moves at once counts only VMs that are being emptied, off by default

The limit of at_once_percent (half of the fleet) is reached at the onset of a burst, and the rest of the VMs is ordered only when the first ones are listed, two seconds later, although 156 idle VMs are there. VMs that have left their pool hold up no work any more. With policy.moves.limit_emptying only VMs that are being emptied count.

--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 
 use super::division::{Share, neediest};
-use super::{Fleet, Purpose, VmState, VmWork};
+use super::{Fleet, Purpose, Stage, VmState, VmWork};
 use crate::Ms;
 
 impl Fleet {
@@ -22,7 +22,7 @@
         self.redirect_switch_offs(leaving, &mut shares);
         spare.extend(self.spare_vms(&shares, now));
         let mut moves_left = (self.vms.len() * self.policy.moves.at_once_percent / 100)
-            .saturating_sub(self.moves().count());
+            .saturating_sub(self.counted_moves());
         while moves_left > 0 {
             let Some(to) = neediest(&shares) else { break };
             let Some((vm, from)) = take_spare_for(&mut spare, &to) else { break };
@@ -38,6 +38,12 @@
         self.switch_off(&shares, moves_left, now);
     }
 
+    /// Returns the number of moves that count towards the limit of moves at once.
+    fn counted_moves(&self) -> usize {
+        let counts = |w: &&VmWork| !self.policy.moves.limit_emptying || w.stage == Stage::Emptying;
+        self.moves().filter(counts).count()
+    }
+
     fn moves(&self) -> impl Iterator<Item = &VmWork> {
         self.record.work.iter().filter(|w| matches!(w.purpose, Purpose::Move { .. }))
     }
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -66,6 +66,8 @@
     /// Whether idle VMs beyond a pool's need are given up without a margin as soon as another pool is short of VMs, and no VM is
     /// switched off meanwhile.
     pub keep_while_short: bool,
+    /// Whether the limit of `at_once_percent` counts only VMs that are being emptied, and not those that have left their pools.
+    pub limit_emptying: bool,
 }
 
 /// The parameters for maintenance waves.
@@ -132,6 +134,7 @@
             stop_tasks: true,
             max_min: false,
             keep_while_short: false,
+            limit_emptying: false,
         }
     }
 }
--- a/crates/schedule/tests/onset.rs
+++ b/crates/schedule/tests/onset.rs
@@ -78,9 +78,10 @@
 #[gtest]
 fn hardly_any_vm_is_switched_off_while_a_pool_is_short() {
     let before = Replay::new(load(5.0, 4, 2), Policy::default()).run();
-    let moves = MovePolicy { keep_while_short: true, ..MovePolicy::default() };
+    let moves =
+        MovePolicy { keep_while_short: true, limit_emptying: true, ..MovePolicy::default() };
     let after = Replay::new(load(5.0, 4, 2), Policy { moves, ..Policy::default() }).run();
-    print_table("keep_while_short", &after);
+    print_table("keep_while_short, limit_emptying", &after);
     expect_that!(after.switched_off_while_short * 2, lt(before.switched_off_while_short));
     expect_that!(after.jobs.map(value), each(ge(0.5)));
 }
--- a/crates/schedule/tests/switch_off.rs
+++ b/crates/schedule/tests/switch_off.rs
@@ -103,3 +103,18 @@
         expect_that!(plan(&mut fleet, 100), eq(&moving([("hub", expected)])));
     }
 }
+
+/// Guards against a burst that gets half of the fleet, and the rest of its VMs only when the first ones have arrived, although
+/// the VMs that have left their pools hold up no work any more.
+#[gtest]
+fn vms_that_have_left_their_pools_do_not_count_towards_the_limit_of_moves() {
+    for (limit_emptying, expected) in [(false, 1), (true, 2)] {
+        let policy = MovePolicy { limit_emptying, at_once_percent: 10, ..MovePolicy::default() };
+        let mut fleet = fleet(policy);
+        report(&mut fleet, "desk", 0, 6, 0);
+        report(&mut fleet, "hub", 9, 0, 0);
+        expect_that!(plan(&mut fleet, 100), eq(&moving([("hub", 1)])), "the switched-off one");
+        expect_that!(plan(&mut fleet, 200), eq(&moving([("hub", expected)])));
+        expect_that!(plan(&mut fleet, 300), eq(&moving([("hub", expected)])), "one is emptied");
+    }
+}
