Idle VMs stay up as long as the price of two moves is worth, off by default

Idle VMs of different pools can replace each other, so what counts is how many VMs the whole fleet has used lately. With policy.moves.move_cost_ms (the price of a move as the time of a VM that is up) as many VMs stay up as had work, or were wanted, within twice that time and the duration of a move; all others are switched off at once.

--- a/crates/schedule/src/fleet/demand.rs
+++ b/crates/schedule/src/fleet/demand.rs
@@ -83,3 +83,28 @@
         }
     }
 }
+
+/// The number of VMs of the whole fleet that had work over the last seconds.
+#[derive(Debug, Default)]
+pub(super) struct Uses {
+    /// Numbers of VMs with the time of each, oldest first. Each is larger than all later ones.
+    falling: VecDeque<(Ms, usize)>,
+    since: Option<Ms>,
+}
+
+impl Uses {
+    /// Records the present number of VMs with work, and returns the largest one of the last `keep_ms`, or `None` if they are not
+    /// known for as long.
+    pub fn most_used(&mut self, busy: usize, keep_ms: Ms, now: Ms) -> Option<usize> {
+        let since = *self.since.get_or_insert(now);
+        while self.falling.back().is_some_and(|&(_, earlier)| earlier <= busy) {
+            self.falling.pop_back();
+        }
+        self.falling.push_back((now, busy));
+        while self.falling.front().is_some_and(|&(at, _)| at + keep_ms < now) {
+            self.falling.pop_front();
+        }
+        let most = self.falling.front().map(|&(_, busy)| busy);
+        most.filter(|_| now >= since + keep_ms)
+    }
+}
--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -76,6 +76,7 @@
     /// The evacuated data halls. Their VMs do not count as capacity and are not moved.
     halls: Arc<Halls>,
     needs: demand::Needs,
+    uses: demand::Uses,
     /// When VMs arrived in their pools.
     moved_at: HashMap<String, Ms>,
     /// The time since which VMs have had no running tasks, by their pools' reports.
@@ -122,6 +123,7 @@
             working_pools: HashSet::new(),
             halls: Arc::default(),
             needs: demand::Needs::new(policy),
+            uses: demand::Uses::default(),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
             emptied: HashMap::new(),
--- a/crates/schedule/src/fleet/switch_off.rs
+++ b/crates/schedule/src/fleet/switch_off.rs
@@ -18,8 +18,11 @@
                 || !self.policy.need.in_time_only && share.size < self.needs.current(pool)
         };
         let keeps_all = self.policy.moves.keep_while_short && shares.iter().any(is_short);
-        if !keeps_all {
-            self.switch_off_idle(limit, now);
+        let used = self.most_used(shares, now);
+        match self.policy.moves.move_cost_ms {
+            _ if keeps_all => (),
+            0 => self.switch_off_idle(limit, now),
+            _ => self.switch_off_unused(shares, used, limit),
         }
     }
 
@@ -41,6 +44,43 @@
         }
     }
 
+    /// Returns the largest number of VMs that had work, or were wanted by pools, for as long as keeping an idle VM costs less than
+    /// to switch it off and on; `None` if this is not known for as long.
+    fn most_used(&mut self, shares: &HashMap<Arc<str>, Share>, now: Ms) -> Option<usize> {
+        let busy = self.reports.values().map(|report| {
+            usize::try_from(report.vms).unwrap_or(usize::MAX).saturating_sub(report.idle.len())
+        });
+        // VMs that are on the way to a pool have no work yet, but they are in its target.
+        let wanted = shares.values().map(|share| share.target).sum();
+        let keep_ms = 2 * (self.policy.moves.move_cost_ms + self.record.move_ms);
+        self.uses.most_used(busy.sum::<usize>().max(wanted), keep_ms, now)
+    }
+
+    /// Switches off idle VMs beyond the number that the fleet as a whole has used. Idle VMs of different pools can replace each
+    /// other, so it does not matter how long each of them has been idle.
+    fn switch_off_unused(
+        &mut self,
+        shares: &HashMap<Arc<str>, Share>,
+        used: Option<usize>,
+        limit: usize,
+    ) {
+        let Some((off, used)) = self.off_pool.clone().zip(used) else { return };
+        let size: usize = shares.values().map(|share| share.size).sum();
+        let mut surplus = size.saturating_sub(used).min(limit);
+        let mut unneeded = Vec::new();
+        for (pool, share) in shares {
+            let Some(report) = self.reports.get(pool) else { continue };
+            let count = share.size.saturating_sub(share.target).min(surplus);
+            let idle = report.idle.iter().filter(|vm| self.is_free(vm, pool)).take(count);
+            let before = unneeded.len();
+            unneeded.extend(idle.cloned());
+            surplus -= unneeded.len() - before;
+        }
+        for vm in unneeded {
+            self.begin_move(&vm, &off);
+        }
+    }
+
     /// Returns the VMs that are being emptied to be switched off and could work. No order about them was given yet.
     pub(super) fn emptying_to_switch_off(&self) -> Vec<String> {
         let Some(off) = &self.off_pool else { return Vec::new() };
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -68,6 +68,9 @@
     pub keep_while_short: bool,
     /// Whether the limit of `at_once_percent` counts only VMs that are being emptied, and not those that have left their pools.
     pub limit_emptying: bool,
+    /// The price of a move as the time for which a VM that is up costs the same, in milliseconds. VMs are switched off if
+    /// keeping them has cost as much as switching them off and on again. 0: VMs are switched off after `keep_ms`.
+    pub move_cost_ms: Ms,
 }
 
 /// The parameters for maintenance waves.
@@ -135,6 +138,7 @@
             max_min: false,
             keep_while_short: false,
             limit_emptying: false,
+            move_cost_ms: 0,
         }
     }
 }
--- a/crates/schedule/tests/switch_off.rs
+++ b/crates/schedule/tests/switch_off.rs
@@ -118,3 +118,19 @@
         expect_that!(plan(&mut fleet, 300), eq(&moving([("hub", expected)])), "one is emptied");
     }
 }
+
+/// Guards against idle VMs that are switched off between two bursts, and against others that stay idle beyond the time after which
+/// keeping them costs more than to switch them off and on.
+#[gtest]
+fn as_many_vms_stay_up_as_the_fleet_has_used_within_the_time_that_two_moves_cost() {
+    let mut fleet = fleet(MovePolicy { move_cost_ms: 1_000, ..MovePolicy::default() });
+    report(&mut fleet, "desk", 6, 0, 0);
+    report(&mut fleet, "hub", 0, 6, 0);
+    expect_that!(plan(&mut fleet, 0), eq(&moving([])));
+    expect_that!(plan(&mut fleet, 1_900), eq(&moving([])), "not known for long enough");
+    expect_that!(plan(&mut fleet, 2_000), eq(&moving([("off", 2)])), "six used, the floor of four");
+    report(&mut fleet, "desk", 0, 6, 2_100);
+    expect_that!(plan(&mut fleet, 2_100), eq(&moving([("off", 2)])));
+    expect_that!(plan(&mut fleet, 4_000), eq(&moving([("off", 2)])), "ten used until 2,000");
+    expect_that!(plan(&mut fleet, 4_100), eq(&moving([("off", 4)])), "the floors of both pools");
+}
