--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -3,12 +3,15 @@
 //! One node owns the fleet and gives all orders to the machine service. To empty a VM, it lists the VM in its record, which
 //! the pools' owners read. It gives the order only once the pool's owner reports the VM as empty.
 
+mod demand;
+mod division;
 mod evacuation;
 mod facts;
 mod moves;
 mod order_queue;
 mod record;
 mod rows;
+mod switch_off;
 mod wave;
 mod work;
 
@@ -79,7 +82,8 @@
     working_pools: HashSet<Arc<str>>,
     /// The evacuated data halls. Their VMs do not count as capacity and are not moved.
     halls: Arc<Halls>,
-    needs: moves::Needs,
+    needs: demand::Needs,
+    uses: demand::Uses,
     /// When VMs arrived in their pools.
     moved_at: HashMap<String, Ms>,
     /// The time since which VMs have had no running tasks, by their pools' reports.
@@ -128,7 +132,8 @@
             off_pool: None,
             working_pools: HashSet::new(),
             halls: Arc::default(),
-            needs: moves::Needs::new(policy),
+            needs: demand::Needs::new(policy),
+            uses: demand::Uses::default(),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
             evacuated_idle_since: HashMap::new(),
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -58,6 +58,9 @@
     pub holds_rate: bool,
     /// The minimum number of VMs of a pool, so that the first jobs start at once when its load rises.
     pub floor_vms: usize,
+    /// Whether VMs are moved only for work that can still finish in time once they have arrived. Other work keeps the VMs that
+    /// its pool has.
+    pub in_time_only: bool,
 }
 
 /// The parameters for moving VMs between pools.
@@ -79,6 +82,16 @@
     pub pipelined: bool,
     /// Whether VMs without work in evacuated halls are switched off, if their pool can do without them.
     pub switch_off_evacuated: bool,
+    /// Whether VMs are divided by max-min fairness when pools need more than there are, instead of in proportion to their needs.
+    pub max_min: bool,
+    /// Whether idle VMs beyond a pool's need are given up without a margin as soon as another pool is short of VMs, and no VM is
+    /// switched off meanwhile.
+    pub keep_while_short: bool,
+    /// Whether the limit of `at_once_percent` counts only VMs that are being emptied, and not those that have left their pools.
+    pub limit_emptying: bool,
+    /// The price of a move as the time for which a VM that is up costs the same, in milliseconds. VMs are switched off if
+    /// keeping them has cost as much as switching them off and on again. 0: VMs are switched off after `keep_ms`.
+    pub move_cost_ms: Ms,
 }
 
 /// The parameters for maintenance waves.
@@ -139,6 +152,7 @@
             leaves_out_ended: true,
             holds_rate: false,
             floor_vms: 4,
+            in_time_only: false,
         }
     }
 }
@@ -153,6 +167,10 @@
             stop_tasks: true,
             pipelined: false,
             switch_off_evacuated: false,
+            max_min: false,
+            keep_while_short: false,
+            limit_emptying: false,
+            move_cost_ms: 0,
         }
     }
 }
