--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -1,6 +1,7 @@
 //! The owner of the fleet: runs maintenance waves and moves VMs between pools.
 
 mod direct;
+mod machines;
 mod records;
 mod rows;
 mod writer;
@@ -11,19 +12,17 @@
 
 use metrics::{counter, gauge, histogram};
 use thistle_platform::config::WaveState;
-use thistle_platform::machines::{Holder, Machine, MachineError, MachineState};
+use thistle_platform::machines::{Holder, Machine, MachineError};
 use thistle_platform::{KeyedRecord, MachineClient};
 use thistle_schedule::Ms;
-use thistle_schedule::fleet::{
-    Fleet, FleetOrder, FleetRecord, FleetVm, OrderOutcome, OrderQueue, PoolReport, Purpose,
-    VmState, VmWork,
-};
+use thistle_schedule::fleet::{Fleet, FleetOrder, FleetRecord, OrderQueue, PoolReport, Purpose};
 use tokio::sync::mpsc::{UnboundedSender, unbounded_channel};
 
 use crate::clock::steady_ms;
 use crate::control::TOPIC;
 use crate::journal::{Fenced, Journal};
-use crate::node::{Node, VmTable};
+use crate::node::Node;
+use machines::{fleet_vm, log_changes, outcome};
 use records::{follow_reports, hold_off, read_record};
 use writer::{Writer, report_wave_state};
 
@@ -312,48 +311,3 @@
         });
     }
 }
-
-fn log_changes(before: &FleetRecord, current: &FleetRecord) {
-    let has_changed = |work: &&VmWork| before.work_on(&work.vm) != Some(*work);
-    for work in current.work.iter().filter(has_changed) {
-        log::info!(
-            "fleet step=work vm={} purpose={:?} stage={:?}",
-            work.vm,
-            work.purpose,
-            work.stage
-        );
-    }
-    for work in before.work.iter().filter(|w| current.work_on(&w.vm).is_none()) {
-        log::info!("fleet step=finished vm={} purpose={:?}", work.vm, work.purpose);
-    }
-}
-
-fn outcome(result: &Result<(), MachineError>) -> OrderOutcome {
-    match result {
-        Ok(()) => OrderOutcome::Done,
-        Err(MachineError::Unavailable(_) | MachineError::Busy | MachineError::Fenced) => {
-            OrderOutcome::NotDone
-        }
-        Err(MachineError::Unanswered(_) | MachineError::Malformed(_)) => OrderOutcome::Unknown,
-        Err(MachineError::NotInWave | MachineError::Invalid) => OrderOutcome::Impossible,
-    }
-}
-
-fn fleet_vm(machine: Machine, table: &VmTable) -> FleetVm {
-    // The machine service reports only IDs; the incarnation of a VM that is not listed yet is unknown.
-    let incarnation_of =
-        |id: Arc<str>| table.get(&id).map_or(id, |facts| facts.id.to_string().into());
-    let state = match machine.state {
-        MachineState::Up => VmState::Up,
-        MachineState::Moving | MachineState::Upkeep => VmState::Away,
-        MachineState::Down => VmState::Down,
-    };
-    FleetVm {
-        name: machine.name,
-        pool: machine.pool,
-        state,
-        hall: machine.hall,
-        rack: machine.rack,
-        incarnation: machine.incarnation.map(incarnation_of),
-    }
-}
