--- a/crates/schedule/src/fleet/facts.rs
+++ b/crates/schedule/src/fleet/facts.rs
@@ -60,7 +60,7 @@
     /// The names of VMs without running tasks.
     pub idle: Vec<String>,
     /// The names of VMs without running tasks in evacuated halls, if such VMs are to be switched off.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub evacuated_idle: Vec<String>,
     /// The names of VMs that run only tasks that end by themselves, those with the least work first.
     pub light: Vec<String>,
