A choice among jobs that cannot all finish in time, off by default

By due times alone, a job that is due first but has much work left makes those after it late, too. With policy.tasks.overload: least-work, the jobs with the most work left go behind the others, as few of them as possible, if the waiting jobs exceed what the pool's VMs can do until they are due. One in three jobs is exempt, so that large jobs are served. Late jobs that must begin now go behind those in time.

--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -95,6 +95,18 @@
     BeyondLast,
 }
 
+/// Which jobs go first while a pool's jobs cannot all finish in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OverloadPolicy {
+    /// Jobs that are due first, as otherwise.
+    #[default]
+    DueFirst,
+    /// Jobs that are due first, but those with the most work left go last as far as the others could not finish in time. One in
+    /// three jobs is exempt.
+    LeastWork,
+}
+
 /// The parameters for ordering and placing tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -104,6 +116,8 @@
     pub rescue_ms: Ms,
     /// Which jobs go first when a pool is full.
     pub shares: SharePolicy,
+    /// Which jobs go first while not all can finish in time.
+    pub overload: OverloadPolicy,
     /// Whether tasks that use leftover CPU time are slowed down while a serving task on the same VM is near its target.
     pub pacing: bool,
     /// Whether tasks under which VMs crashed start only on VMs without tasks of other jobs.
@@ -154,6 +168,7 @@
         Self {
             rescue_ms: 1_000,
             shares: SharePolicy::BeyondLast,
+            overload: OverloadPolicy::DueFirst,
             pacing: true,
             keep_suspects_apart: true,
             pause_after_takeover_ms: 1_500,
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -17,6 +17,7 @@
 mod losses;
 mod need;
 mod order;
+mod overload;
 mod place;
 mod quota;
 mod rank;
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -58,6 +58,7 @@
                 ranked.push((crashes, self.rank(job, now.steady), job.accepted, key));
             }
         }
+        self.rank_in_overload(&mut ranked, now.steady);
         ranked.sort_unstable();
         let mut most_free = self.most_free(now.steady);
         for (.., key) in ranked {
--- a/crates/schedule/src/pool/rank.rs
+++ b/crates/schedule/src/pool/rank.rs
@@ -6,6 +6,9 @@
 /// A job that finishes within this many times its objective still has some value.
 const LATE_FACTOR: u64 = 3;
 
+/// Set in the tie-break of jobs that are ranked by their work, so that they come after those that are ranked by due times.
+const BY_WORK: u64 = 1 << 63;
+
 /// The order in which jobs are placed: smaller goes first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(super) struct Rank {
@@ -32,6 +35,22 @@
     pub const fn is_too_late(&self) -> bool {
         self.not_lasting && self.lateness > 2
     }
+
+    /// Returns when the job is due if it can still finish in time and does not go last anyway.
+    pub fn due(&self) -> Option<Ms> {
+        (self.not_lasting && self.lateness == 1 && !self.beyond_share).then_some(self.tie_break)
+    }
+
+    /// Returns the rank while the jobs of the pool cannot all finish in time. A job that goes after the others is ranked by `work`.
+    /// Late jobs go after all jobs in time, as they are worth less.
+    #[must_use]
+    pub fn in_overload(self, work: Option<u64>) -> Self {
+        match (self.lateness, work) {
+            (0, _) => Self { lateness: 2, ..self },
+            (1, Some(work)) => Self { tie_break: BY_WORK | work, ..self },
+            _ => self,
+        }
+    }
 }
 
 impl Pool {
