--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -19,6 +19,7 @@
 mod losses;
 mod need;
 mod order;
+mod overload;
 mod place;
 mod quota;
 mod rank;
