Heartbeats: owners renew by what an older node reads while one may run

An answer from the owners' partition renewed the lease of an owner even beside a node that reads only the common and the fallback partition. If the common one rejected the owner's heartbeats, that node heard nothing and claimed the owner's shards while the lease ran on. An older node also stopped counting 7.5 s after its last heartbeat, though it may claim while its own heartbeats are refused.

Owners now use the fallback partition too and renew only by these two until the older node leaves or its next incarnation reads the owners' partition.

The pure test asserted that an older node stops counting after 7.5 s of silence; that was the fault, and it now asserts that it counts until it leaves or returns.

--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -57,7 +57,7 @@
         use HeartbeatPartition::{Common, Owners};
         let starting = now < self.started_at + self.initial_wait_ms() + BOTH_AFTER_INITIAL_WAIT_MS;
         let both = starting || is_slow || self.has_overdue_owner(now);
-        if both || self.must_send_to_common_partition(now) {
+        if both || self.live_members(now).any(|(name, m)| self.reads_common_only(name, m)) {
             return &[Owners, Common];
         }
         let every = match self.owns_any() {
@@ -110,12 +110,18 @@
         }
     }
 
-    /// Returns whether owners must send all their heartbeats to the common partition too, because a live member reads no other
-    /// one and would take them for unresponsive.
-    pub fn must_send_to_common_partition(&self, now: Ms) -> bool {
-        let reads_common_only = |m: &Member| !m.reads_owner_heartbeats;
-        !self.policy.owner_heartbeats
-            || self.live_members(now).any(|(name, m)| name != self.me.name && reads_common_only(m))
+    /// Returns whether owners must send all their heartbeats to the common or the fallback partition too, and renew their leases
+    /// only by those, because a member reads no other partition and would take them for unresponsive. A silent member counts:
+    /// it may still claim shards while its own heartbeats are not accepted. It counts until it leaves or its next incarnation
+    /// reads the owners' partition.
+    pub fn must_send_to_common_partition(&self) -> bool {
+        let may_claim =
+            |(name, m): (&String, &Member)| !m.leaving && self.reads_common_only(name, m);
+        !self.policy.owner_heartbeats || self.members.iter().any(may_claim)
+    }
+
+    fn reads_common_only(&self, name: &str, member: &Member) -> bool {
+        name != self.me.name && !member.reads_owner_heartbeats
     }
 
     /// Returns whether both partitions were read to their ends after the lease of an owner that was last heard at
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -84,21 +84,25 @@
     expect_that!(view.partitions_to_read(0, false, 11_500), len(eq(2)), "overdue owner");
 }
 
-/// An older node reads only the common partition. If owners did not write all their heartbeats there, it would take them for
-/// unresponsive after 2.7 s and claim their shards.
+/// An older node reads only the common partition and the fallback one. If owners did not send all their heartbeats there, it
+/// would take them for unresponsive after 2.7 s and claim their shards. It may do so even after it was silent for long, as its
+/// own heartbeats may not be accepted.
 #[gtest]
-fn owners_send_to_the_common_partition_while_an_older_node_is_alive() {
+fn owners_send_to_the_common_partition_until_no_older_node_can_run() {
     let mut view = view("me");
     view.record_heartbeat("new", &heartbeat(1, 1), 1_000);
-    expect_that!(view.must_send_to_common_partition(1_000), eq(false));
+    expect_that!(view.must_send_to_common_partition(), eq(false));
     let older = Heartbeat { reads_owner_heartbeats: false, ..heartbeat(1, 1) };
     view.record_heartbeat("old", &older, 1_000);
-    expect_that!(view.must_send_to_common_partition(2_000), eq(true));
+    expect_that!(view.must_send_to_common_partition(), eq(true));
     view.record_heartbeat("old", &Heartbeat { leaving: true, ..older.clone() }, 3_000);
-    expect_that!(view.must_send_to_common_partition(3_000), eq(false));
+    expect_that!(view.must_send_to_common_partition(), eq(false));
     view.record_heartbeat("old", &Heartbeat { sequence: 2, ..older }, 4_000);
-    expect_that!(view.must_send_to_common_partition(5_000), eq(true));
-    expect_that!(view.must_send_to_common_partition(12_000), eq(false));
+    // Long after the last heartbeat, other nodes still send theirs.
+    view.record_heartbeat("new", &heartbeat(1, 2), 60_000);
+    expect_that!(view.must_send_to_common_partition(), eq(true));
+    view.record_heartbeat("old", &heartbeat(2, 1), 61_000);
+    expect_that!(view.must_send_to_common_partition(), eq(false));
 }
 
 /// A node that restarts sends its first heartbeats to the common partition, while the last ones from before the restart still
--- a/crates/scheduler/src/control/send_heartbeats.rs
+++ b/crates/scheduler/src/control/send_heartbeats.rs
@@ -33,10 +33,17 @@
 
 async fn send_to_common_partition(node: &Node, sequence: &AtomicU64) {
     let mut route = Route::new(HEARTBEATS);
+    let mut was_beside_older = false;
     loop {
         let sent_at = steady_ms();
-        // An owner uses the fallback partition for the heartbeats that its own partition does not accept.
-        let tries = if sends_as_owner(node) { 1 } else { 2 };
+        let is_beside_older = sends_as_owner(node) && must_send_to_common_partition(node);
+        if std::mem::replace(&mut was_beside_older, is_beside_older) != is_beside_older {
+            log::info!("heartbeat step=common-partition-renews on={is_beside_older}");
+        }
+        // An owner uses the fallback partition for the heartbeats that its own partition does not accept, unless other nodes
+        // do not read that one.
+        let is_read_elsewhere = sends_as_owner(node) && !is_beside_older;
+        let tries = if is_read_elsewhere { 1 } else { 2 };
         route.send(node, sequence, tries).await;
         wait_for_next_heartbeat(node, sent_at).await;
     }
@@ -57,6 +64,11 @@
     node.settings.policy.ownership.owner_heartbeats && lock(&node.ownership).owns_any()
 }
 
+/// Returns whether a node may run that reads only the common and the fallback partition.
+fn must_send_to_common_partition(node: &Node) -> bool {
+    lock(&node.ownership).must_send_to_common_partition()
+}
+
 /// The partitions to which heartbeats are sent, in the order in which they are tried.
 struct Route {
     first: u32,
@@ -106,7 +118,10 @@
             node.store_health.record_call(true);
             // A node that owns nothing, as far as it knows, may renew its lease without knowing all claims.
             let owns_nothing = !lock(&node.ownership).owns_any();
-            if !leaving && (node.lease_valid() || owns_nothing || claims_are_known(node).await) {
+            // A node that does not read the owners' partition may claim what this one owns.
+            let is_read_by_all = part != OWNER_HEARTBEATS || !must_send_to_common_partition(node);
+            let renews = is_read_by_all && !leaving;
+            if renews && (node.lease_valid() || owns_nothing || claims_are_known(node).await) {
                 node.renew_lease(sent_at);
             }
             return true;
@@ -144,12 +159,11 @@
 async fn wait_for_next_heartbeat(node: &Node, sent_at: Ms) {
     loop {
         tokio::time::sleep(HEARTBEAT_EVERY).await;
-        let now = steady_ms();
         let is_often = {
             let ownership = lock(&node.ownership);
-            ownership.owns_any() && ownership.must_send_to_common_partition(now)
+            ownership.owns_any() && ownership.must_send_to_common_partition()
         };
-        if is_often || now.saturating_sub(sent_at) >= IDLE_HEARTBEAT_MS {
+        if is_often || steady_ms().saturating_sub(sent_at) >= IDLE_HEARTBEAT_MS {
             return;
         }
     }
--- a/crates/scheduler/tests/slow_heartbeats.rs
+++ b/crates/scheduler/tests/slow_heartbeats.rs
@@ -115,6 +115,25 @@
     }
 }
 
+/// A node without the partition reads only the common one and the fallback one. An owner whose lease is renewed by its own
+/// partition, while the common one rejects its heartbeats, keeps its lease, but that node hears nothing and claims its shards.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_owner_uses_the_fallback_partition_beside_a_node_without_the_partition() {
+    let system = start_two(79, [WITH_PARTITION, ""]).await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let claim = || system.platform.store.offset_of("control", 0, "owner/desk");
+    let first = claim();
+    for fault in [Fault::RejectsAppends, Fault::Busy] {
+        system.platform.store.set_part_fault("control", 1, fault);
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        expect_that!(claim(), eq(first), "{fault:?}");
+        system.platform.store.set_part_fault("control", 1, Fault::None);
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        expect_that!(claim(), eq(first), "after {fault:?}");
+    }
+}
+
 /// Owners that depend on their partition of heartbeats lose their right to act within 2.2 s while it is down.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
