Heartbeats: each attempt has a sequence number of its own

A heartbeat that one partition left unanswered was sent to the fallback partition under the same number, but with a later time of sending, from which it renewed the lease. Readers that knew later numbers ignored it and took the owner for silent up to two seconds earlier than its lease ended. The number is drawn after the time of sending, so an ignored heartbeat never renews a lease for longer than readers assume.

--- a/crates/scheduler/src/control/send_heartbeats.rs
+++ b/crates/scheduler/src/control/send_heartbeats.rs
@@ -87,7 +87,6 @@
         if self.sent.is_multiple_of(RETRY_FIRST_EVERY) || tries == 1 {
             self.parts = [self.first, FALLBACK_HEARTBEATS];
         }
-        let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
         for i in 0..tries.min(self.parts.len()) {
             if send_heartbeat(node, self.parts[i], sequence).await {
                 // The partition that accepted the heartbeat is tried first next time.
@@ -99,8 +98,11 @@
 }
 
 /// Sends one heartbeat and returns whether the store accepted it.
-async fn send_heartbeat(node: &Node, part: u32, sequence: u64) -> bool {
+async fn send_heartbeat(node: &Node, part: u32, sequence: &AtomicU64) -> bool {
     let sent_at = steady_ms();
+    // Drawn for each attempt, and after `sent_at`: readers ignore a heartbeat if they know one with a higher number, which was
+    // then appended after the time from which this one renews the lease.
+    let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
     let leaving = *node.stopping.borrow();
     let relay = node.settings.relay_listen;
     let heartbeat = Heartbeat {
--- a/crates/scheduler/tests/slow_heartbeats.rs
+++ b/crates/scheduler/tests/slow_heartbeats.rs
@@ -134,6 +134,39 @@
     }
 }
 
+/// A heartbeat that the owners' partition leaves unanswered is sent to the fallback partition. With the sequence number of the
+/// first attempt, readers that know later heartbeats from the common partition ignore it, but it renews the lease, which then
+/// ends up to two seconds after the time that they assume.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_heartbeat_sent_to_another_partition_has_a_later_sequence_number() {
+    // Beside a node without the partition, an owner sends all heartbeats to the common one too.
+    let system = start_two(80, [WITH_PARTITION, ""]).await;
+    let store = &system.platform.store;
+    let key = format!("member/{}", system.nodes[0].name);
+    let sequence = |part| {
+        let value = store.newest("control", part, &key)?;
+        serde_json::from_slice::<serde_json::Value>(&value).expect("JSON")["sequence"].as_u64()
+    };
+    store.set_part_fault("control", OWNER_HEARTBEATS, Fault::Unresponsive);
+    let began = Instant::now();
+    let mut in_common = Vec::new();
+    let (mut last, mut count) = (sequence(4), 0);
+    while began.elapsed() < Duration::from_secs(12) {
+        // Two heartbeats may be in flight at the same time.
+        let before = Instant::now() - Duration::from_millis(100);
+        let known = in_common.iter().rev().find(|(at, _)| *at <= before).and_then(|(_, s)| *s);
+        let newest = sequence(4);
+        if newest != last {
+            expect_that!(newest, gt(known));
+            (last, count) = (newest, count + 1);
+        }
+        in_common.push((Instant::now(), sequence(1)));
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    expect_that!(count, ge(2), "heartbeats in the fallback partition");
+}
+
 /// Owners that depend on their partition of heartbeats lose their right to act within 2.2 s while it is down.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
