Ownership: silence is proven by the fallback partition of heartbeats too

An owner whose own partition rejects its heartbeats renews its lease through the fallback partition. Its silence was judged by reads of the other two alone, and a hanging read of the fallback partition reset the timeouts only after the claim, as it is read from 1.5 s of silence on with the owners' partition. A complete read of it that was sent after the lease's end is now required as well. Reading it from 0.9 s on was ruled out: it would cost calls whenever one heartbeat is late.

The test of both partitions now covers all three; it failed for the fallback partition with the former condition.

--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -1,4 +1,4 @@
-//! The two partitions of heartbeats: the common one, and one of the owners.
+//! The partitions of heartbeats: the common one, that of the owners, and the fallback for heartbeats that these do not accept.
 //!
 //! Load pattern: the store becomes 34 to 60 times as slow and appends one record at a time to each partition. Dozens of nodes
 //! that own nothing send more heartbeats than one partition then appends. An owner's heartbeat behind them in the queue would
@@ -14,6 +14,8 @@
     Common,
     /// The heartbeats of owners.
     Owners,
+    /// The heartbeats that the other two did not accept. It is read while an owner's heartbeat is overdue.
+    Fallback,
 }
 
 /// When the latest read of each partition that reached its end was sent.
@@ -21,6 +23,7 @@
 pub(super) struct HeartbeatReads {
     common: Option<Ms>,
     owners: Option<Ms>,
+    fallback: Option<Ms>,
     /// When the common partition was last read, to its end or not.
     common_heard_at: Option<Ms>,
 }
@@ -75,10 +78,12 @@
         read_at: Option<Ms>,
         now: Ms,
     ) -> bool {
-        if !self.policy.owner_heartbeats {
-            return self.record_read(now);
-        }
         match partition {
+            HeartbeatPartition::Fallback => {
+                self.reads.fallback = read_at.max(self.reads.fallback);
+                false
+            }
+            _ if !self.policy.owner_heartbeats => self.record_read(now),
             HeartbeatPartition::Owners => {
                 self.reads.owners = read_at.max(self.reads.owners);
                 self.record_read(now)
@@ -124,13 +129,13 @@
         name != self.me.name && !member.reads_owner_heartbeats
     }
 
-    /// Returns whether both partitions were read to their ends after the lease of an owner that was last heard at
+    /// Returns whether all partitions were read to their ends after the lease of an owner that was last heard at
     /// `last_contact` had ended, unless it had been renewed. A later heartbeat can therefore not be unread in one of them.
     pub(super) fn has_read_past_lease(&self, last_contact: Ms) -> bool {
         let lease_end = last_contact + OWNER_LEASE_MS + CLOCK_MARGIN_MS;
-        let HeartbeatReads { common, owners, .. } = self.reads;
+        let HeartbeatReads { common, owners, fallback, .. } = self.reads;
         let is_past = |read_at: Option<Ms>| read_at.is_some_and(|at| at >= lease_end);
-        !self.policy.owner_heartbeats || (is_past(common) && is_past(owners))
+        !self.policy.owner_heartbeats || [common, owners, fallback].into_iter().all(is_past)
     }
 
     /// Returns how long an owner must be silent before its heartbeat counts as overdue, in milliseconds.
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -8,7 +8,7 @@
 };
 use thistle_schedule::policy::OwnershipPolicy;
 
-use HeartbeatPartition::{Common, Owners};
+use HeartbeatPartition::{Common, Fallback, Owners};
 
 fn node(name: &str, incarnation: u64) -> NodeIncarnation {
     NodeIncarnation { name: name.to_owned(), incarnation }
@@ -39,11 +39,11 @@
     view.to_claim(std::iter::once(&"desk".into()), now).len()
 }
 
-/// An owner's last heartbeat may stand in either partition. A node that has read only one of them since the lease would have
-/// ended takes a shard from an owner that is alive.
+/// An owner's last heartbeat may stand in any partition of heartbeats. A node that has not read all of them since the lease would
+/// have ended takes a shard from an owner that is alive.
 #[gtest]
-fn an_owner_is_unresponsive_only_if_both_partitions_were_read_after_its_lease() {
-    for unread in [Common, Owners] {
+fn an_owner_is_unresponsive_only_if_all_partitions_were_read_after_its_lease() {
+    for unread in [Common, Owners, Fallback] {
         let mut view = view("b");
         claim(&mut view, "a", 1, 0, 900);
         let mut now = 1_000;
@@ -52,7 +52,7 @@
         view.record_owner_heartbeat("a", &heartbeat(1, 1), now);
         while now < end {
             now += 100;
-            for partition in [Owners, Common] {
+            for partition in [Owners, Common, Fallback] {
                 let stale = partition == unread && now > 1_000 + OWNER_LEASE_MS;
                 // The partition was read, but not to its end.
                 view.record_partition_read(partition, (!stale).then_some(now), now);
--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -116,13 +116,7 @@
 
 async fn read_fallback_partition(node: &Node, fallback: &mut Tail) {
     match fallback.read(&node.store, Duration::ZERO).await {
-        Ok(update) => {
-            let now = steady_ms();
-            let mut ownership = lock(&node.ownership);
-            apply_each(update, |name, heartbeat| {
-                ownership.record_fallback_heartbeat(name, heartbeat, now);
-            });
-        }
+        Ok(update) => apply_heartbeats(node, update, fallback, HeartbeatPartition::Fallback),
         Err(e) => {
             log::info!("heartbeat step=not-read part={FALLBACK_HEARTBEATS} error=\"{e}\"");
             lock(&node.ownership).reset_timeouts(steady_ms());
@@ -142,6 +136,7 @@
         node.settings.policy.ownership.owner_heartbeats && matches!(update, Update::Reloaded(_));
     apply_each(update, |name, heartbeat| match partition {
         HeartbeatPartition::Owners => ownership.record_owner_heartbeat(name, heartbeat, now),
+        HeartbeatPartition::Fallback => ownership.record_fallback_heartbeat(name, heartbeat, now),
         HeartbeatPartition::Common if is_outdated => {
             ownership.record_fallback_heartbeat(name, heartbeat, now);
         }
