Ownership: reads that prove an owner's silence are recent at the claim

One read of each partition after the lease's end sufficed for as long as the shard was then left to better nodes, 400 ms for each. If later reads of a partition hung, an owner that had renewed its lease meanwhile was replaced. The vacancy itself stays known meanwhile, so that one late read does not begin the wait for better nodes again.

--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -4,7 +4,7 @@
 //! that own nothing send more heartbeats than one partition then appends. An owner's heartbeat behind them in the queue would
 //! be answered after its lease has expired.
 
-use super::{Member, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
+use super::{MAX_READ_GAP_MS, Member, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
 use crate::Ms;
 
 /// A partition of heartbeats.
@@ -138,6 +138,16 @@
         !self.policy.owner_heartbeats || [common, owners, fallback].into_iter().all(is_past)
     }
 
+    /// Returns whether recent reads of all partitions reached their ends. While a shard is left to nodes that claim it first, its
+    /// owner may renew its lease.
+    pub(super) fn has_recent_reads(&self, now: Ms) -> bool {
+        let HeartbeatReads { common, owners, fallback, .. } = self.reads;
+        let is_recent = |read_at: Option<Ms>| {
+            read_at.is_some_and(|at| now.saturating_sub(at) <= MAX_READ_GAP_MS)
+        };
+        !self.policy.owner_heartbeats || [common, owners, fallback].into_iter().all(is_recent)
+    }
+
     /// Returns how long an owner must be silent before its heartbeat counts as overdue, in milliseconds.
     pub(super) const fn overdue_ms(&self) -> Ms {
         if self.policy.owner_heartbeats { OVERDUE_WITH_TWO_PARTITIONS_MS } else { OVERDUE_MS }
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -109,7 +109,11 @@
                         + self.claim_delay(shard, now, &wanted)
                 }
             };
-            if now >= due {
+            let is_current = match vacancy {
+                Vacancy::Unresponsive => self.has_recent_reads(now),
+                _ => true,
+            };
+            if now >= due && is_current {
                 wanted.push(shard.clone());
             }
         }
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -64,6 +64,39 @@
     }
 }
 
+/// One read after an owner's lease is not enough if later reads of that partition hang while other nodes are given time to claim
+/// first: the owner may have renewed its lease meanwhile.
+#[gtest]
+fn reads_of_all_partitions_are_recent_when_an_unresponsive_owner_is_replaced() {
+    for hanging in [Common, Owners, Fallback] {
+        let mut view = view("me");
+        // Three nodes without shards go before this one, which owns a shard.
+        view.record_claim(&"mine".into(), Claim::new(node("me", 1)), 0, 900);
+        claim(&mut view, "a", 1, 1, 900);
+        let last_contact = 1_000;
+        view.record_partition_read(Owners, Some(last_contact), last_contact);
+        view.record_owner_heartbeat("a", &heartbeat(1, 1), last_contact);
+        let hangs_from = last_contact + OWNER_LEASE_MS + 200;
+        let mut now = last_contact;
+        while now < last_contact + UNRESPONSIVE_MS + 1_700 {
+            now += 100;
+            for (i, name) in ["x", "y", "z"].into_iter().enumerate() {
+                view.record_heartbeat(name, &heartbeat(1, now + i as u64), now);
+            }
+            for partition in [Owners, Common, Fallback] {
+                if partition != hanging || now < hangs_from {
+                    view.record_partition_read(partition, Some(now), now);
+                }
+            }
+            expect_that!(claims(&mut view, now), eq(0), "{hanging:?} {now}");
+        }
+        // Such a gap between reads of the owners' partition resets all timeouts.
+        let is_gap = view.record_partition_read(hanging, Some(now), now);
+        expect_that!(is_gap, eq(hanging == Owners));
+        expect_that!(claims(&mut view, now), eq(usize::from(!is_gap)), "{hanging:?}");
+    }
+}
+
 /// Each call to the store is paid for. The second partition must not add reads in calm, and an owner must read the common one
 /// often enough to notice an older node before that node claims its shard.
 #[gtest]
