Ownership: late heartbeats of an earlier incarnation replace no live owner

With several partitions, a heartbeat from before a restart may be read after those of the next incarnation: from the owners' partition while the earlier incarnation still owns another shard, or from the common one, which is read later. The reclaimed shard then seemed to be that of a restarted node and was claimed 0.8 s later, from a live owner.

An incarnation no longer replaces the known one if claims show that it is earlier. Comparing the highest tokens alone was ruled out: a restarted node that has claimed nothing would count as earlier, and neither its restart nor that it reads no owners' partition would be noticed until its shards are claimed.

The first new test failed before (a claim from 2,000 ms on); the second one guards the case that was ruled out and passed before.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -53,6 +53,8 @@
     last_contact: Ms,
     /// When the first heartbeat of this incarnation was read.
     joined_at: Ms,
+    /// The incarnation that this one replaced, if it is known to be an earlier one.
+    replaced: Option<u64>,
 }
 
 /// The newest claim of a shard that this node has read.
@@ -113,6 +115,9 @@
     pub fn record_heartbeat(&mut self, name: &str, heartbeat: &Heartbeat, now: Ms) {
         let Heartbeat { incarnation, sequence, leaving, relay, speed, reads_owner_heartbeats } =
             *heartbeat;
+        if self.is_earlier_incarnation(name, incarnation) {
+            return;
+        }
         let last_contact = now;
         let update = Member {
             speed,
@@ -123,15 +128,20 @@
             reads_owner_heartbeats,
             last_contact,
             joined_at: now,
+            replaced: None,
         };
         match self.members.get_mut(name) {
             Some(m) if m.incarnation == incarnation && m.sequence >= sequence => {
                 m.leaving |= leaving;
             }
             Some(m) if m.incarnation == incarnation => {
-                *m = Member { joined_at: m.joined_at, ..update };
+                *m = Member { joined_at: m.joined_at, replaced: m.replaced, ..update };
+            }
+            Some(m) => {
+                // Of two incarnations that replace each other, neither is known to be the earlier one.
+                let replaced = Some(m.incarnation).filter(|_| m.replaced != Some(incarnation));
+                *m = Member { replaced, ..update };
             }
-            Some(m) => *m = update,
             None => {
                 self.members.insert(name.to_owned(), update);
             }
--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -4,7 +4,7 @@
 //! that own nothing send more heartbeats than one partition then appends. An owner's heartbeat behind them in the queue would
 //! be answered after its lease has expired.
 
-use super::{MAX_READ_GAP_MS, Member, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
+use super::{MAX_READ_GAP_MS, Member, NodeIncarnation, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
 use crate::Ms;
 
 /// A partition of heartbeats.
@@ -115,6 +115,26 @@
         }
     }
 
+    /// Returns whether an incarnation of a member is earlier than the known one, as far as claims show it: its newest claim is
+    /// older, or it owns nothing and was replaced by the known one, which does. With several partitions, heartbeats of an
+    /// earlier incarnation may be read after those of the next one.
+    pub(super) fn is_earlier_incarnation(&self, name: &str, incarnation: u64) -> bool {
+        let Some(known) = self.members.get(name).filter(|m| m.incarnation != incarnation) else {
+            return false;
+        };
+        let newest_token = |incarnation: u64| {
+            let of =
+                |owner: &NodeIncarnation| owner.name == name && owner.incarnation == incarnation;
+            self.claims.values().filter(|o| of(&o.claim.owner)).map(|o| o.token).max()
+        };
+        self.policy.owner_heartbeats
+            && match (newest_token(known.incarnation), newest_token(incarnation)) {
+                (None, _) => false,
+                (Some(_), None) => known.replaced == Some(incarnation),
+                (Some(known), Some(other)) => other < known,
+            }
+    }
+
     /// Returns whether owners must send all their heartbeats to the common or the fallback partition too, and renew their leases
     /// only by those, because a member reads no other partition and would take them for unresponsive. A silent member counts:
     /// it may still claim shards while its own heartbeats are not accepted. It counts until it leaves or its next incarnation
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -157,6 +157,61 @@
     }
 }
 
+/// A node that restarts while the store is slow has reclaimed one of its shards, when heartbeats from before the restart are
+/// still read: from the owners' partition, as the earlier incarnation owns the other shard, or from the common one, which is
+/// read later. Taken for newer, they make a shard of a live owner seem to be that of an incarnation that has ended.
+#[gtest]
+fn late_heartbeats_take_no_reclaimed_shard_from_its_owner() {
+    for (late_from, owns_other) in [(Owners, true), (Common, true), (Common, false)] {
+        let mut view = view("b");
+        claim(&mut view, "a", 1, 0, 500);
+        let other = Claim::new(node("a", if owns_other { 1 } else { 2 }));
+        view.record_heartbeat("a", &heartbeat(1, 1), 600);
+        claim(&mut view, "a", 2, 1, 1_000);
+        view.record_claim(&"other".into(), other, u64::from(!owns_other) * 2, 1_000);
+        view.record_owner_heartbeat("a", &heartbeat(2, 1), 1_010);
+        for now in (1_100..4_000).step_by(100) {
+            for partition in [Owners, Common, Fallback] {
+                view.record_partition_read(partition, Some(now), now);
+            }
+            view.record_owner_heartbeat("a", &heartbeat(2, now), now);
+            let late = heartbeat(1, now);
+            match late_from {
+                Owners => view.record_owner_heartbeat("a", &late, now),
+                _ => view.record_heartbeat("a", &late, now),
+            }
+            expect_that!(claims(&mut view, now), eq(0), "{late_from:?} {owns_other} {now}");
+        }
+    }
+}
+
+/// The first heartbeats of a restarted node must count before it has claimed anything: they show whether it reads the owners'
+/// partition, and that its shards have no owner.
+#[gtest]
+fn a_restarted_owner_that_claims_nothing_is_replaced() {
+    let mut view = view("b");
+    claim(&mut view, "a", 1, 0, 500);
+    view.record_owner_heartbeat("a", &heartbeat(1, 1), 600);
+    let older = |sequence| Heartbeat { reads_owner_heartbeats: false, ..heartbeat(2, sequence) };
+    view.record_heartbeat("a", &older(1), 1_000);
+    expect_that!(view.must_send_to_common_partition(), eq(true));
+    // One late heartbeat does not exclude the later incarnation.
+    view.record_owner_heartbeat("a", &heartbeat(1, 2), 1_050);
+    let mut claimed_at = None;
+    for now in (1_100..2_500).step_by(100) {
+        for partition in [Owners, Common, Fallback] {
+            view.record_partition_read(partition, Some(now), now);
+        }
+        view.record_heartbeat("a", &older(now), now);
+        if claimed_at.is_none() && claims(&mut view, now) == 1 {
+            claimed_at = Some(now);
+        }
+    }
+    expect_that!(view.must_send_to_common_partition(), eq(true));
+    // Sooner than a silent owner.
+    expect_that!(claimed_at, some(lt(1_100 + UNRESPONSIVE_MS)));
+}
+
 /// Returns the longest time from the sending of an owner's accepted heartbeat to the answer of the next one. The partition
 /// appends one record at a time, each in `append_ms`; the owners' first heartbeats come 37 ms after each other.
 fn longest_renewal(owners: u64, append_ms: Ms) -> Ms {
