Ownership: a late read in calm resets no timeouts

With the owners' partition, the time between two reads of it in calm is two turns, 0.9 s and an answer, but 1.2 s between them reset all timeouts: a jitter of 0.3 s delayed takeovers by up to 2.7 s. The limit is now 1.65 s; reads that prove silence are still at most 1.2 s old at a claim. Reading the partition at every turn was ruled out, as it adds calls in calm.

The new test failed before and passes now.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -182,7 +182,7 @@
 
     /// Returns whether heartbeats were not read for a while, so that no node can be considered unresponsive.
     fn cannot_receive(&self, now: Ms) -> bool {
-        self.last_read_at.is_none_or(|at| now.saturating_sub(at) > MAX_READ_GAP_MS)
+        self.last_read_at.is_none_or(|at| now.saturating_sub(at) > self.max_read_gap_ms())
     }
 
     /// Resets all timeouts, because some heartbeats could not be read.
--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -40,6 +40,9 @@
 /// How long an owner's heartbeat must be overdue before all partitions are read at once, in milliseconds: two reads of the
 /// owners' partition with one of the common partition between them, one heartbeat, and a margin.
 const OVERDUE_WITH_TWO_PARTITIONS_MS: Ms = 1_500;
+/// The time between two reads of the owners' partition after which all timeouts are reset, in milliseconds: with two turns
+/// between them in calm, as much more as [`MAX_READ_GAP_MS`] leaves after one turn.
+const MAX_OWNERS_READ_GAP_MS: Ms = MAX_READ_GAP_MS + HEARTBEAT_MS;
 /// The time between two reads of the common partition after which all timeouts are reset, in milliseconds: twice the usual time
 /// on a node that owns nothing.
 const MAX_COMMON_READ_GAP_MS: Ms = 4_500;
@@ -168,6 +171,11 @@
         !self.policy.owner_heartbeats || [common, owners, fallback].into_iter().all(is_recent)
     }
 
+    /// Returns the time between two reads of heartbeats after which all timeouts are reset, in milliseconds.
+    pub(super) const fn max_read_gap_ms(&self) -> Ms {
+        if self.policy.owner_heartbeats { MAX_OWNERS_READ_GAP_MS } else { MAX_READ_GAP_MS }
+    }
+
     /// Returns how long an owner must be silent before its heartbeat counts as overdue, in milliseconds.
     pub(super) const fn overdue_ms(&self) -> Ms {
         if self.policy.owner_heartbeats { OVERDUE_WITH_TWO_PARTITIONS_MS } else { OVERDUE_MS }
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -117,6 +117,24 @@
     expect_that!(view.partitions_to_read(0, false, 11_500), len(eq(2)), "overdue owner");
 }
 
+/// In calm an owner reads the owners' partition at every second turn, and other nodes leave it out at every fifth one. If a read
+/// that takes 0.3 s reset all timeouts, each would delay takeovers by 2.7 s.
+#[gtest]
+fn a_late_read_in_calm_resets_no_timeouts() {
+    for owner in ["me", "b"] {
+        let mut view = view("me");
+        claim(&mut view, owner, 1, 0, 500);
+        let mut now = 1_000;
+        view.record_partition_read(Owners, Some(now), now);
+        for answer_ms in [0, 350, 10, 700] {
+            now += 2 * HEARTBEAT_MS + answer_ms;
+            expect_that!(view.record_partition_read(Owners, Some(now), now), eq(false), "{now}");
+        }
+        now += 1_800;
+        expect_that!(view.record_partition_read(Owners, Some(now), now), eq(true));
+    }
+}
+
 /// An older node reads only the common partition and the fallback one. If owners did not send all their heartbeats there, it
 /// would take them for unresponsive after 2.7 s and claim their shards. It may do so even after it was silent for long, as its
 /// own heartbeats may not be accepted.
