Forecast: jobs that have waited for long are no arrivals

With held rates every job read counted at the earliest two seconds before the time up to which submissions are known. A backlog of the fallback partition that is read after a takeover, for instance an hour old, counted as up to 128 arrivals at one instant. Jobs read more than 8 s after they were accepted, the longest hold and the longest wait of an append, do not count now.

--- a/crates/schedule/src/pool/arrivals.rs
+++ b/crates/schedule/src/pool/arrivals.rs
@@ -115,6 +115,8 @@
     fn arrival_time(&self, accepted: Ms, now: Ms) -> Option<Ms> {
         match self.known_until {
             None => (now.saturating_sub(accepted) < JUST_ACCEPTED_MS).then_some(now),
+            // Jobs of the time for which rates are held are read late; older ones have waited for other reasons.
+            Some(_) if now.saturating_sub(accepted) > MAX_HOLD_MS + MAX_APPEND_MS => None,
             Some(known_until) => {
                 let oldest = known_until.saturating_sub(MAX_APPEND_MS).min(now);
                 Some(accepted.clamp(oldest, now))
--- a/crates/schedule/tests/held_forecast.rs
+++ b/crates/schedule/tests/held_forecast.rs
@@ -138,3 +138,16 @@
     reader.read(7_860, 8_000);
     expect_that!(reader.arriving(8_000), ge(70));
 }
+
+/// After a takeover the new owner reads what the fallback partition holds, for instance jobs that have waited for an hour. Taken
+/// for arrivals of the last two seconds, they make a pool without any arrivals request VMs for a burst.
+#[gtest]
+fn old_jobs_are_no_arrivals() {
+    const HOUR: Ms = 3_600_000;
+    let mut reader = Reader::new(true);
+    reader.accept(0, 2_000, 10);
+    for known_until in [HOUR - 10, HOUR + 40] {
+        reader.read(known_until, known_until + 10);
+        expect_that!(reader.arriving(known_until + 10), eq(0));
+    }
+}
