Forecast: a new owner counts the recent jobs that it adopts as arrivals

A new owner adopted the pool's jobs before it knew up to when submissions are known, so those older than a second did not count. With a slow store its forecast began at zero in the middle of a burst. It now begins with the open jobs of the 6 s before the last complete read, at their own times. Setting only the time of that read before the adoption was ruled out: all jobs older than two seconds would count at one time.

The new test failed before (0 instead of 50 and 5 cores) and passes now. The reader of these tests adopts jobs by a function of its own; nothing that they assert has changed.

--- a/crates/schedule/src/pool/arrivals.rs
+++ b/crates/schedule/src/pool/arrivals.rs
@@ -235,6 +235,12 @@
         }
     }
 
+    /// Prepares for the adoption of jobs by a new owner that knows all submissions up to a time. Those accepted within the longest
+    /// hold before it count as arrivals at their own times: a new owner reads them together, and late if the store is slow.
+    pub fn begin_arrivals(&mut self, known_until: Ms) {
+        self.set_submissions_known_until(known_until.saturating_sub(MAX_HOLD_MS));
+    }
+
     /// Returns how long arrival rates have been held, in milliseconds, if they are held.
     pub fn forecast_held_for(&self, now: Ms) -> Option<Ms> {
         self.arrivals.held_for(now)
--- a/crates/schedule/tests/held_forecast.rs
+++ b/crates/schedule/tests/held_forecast.rs
@@ -21,9 +21,15 @@
 
 impl Reader {
     fn new(holds_rate: bool) -> Self {
+        let mut reader = Self::after_takeover(holds_rate);
+        reader.pool.set_submissions_known_until(0);
+        reader
+    }
+
+    /// Creates an owner that knows nothing yet.
+    fn after_takeover(holds_rate: bool) -> Self {
         let need = NeedPolicy { holds_rate, ..NeedPolicy::default() };
-        let mut pool = Pool::with_policy(Policy { need, ..Policy::default() });
-        pool.set_submissions_known_until(0);
+        let pool = Pool::with_policy(Policy { need, ..Policy::default() });
         Self { pool, unread: Vec::new(), read: 0 }
     }
 
@@ -35,6 +41,10 @@
     /// Reads, at `now`, all jobs accepted until `sent_at`.
     fn read(&mut self, sent_at: Ms, now: Ms) {
         self.pool.set_submissions_known_until(sent_at);
+        self.adopt(sent_at, now);
+    }
+
+    fn adopt(&mut self, sent_at: Ms, now: Ms) {
         let (read, unread): (Vec<Ms>, Vec<Ms>) =
             self.unread.iter().partition(|&&accepted| accepted <= sent_at);
         self.unread = unread;
@@ -151,3 +161,23 @@
         expect_that!(reader.arriving(known_until + 10), eq(0));
     }
 }
+
+/// A new owner reads the jobs of the last seconds together and, with a slow store, more than a second late. If they do not count
+/// as arrivals, its forecast begins at zero in the middle of a burst; if they all count at one time, it begins too high.
+#[gtest]
+fn a_new_owner_knows_the_rate_from_the_jobs_that_it_adopts() {
+    for every in [20, 200] {
+        let per_s = 1_000 / every;
+        let mut reader = Reader::after_takeover(true);
+        reader.accept(0, 10_000, every);
+        let (known_until, now) = (10_000, 11_200);
+        reader.pool.begin_arrivals(known_until);
+        reader.adopt(known_until, now);
+        reader.pool.set_submissions_known_until(known_until);
+        expect_that!(
+            reader.arriving(now),
+            all![ge(per_s * 7 / 10), le(per_s * 13 / 10)],
+            "{every}"
+        );
+    }
+}
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -112,6 +112,7 @@
     fn adopt_jobs(&mut self) {
         let log = self.log.clone();
         self.pool.record_takeover(now());
+        self.pool.begin_arrivals(log.submissions_known_until());
         let jobs = log.connect_owner(Some(self.tx.clone()));
         for (id, entry) in jobs.iter() {
             self.pool.adopt(id, entry, now());
