Handovers: a handover is logged as done only once the store has it

step=handed-over was logged before the release was appended, also if the append was refused. The attempt is now step=handing-over, with the same keys, and a shard whose owner does not run any more is logged too. No new test: the existing one still counts one step=handed-over in all logs.

--- a/crates/scheduler/src/control/release.rs
+++ b/crates/scheduler/src/control/release.rs
@@ -44,9 +44,12 @@
     (handover, end): &(Handover, u64),
 ) {
     let Handover { shard, successor, owned } = handover;
-    let Some(&(token, _)) = running.get(shard) else { return };
+    let Some(&(token, _)) = running.get(shard) else {
+        log::info!("owner pool={shard} step=not-handed-over to={successor} reason=not-running");
+        return;
+    };
     log::info!(
-        "owner pool={shard} step=handed-over to={successor} reason=spread owned={owned} token={token}"
+        "owner pool={shard} step=handing-over to={successor} reason=spread owned={owned} token={token}"
     );
     lock(&node.ownership).record_owner_end(shard, token, steady_ms());
     reconcile_owners(node, running);
@@ -58,6 +61,9 @@
     match node.store.append(TOPIC, CLAIMS, Guard::EndsAt(*end), &[record]).await {
         Ok(Appended::Done { offset, end }) => {
             node.claims_end.advance_to(end);
+            log::info!(
+                "owner pool={shard} step=handed-over to={successor} reason=spread owned={owned} token={token}"
+            );
             counter!("thistle_handovers", "reason" => "spread").increment(1);
             lock(&node.ownership).record_claim(shard, claim, offset, steady_ms());
         }
