Contracts of a deployment switch decisions on; metrics and log lines of pools that lack VMs

What is new took effect by policy settings alone, which are the same for all deployments. A pool that lacks VMs, and VMs that are switched off, could be seen only by counting log lines.

--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -82,6 +82,8 @@
     working_pools: HashSet<Arc<str>>,
     /// The evacuated data halls. Their VMs do not count as capacity and are not moved.
     halls: Arc<Halls>,
+    /// How many VMs each working pool needs beyond those that it has or is getting, by the latest plan.
+    short: Vec<(Arc<str>, usize)>,
     needs: demand::Needs,
     uses: demand::Uses,
     /// When VMs arrived in their pools.
@@ -132,6 +134,7 @@
             off_pool: None,
             working_pools: HashSet::new(),
             halls: Arc::default(),
+            short: Vec::new(),
             needs: demand::Needs::new(policy),
             uses: demand::Uses::default(),
             moved_at: HashMap::new(),
@@ -150,6 +153,16 @@
         &self.record
     }
 
+    /// Returns how many VMs each working pool needs beyond those that it has or is getting, by the latest plan.
+    pub fn short(&self) -> &[(Arc<str>, usize)] {
+        &self.short
+    }
+
+    /// Returns whether an order switches its VM off.
+    pub fn switches_off(&self, order: &FleetOrder) -> bool {
+        matches!(&order.purpose, Purpose::Move { to } if self.off_pool.as_deref() == Some(to.as_str()))
+    }
+
     /// Sets the list of VMs, which was requested at `requested_at`.
     pub fn set_vms(&mut self, vms: Vec<FleetVm>, requested_at: Ms) {
         self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
--- a/crates/schedule/src/fleet/moves.rs
+++ b/crates/schedule/src/fleet/moves.rs
@@ -35,6 +35,10 @@
             }
             moves_left -= 1;
         }
+        let lacking = |(pool, share): (&Arc<str>, &Share)| {
+            (pool.clone(), self.needs.current(pool).saturating_sub(share.size))
+        };
+        self.short = shares.iter().map(lacking).collect();
         self.switch_off(&shares, moves_left, now);
         self.switch_off_evacuated(now);
     }
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -79,6 +79,8 @@
     tx: UnboundedSender<Event>,
     listed_at: Ms,
     list_in_flight: bool,
+    /// The pools that lack VMs.
+    short_pools: HashSet<Arc<str>>,
 }
 
 /// Owns the fleet until another node takes it over or the task is aborted.
@@ -117,6 +119,7 @@
         tx: tx.clone(),
         listed_at: 0,
         list_in_flight: false,
+        short_pools: HashSet::new(),
     };
     let work = async {
         loop {
@@ -229,11 +232,28 @@
                 self.send_order(order);
             }
         }
+        self.report_shortage();
         gauge!("thistle_fleet_orders_waiting").set(self.queue.len() as f64);
         histogram!("thistle_fleet_step_seconds").record(started_at.elapsed());
         Ok(())
     }
 
+    /// Reports how many VMs each pool lacks, with a log line when a pool becomes short and when it is no longer.
+    fn report_shortage(&mut self) {
+        for (pool, vms) in self.fleet.short() {
+            gauge!("thistle_vms_short", "pool" => pool.to_string()).set(*vms as f64);
+            let is_short = *vms > 0;
+            let changed = match is_short {
+                true => self.short_pools.insert(pool.clone()),
+                false => self.short_pools.remove(pool),
+            };
+            if changed {
+                let step = if is_short { "short" } else { "no-longer-short" };
+                log::info!("fleet step={step} pool={pool} lacking={vms}");
+            }
+        }
+    }
+
     /// Writes the rows that differ from the record in the store, unless an append is in flight. Returns whether any do.
     async fn begin_append(&mut self) -> Result<bool, Fenced> {
         let Some(rows) = self.queue.begin_append(self.fleet.record(), &self.node.me.name) else {
@@ -295,6 +315,9 @@
             self.token,
         );
         counter!("thistle_fleet_orders").increment(1);
+        if self.fleet.switches_off(&order) {
+            counter!("thistle_vms_switched_off").increment(1);
+        }
         let (client, tx, token) = (self.client.clone(), self.tx.clone(), self.token);
         let node = self.node.clone();
         tokio::spawn(async move {
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use thistle_platform::contracts::policy_for;
 use thistle_settings::{RunError, SchedulerSettings};
 use thistle_wire::metrics_http;
 use tokio::net::TcpListener;
@@ -25,7 +26,8 @@
 const LOG_FLUSH_TIME: Duration = Duration::from_millis(20);
 
 /// Runs a node until it receives SIGTERM and has answered the remaining requests.
-pub async fn run(settings: SchedulerSettings) -> Result<(), RunError> {
+pub async fn run(mut settings: SchedulerSettings) -> Result<(), RunError> {
+    settings.policy = policy_for(&settings.contracts, settings.policy);
     let handle = PrometheusBuilder::new()
         .set_buckets(&RESPONSE_TIME_BUCKETS)
         .and_then(PrometheusBuilder::install_recorder)
@@ -36,6 +38,7 @@
         Some(addr) => Some(TcpListener::bind(addr).await?),
         None => None,
     };
+    log::info!("node step=policy contracts={:?} policy={:?}", settings.contracts, settings.policy);
     let node = Arc::new(Node::new(settings));
     log::info!(
         "node name={} life={:016x} hall={} step=start speed={} version={}",
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -53,6 +53,10 @@
     /// How long the process may take to shut down after the stop signal.
     #[serde(default = "default_stop")]
     pub stop_grace: Span,
+    /// The parts of the service agreement that are in force, by the platform's names. Some switch on decisions that are off
+    /// in `policy`.
+    #[serde(default)]
+    pub contracts: Vec<String>,
     /// The parameters of scheduling decisions.
     #[serde(default)]
     pub policy: Policy,
