Heartbeats: without an owners' partition records and log lines are as before

Absent means false for every reader. The new test with real nodes failed before for both and passes now. A pure test of the record was ruled out: the tests of thistle-schedule have no JSON library.

--- a/crates/schedule/src/ownership/records.rs
+++ b/crates/schedule/src/ownership/records.rs
@@ -43,7 +43,7 @@
     #[serde(default)]
     pub speed: u32,
     /// Whether the node reads the owners' partition of heartbeats. Older nodes read only the common one.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub reads_owner_heartbeats: bool,
 }
 
--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -128,7 +128,10 @@
     let now = steady_ms();
     let mut ownership = lock(&node.ownership);
     if ownership.record_partition_read(partition, tail.read_at(), now) {
-        log::info!("heartbeat step=listening-again partition={partition:?}");
+        match node.settings.policy.ownership.owner_heartbeats {
+            true => log::info!("heartbeat step=listening-again partition={partition:?}"),
+            false => log::info!("heartbeat step=listening-again"),
+        }
     }
     let any = !update.is_empty();
     // With two partitions, the newest record of a node in one may be older than those in the other.
--- a/crates/scheduler/tests/slow_heartbeats.rs
+++ b/crates/scheduler/tests/slow_heartbeats.rs
@@ -184,3 +184,20 @@
         expect_that!(system.owner(), eq(Some(0)), "after {fault:?}");
     }
 }
+
+/// Without the partition, a node writes and logs what older nodes do. Otherwise each deployment would store more bytes, and
+/// those who read the log would find another line.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn heartbeats_and_log_lines_without_the_partition_are_as_before() {
+    let system = start_two(81, ["", WITH_PARTITION]).await;
+    for (node, uses_partition) in system.nodes.iter().zip([false, true]) {
+        let key = format!("member/{}", node.name);
+        let value = system.platform.store.newest("control", 1, &key).expect("a heartbeat");
+        let value = String::from_utf8_lossy(&value);
+        expect_that!(value.contains("reads_owner_heartbeats"), eq(uses_partition), "{value}");
+        let log = node.log();
+        let line = log.lines().find(|line| line.contains("step=listening-again")).expect("logged");
+        expect_that!(line.contains("partition="), eq(uses_partition), "{line}");
+    }
+}
