--- a/crates/schedule/src/fleet/mod.rs
+++ b/crates/schedule/src/fleet/mod.rs
@@ -3,10 +3,15 @@
 //! One node owns the fleet and gives all orders to the machine service. To empty a VM, it lists the VM in its record, which
 //! the pools' owners read. It gives the order only once the pool's owner reports the VM as empty.
 
+mod demand;
+mod division;
+mod evacuation;
 mod facts;
 mod moves;
+mod order_queue;
 mod record;
 mod rows;
+mod switch_off;
 mod wave;
 mod work;
 
@@ -19,6 +24,7 @@
 use crate::policy::Policy;
 
 pub use facts::{FleetOrder, FleetVm, HoldOff, OrderOutcome, PoolReport, VmState, WaveRequest};
+pub use order_queue::OrderQueue;
 pub use record::{FleetRecord, Purpose, Stage, VmWork, WaveRecord};
 pub use rows::FleetRow;
 use wave::Wave;
@@ -50,6 +56,8 @@
     done_at: Option<Ms>,
     /// When the order was first given.
     ordered_at: Option<Ms>,
+    /// When the order was last sent, if it had to wait for its row.
+    sent_at: Option<Ms>,
     /// Whether the VM was seen away after the order was answered. Once the VM is up again, the order is carried out.
     seen_away: bool,
 }
@@ -64,6 +72,8 @@
     waves: BTreeMap<u64, Wave>,
     record: FleetRecord,
     reports: HashMap<Arc<str>, PoolReport>,
+    /// The token and number of the newest numbered report of each pool.
+    report_numbers: HashMap<Arc<str>, (u64, u64)>,
     order_states: HashMap<String, OrderState>,
     /// VMs for which an unanswered order may still be carried out, and until when.
     unanswered: HashMap<String, Ms>,
@@ -72,11 +82,16 @@
     working_pools: HashSet<Arc<str>>,
     /// The evacuated data halls. Their VMs do not count as capacity and are not moved.
     halls: Arc<Halls>,
-    needs: moves::Needs,
+    /// How many VMs each working pool needs beyond those that it has or is getting, by the latest plan.
+    short: Vec<(Arc<str>, usize)>,
+    needs: demand::Needs,
+    uses: demand::Uses,
     /// When VMs arrived in their pools.
     moved_at: HashMap<String, Ms>,
     /// The time since which VMs have had no running tasks, by their pools' reports.
     idle_since: HashMap<String, Ms>,
+    /// Since when VMs in evacuated halls have been idle.
+    evacuated_idle_since: HashMap<String, Ms>,
     /// VMs that are being emptied and have no running tasks by their pools' newest reports, with their pools and incarnations.
     emptied: HashMap<String, (Arc<str>, String)>,
     /// The time since which VMs of waves have been missing from the list.
@@ -113,14 +128,18 @@
             waves: BTreeMap::new(),
             record,
             reports: HashMap::new(),
+            report_numbers: HashMap::new(),
             order_states,
             unanswered: HashMap::new(),
             off_pool: None,
             working_pools: HashSet::new(),
             halls: Arc::default(),
-            needs: moves::Needs::new(policy),
+            short: Vec::new(),
+            needs: demand::Needs::new(policy),
+            uses: demand::Uses::default(),
             moved_at: HashMap::new(),
             idle_since: HashMap::new(),
+            evacuated_idle_since: HashMap::new(),
             emptied: HashMap::new(),
             missing_since: HashMap::new(),
             hold_off,
@@ -134,6 +153,16 @@
         &self.record
     }
 
+    /// Returns how many VMs each working pool needs beyond those that it has or is getting, by the latest plan.
+    pub fn short(&self) -> &[(Arc<str>, usize)] {
+        &self.short
+    }
+
+    /// Returns whether an order switches its VM off.
+    pub fn switches_off(&self, order: &FleetOrder) -> bool {
+        matches!(&order.purpose, Purpose::Move { to } if self.off_pool.as_deref() == Some(to.as_str()))
+    }
+
     /// Sets the list of VMs, which was requested at `requested_at`.
     pub fn set_vms(&mut self, vms: Vec<FleetVm>, requested_at: Ms) {
         self.vms = vms.into_iter().map(|vm| (vm.name.clone(), vm)).collect();
@@ -156,8 +185,20 @@
         self.halls = halls;
     }
 
-    /// Records the report of a pool's owner.
+    /// Returns whether this report of a pool, or a newer one, was recorded. Reports without a number come in order.
+    pub fn has_report(&self, pool: &str, report: &PoolReport) -> bool {
+        let number = (report.token, report.number);
+        report.token > 0 && self.report_numbers.get(pool).is_some_and(|newest| number <= *newest)
+    }
+
+    /// Records the report of a pool's owner, unless it has arrived before or is older than the newest one.
     pub fn set_report(&mut self, pool: &Arc<str>, report: PoolReport, now: Ms) {
+        if self.has_report(pool, &report) {
+            return;
+        }
+        if report.token > 0 {
+            self.report_numbers.insert(pool.clone(), (report.token, report.number));
+        }
         self.needs.record_report(pool, &report, now);
         let idle: HashSet<&String> = report.idle.iter().collect();
         let before = self.reports.get(pool).into_iter().flat_map(|before| &before.idle);
@@ -167,6 +208,7 @@
         for vm in &report.idle {
             self.idle_since.entry(vm.clone()).or_insert(now);
         }
+        self.record_evacuated_idle(pool, &report, now);
         self.emptied.retain(|_, (of, _)| of != pool);
         let emptied = report.emptied.iter();
         self.emptied.extend(
@@ -204,6 +246,14 @@
         self.give_orders(now)
     }
 
+    /// Records that an order which waited for its row is being sent. The minimum time until another node's order for the VM
+    /// counts from then.
+    pub fn record_order_sent(&mut self, vm: &str, now: Ms) {
+        if let Some(order) = self.order_states.get_mut(vm) {
+            order.sent_at = Some(now);
+        }
+    }
+
     /// Records the outcome of an order.
     pub fn record_order_result(&mut self, vm: &str, outcome: OrderOutcome, now: Ms) {
         if outcome == OrderOutcome::Unknown {
@@ -247,7 +297,7 @@
         for work in done {
             let order = self.order_states.remove(&work.vm);
             // If the time of the order is not known, a predecessor gave it, and the VM is already in the list.
-            if let Some(ordered_at) = order.and_then(|o| o.ordered_at) {
+            if let Some(ordered_at) = order.and_then(|o| o.sent_at.or(o.ordered_at)) {
                 self.ordered_lately.insert(work.vm.clone(), ordered_at + self.hold_off.gap);
             }
             self.record.work.remove(&work.vm);
--- /dev/null
+++ b/crates/schedule/src/ownership/records.rs
@@ -0,0 +1,60 @@
+//! The records of claims and heartbeats.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// One incarnation of a node.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct NodeIncarnation {
+    /// The node's name.
+    pub name: String,
+    /// A random number drawn at the node's start.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+}
+
+/// The record that a node writes to claim a shard or to release it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Claim {
+    /// The owner.
+    pub owner: NodeIncarnation,
+    /// Whether the owner has released the shard.
+    pub released: bool,
+    /// The name of the node that the owner has released the shard to, if it has chosen one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub successor: Option<String>,
+}
+
+/// The record that a node writes regularly to show that it is alive.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The number of the node's incarnation.
+    #[serde(rename = "life")]
+    pub incarnation: u64,
+    /// The sequence number, increasing with each heartbeat of the incarnation.
+    pub sequence: u64,
+    /// Whether the node is about to stop and claims no shards.
+    pub leaving: bool,
+    /// The address at which it relays calls to the store for other nodes, if it does.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
+    /// Its computing speed, determined at its start in an arbitrary unit; 0 if it is not known.
+    #[serde(default)]
+    pub speed: u32,
+    /// Whether the node reads the owners' partition of heartbeats. Older nodes read only the common one.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reads_owner_heartbeats: bool,
+}
+
+impl Claim {
+    /// Creates the record by which a node claims a shard.
+    pub const fn new(owner: NodeIncarnation) -> Self {
+        Self { owner, released: false, successor: None }
+    }
+
+    /// Creates the record by which the owner releases a shard, to the node `successor` if there is one.
+    pub const fn released(owner: NodeIncarnation, successor: Option<String>) -> Self {
+        Self { owner, released: true, successor }
+    }
+}
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -10,11 +10,11 @@
 
 /// How long the second-best node waits for the best one to claim a shard, in milliseconds. Each further node waits this much
 /// longer.
-const RANK_STEP_MS: Ms = 400;
+pub(super) const RANK_STEP_MS: Ms = 400;
 /// The number of shards that a node with less than half the speed of the fastest one is counted as owning in addition. An
 /// owner of 100 VMs or more uses an eighth of a core, which is all that some nodes have. With 350 VMs this lowers the median
 /// time from submission to the first start from 788 ms to 55 ms.
-const SLOW_NODE_PENALTY: usize = 3;
+pub(super) const SLOW_NODE_PENALTY: usize = 3;
 /// How long a new node reads heartbeats before it claims shards that never had an owner, in milliseconds: two reads, as the
 /// first may come before the nodes that start with it have sent their heartbeats. With hundreds of nodes the wait is longer.
 const INITIAL_WAIT_MS: Ms = 1_000;
@@ -99,14 +99,21 @@
                     since + 2 * RANK_STEP_MS + self.claim_delay(shard, now, &wanted)
                 }
                 Vacancy::Released | Vacancy::Unresponsive => {
-                    since + self.claim_delay(shard, now, &wanted)
+                    since
+                        + self
+                            .successor_delay(shard, now)
+                            .unwrap_or_else(|| self.claim_delay(shard, now, &wanted))
                 }
                 Vacancy::NeverOwned => {
                     since.max(self.started_at + self.initial_wait_ms())
                         + self.claim_delay(shard, now, &wanted)
                 }
             };
-            if now >= due {
+            let is_current = match vacancy {
+                Vacancy::Unresponsive => self.has_recent_reads(now),
+                _ => true,
+            };
+            if now >= due && is_current {
                 wanted.push(shard.clone());
             }
         }
@@ -137,11 +144,12 @@
             Some(m) => m.last_contact.max(*seen_at),
             None => *seen_at,
         };
-        (now.saturating_sub(last_contact) >= UNRESPONSIVE_MS).then_some(Vacancy::Unresponsive)
+        let is_silent = now.saturating_sub(last_contact) >= UNRESPONSIVE_MS;
+        (is_silent && self.has_read_past_lease(last_contact)).then_some(Vacancy::Unresponsive)
     }
 
     /// Returns the initial wait of a new node, in milliseconds, by the number of members known so far.
-    fn initial_wait_ms(&self) -> Ms {
+    pub(super) fn initial_wait_ms(&self) -> Ms {
         let more = self.members.len().saturating_sub(HEARTBEATS_WITHIN_WAIT);
         INITIAL_WAIT_MS
             + APPEND_MS * Ms::try_from(more).unwrap_or(Ms::MAX / APPEND_MS - INITIAL_WAIT_MS)
@@ -153,7 +161,7 @@
     }
 
     /// Returns how long this node leaves a vacant shard to nodes that own fewer shards.
-    fn claim_delay(&self, shard: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
+    pub(super) fn claim_delay(&self, shard: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
         let owned = |name: &str| {
             self.claims.values().filter(|o| !o.claim.released && o.claim.owner.name == name).count()
         };
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -17,6 +17,21 @@
     pub waves: WavePolicy,
     /// How tasks are ordered and placed.
     pub tasks: TaskPolicy,
+    /// How nodes own shards.
+    pub ownership: OwnershipPolicy,
+    /// Which jobs are refused when a pool is full.
+    pub admission: AdmissionPolicy,
+}
+
+/// The parameters for the ownership of shards.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct OwnershipPolicy {
+    /// Whether owners send their heartbeats to a partition of their own, where they do not queue behind those of idle nodes.
+    pub owner_heartbeats: bool,
+    /// Whether a node that owns several shards hands one over to a node that owns none, and a node that stops names the nodes
+    /// that own its shards next.
+    pub spread: bool,
 }
 
 /// The parameters for the number of VMs that a pool needs.
@@ -39,8 +54,13 @@
     /// peak load this lowers the reported need for such steps in a pool of 350 VMs from 1,100 to 1,300 cores to 400 to 700,
     /// with 2,000 in use.
     pub leaves_out_ended: bool,
+    /// Whether arrival rates are held while the owner cannot read submissions as they come, for at most six seconds.
+    pub holds_rate: bool,
     /// The minimum number of VMs of a pool, so that the first jobs start at once when its load rises.
     pub floor_vms: usize,
+    /// Whether VMs are moved only for work that can still finish in time once they have arrived. Other work keeps the VMs that
+    /// its pool has.
+    pub in_time_only: bool,
 }
 
 /// The parameters for moving VMs between pools.
@@ -58,6 +78,20 @@
     pub at_once_percent: usize,
     /// Whether tasks with checkpoints are stopped on VMs that another pool needs.
     pub stop_tasks: bool,
+    /// Whether the fleet's owner goes on while it writes its record, and gets the reports of pools directly.
+    pub pipelined: bool,
+    /// Whether VMs without work in evacuated halls are switched off, if their pool can do without them.
+    pub switch_off_evacuated: bool,
+    /// Whether VMs are divided by max-min fairness when pools need more than there are, instead of in proportion to their needs.
+    pub max_min: bool,
+    /// Whether idle VMs beyond a pool's need are given up without a margin as soon as another pool is short of VMs, and no VM is
+    /// switched off meanwhile.
+    pub keep_while_short: bool,
+    /// Whether the limit of `at_once_percent` counts only VMs that are being emptied, and not those that have left their pools.
+    pub limit_emptying: bool,
+    /// The price of a move as the time for which a VM that is up costs the same, in milliseconds. VMs are switched off if
+    /// keeping them has cost as much as switching them off and on again. 0: VMs are switched off after `keep_ms`.
+    pub move_cost_ms: Ms,
 }
 
 /// The parameters for maintenance waves.
@@ -82,6 +116,18 @@
     BeyondLast,
 }
 
+/// Which jobs go first while a pool's jobs cannot all finish in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OverloadPolicy {
+    /// Jobs that are due first, as otherwise.
+    #[default]
+    DueFirst,
+    /// Jobs that are due first, but those with the most work left go last as far as the others could not finish in time. One in
+    /// three jobs is exempt.
+    LeastWork,
+}
+
 /// The parameters for ordering and placing tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -91,6 +137,8 @@
     pub rescue_ms: Ms,
     /// Which jobs go first when a pool is full.
     pub shares: SharePolicy,
+    /// Which jobs go first while not all can finish in time.
+    pub overload: OverloadPolicy,
     /// Whether tasks that use leftover CPU time are slowed down while a serving task on the same VM is near its target.
     pub pacing: bool,
     /// Whether tasks under which VMs crashed start only on VMs without tasks of other jobs.
@@ -100,6 +148,14 @@
     pub pause_after_takeover_ms: Ms,
 }
 
+/// The parameters for the admission of jobs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct AdmissionPolicy {
+    /// Whether a job is refused if it can no longer be of use with all VMs that its pool may get.
+    pub by_load: bool,
+}
+
 impl Default for NeedPolicy {
     fn default() -> Self {
         Self {
@@ -108,7 +164,9 @@
             arrivals: 8,
             late_last: true,
             leaves_out_ended: true,
+            holds_rate: false,
             floor_vms: 4,
+            in_time_only: false,
         }
     }
 }
@@ -121,6 +179,12 @@
             stay_ms: 1_500,
             at_once_percent: 50,
             stop_tasks: true,
+            pipelined: false,
+            switch_off_evacuated: false,
+            max_min: false,
+            keep_while_short: false,
+            limit_emptying: false,
+            move_cost_ms: 0,
         }
     }
 }
@@ -136,6 +200,7 @@
         Self {
             rescue_ms: 1_000,
             shares: SharePolicy::BeyondLast,
+            overload: OverloadPolicy::DueFirst,
             pacing: true,
             keep_suspects_apart: true,
             pause_after_takeover_ms: 1_500,
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -8,8 +8,10 @@
 
 mod advice;
 mod arrivals;
+mod backlog;
 mod ends;
 mod estimate;
+mod evacuation;
 mod gang;
 mod incarnation;
 mod job;
@@ -17,6 +19,7 @@
 mod losses;
 mod need;
 mod order;
+mod overload;
 mod place;
 mod quota;
 mod rank;
@@ -45,7 +48,9 @@
 use advice::AdviceState;
 pub use advice::{AdviceRequest, StepId};
 use arrivals::Arrivals;
+pub use backlog::LATE_FACTOR;
 use estimate::Estimates;
+pub use evacuation::EvacuationLoad;
 use incarnation::Vm;
 use job::Job;
 pub use losses::LostRun;
@@ -151,7 +156,7 @@
         if self.job_keys.contains_key(&id) {
             return;
         }
-        self.record_arrival(&spec, now.steady);
+        self.record_arrival(&spec, now.steady, now.steady);
         let job = self.new_job(id, spec, now);
         let key = self.jobs.insert(job);
         self.job_keys.insert(id, key);
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -14,11 +14,18 @@
 }
 
 fn heartbeat(incarnation: u64, sequence: u64) -> Heartbeat {
-    Heartbeat { incarnation, sequence, leaving: false, relay: None, speed: 0 }
+    Heartbeat {
+        incarnation,
+        sequence,
+        leaving: false,
+        relay: None,
+        speed: 0,
+        reads_owner_heartbeats: false,
+    }
 }
 
 fn claim(name: &str, incarnation: u64) -> Claim {
-    Claim { owner: node(name, incarnation), released: false }
+    Claim::new(node(name, incarnation))
 }
 
 fn pools(names: &[&str]) -> Vec<Arc<str>> {
@@ -111,7 +118,7 @@
 #[gtest]
 fn a_released_pool_is_claimed_at_once_by_one_node() {
     let mut views = [Ownership::new(node("a", 1), 0), Ownership::new(node("b", 1), 0)];
-    let released = Claim { owner: node("c", 1), released: true };
+    let released = Claim::released(node("c", 1), None);
     let mut first = 0;
     for view in &mut views {
         view.record_heartbeat("a", &heartbeat(1, 1), 2_000);
@@ -128,7 +135,7 @@
     let mut view = Ownership::new(node("b", 1), 0);
     view.record_claim(&"desk".into(), claim("a", 1), 0, 100);
     view.record_claim(&"desk".into(), claim("b", 1), 1, 200);
-    let late = Claim { owner: node("a", 1), released: true };
+    let late = Claim::released(node("a", 1), None);
     view.record_claim(&"desk".into(), late, 2, 300);
     expect_that!(view.my_token("desk"), some(eq(2)));
 }
@@ -362,3 +369,17 @@
         expect_that!(first_claim(nodes), some(le(1_100 + extra_ms)), "{nodes}");
     }
 }
+
+/// Guards against a restart that stays unnoticed because the VM's new clock has passed the last reading of the old one: the link
+/// then acknowledges ends of the next incarnation that it has not received, and their tasks run again.
+#[gtest]
+fn a_clock_that_lags_behind_the_time_since_its_last_reading_shows_a_restart() {
+    let mut lease = TaskLease::new(6_000, 0);
+    expect_that!(lease.is_clock_behind(0, 1_000), eq(false), "there is no reading yet");
+    lease.record_clock(50, 1_000);
+    // A clock that runs 2% slow is allowed, and the call may be answered later.
+    expect_that!(lease.is_clock_behind(50 + 980, 2_000), eq(false));
+    expect_that!(lease.is_clock_behind(50 + 3_000, 2_000), eq(false));
+    expect_that!(lease.was_clock_reset(200), eq(false));
+    expect_that!(lease.is_clock_behind(200, 2_000), eq(true), "down for 100 ms, up for 200 ms");
+}
--- a/crates/schedule/tests/standbys.rs
+++ b/crates/schedule/tests/standbys.rs
@@ -14,7 +14,14 @@
 
 fn heartbeat(speed: u32, i: usize) -> Heartbeat {
     let relay = format!("10.0.{}.{}:7060", i / 200, i % 200).parse().ok();
-    Heartbeat { incarnation: 1, sequence: 1, leaving: false, relay, speed }
+    Heartbeat {
+        incarnation: 1,
+        sequence: 1,
+        leaving: false,
+        relay,
+        speed,
+        reads_owner_heartbeats: false,
+    }
 }
 
 /// Returns the views of nodes that have all received each other's heartbeats at `now`. Every fifth node is slow.
@@ -105,7 +112,7 @@
 #[gtest]
 fn standbys_other_than_the_owner_and_the_querying_node_are_queried() {
     let mut views = views(97, 3_000);
-    let owner = Claim { owner: node(7), released: false };
+    let owner = Claim::new(node(7));
     for view in &mut views {
         view.record_claim(&"desk".into(), owner.clone(), token_of(0), 3_000);
     }
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -14,7 +14,9 @@
 use crate::caps::LentTable;
 use crate::clock::steady_ms;
 use crate::control::ClaimsEnd;
+use crate::fleet_owner::DirectReports;
 use crate::locks::lock;
+use crate::outlook::Outlooks;
 use crate::ownership_flag::OwnershipFlag;
 use crate::peers::Peers;
 use crate::pool_log::PoolLog;
@@ -41,6 +43,8 @@
     pub secret: KeySecret,
     /// The health of the store as seen by this node.
     pub store_health: StoreHealth,
+    /// The outlooks of the pools.
+    pub outlooks: Outlooks,
     /// The HTTP clients of other nodes.
     pub peers: Peers,
     /// The configuration in force.
@@ -51,6 +55,8 @@
     pub vms_listed: watch::Sender<bool>,
     /// Which VMs are in maintenance or moving; empty while this node owns nothing.
     pub fleet: watch::Sender<Arc<FleetRecord>>,
+    /// Where the fleet's owner, if it runs on this node, receives the reports of pools.
+    pub direct_reports: DirectReports,
     /// How the caps of workspaces are split between pools, as far as this node has read.
     pub lent: watch::Sender<Arc<LentTable>>,
     /// The maintenance waves that the operator has requested.
@@ -80,19 +86,23 @@
     /// Creates a node that has not read anything yet.
     pub fn new(settings: SchedulerSettings) -> Self {
         let me = NodeIncarnation { name: settings.name.clone(), incarnation: rand::random() };
+        let ownership =
+            Ownership::new(me.clone(), steady_ms()).with_policy(settings.policy.ownership);
         Self {
             speed: crate::speed::measure(),
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
             store_health: StoreHealth::default(),
+            outlooks: Outlooks::default(),
             peers: Peers::default(),
-            ownership: Mutex::new(Ownership::new(me.clone(), steady_ms())),
+            ownership: Mutex::new(ownership),
             settings,
             me,
             catalog: watch::Sender::new(None),
             vms: watch::Sender::new(Arc::default()),
             vms_listed: watch::Sender::new(false),
             fleet: watch::Sender::new(Arc::default()),
+            direct_reports: DirectReports::default(),
             lent: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(Vec::new()),
             halls: watch::Sender::new(Arc::default()),
@@ -146,10 +156,19 @@
 
     /// Returns whether this node's knowledge of evacuated data halls is recent enough to start tasks.
     pub fn halls_known(&self) -> bool {
-        let read_at = self.operator_read_at.load(Ordering::Relaxed);
         let within = self.settings.evacuate_within.map(|span| span.0.as_millis());
         let within = within.map(|ms| Ms::try_from(ms).unwrap_or(Ms::MAX));
-        halls::is_current((read_at > 0).then_some(read_at), within, steady_ms())
+        halls::is_current(self.operator_read_at(), within, steady_ms())
+    }
+
+    /// Returns the age of this node's knowledge of evacuated data halls, or `None` before the first complete read.
+    pub fn halls_read_age(&self) -> Option<Ms> {
+        halls::read_age(self.operator_read_at(), steady_ms())
+    }
+
+    fn operator_read_at(&self) -> Option<Ms> {
+        let read_at = self.operator_read_at.load(Ordering::Relaxed);
+        (read_at > 0).then_some(read_at)
     }
 
     /// Returns whether this node may currently act as owner.
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -1,9 +1,11 @@
 //! The owner of a pool: runs its schedule, writes its records and keeps the links to its VMs.
 
 mod advisor;
+mod direct_report;
 mod incarnation_order;
 mod link;
 mod losses;
+mod outlook;
 mod progress;
 mod purge;
 mod quota;
@@ -30,6 +32,7 @@
 use incarnation_order::IncarnationOrder;
 use link::Link;
 use losses::{LossCounter, LossNumber};
+use outlook::OutlookPublisher;
 use progress::ProgressWriter;
 use quota::Quota;
 use report::Reporter;
@@ -61,6 +64,8 @@
     Lost(VmIncarnation, VmLoss, LossNumber),
     /// A VM restarted under its ID: its previous incarnation, its next incarnation and the number of this loss.
     Restarted(VmIncarnation, VmIncarnation, LossNumber),
+    /// A VM has probably restarted under its ID; the fields are as for a restart.
+    MaybeRestarted(VmIncarnation, VmIncarnation, LossNumber),
     /// A VM rejected a call because it has seen a higher token.
     Fenced(VmIncarnation),
     /// An advice request for a step was answered, or failed.
@@ -92,10 +97,13 @@
     tx: UnboundedSender<Event>,
     purged_at: Ms,
     reporter: Reporter,
+    outlook_publisher: OutlookPublisher,
     advisor: Advisor,
     quota: Quota,
     /// When all VMs were last checked.
     vms_checked_at: Ms,
+    /// Whether the forecast was held at the last step.
+    forecast_held: bool,
 }
 
 impl Owner {
@@ -177,6 +185,9 @@
                     log::info!("start step={result:?} run={run} vm={vm}");
                 }
                 self.pool.apply_start_result(&vm, run, result, now);
+                if let Some(link) = self.link(&vm) {
+                    link.set_start_handled(run);
+                }
             }
             Event::Stopped(vm, run) => self.pool.record_stop_answer(&vm, run, now),
             Event::Reachable(vm, reachable) => {
@@ -187,17 +198,17 @@
                 }
             }
             Event::Lost(vm, loss, number) => {
-                if let Some(link) = self.link_mut(&vm) {
-                    link.set_handled_loss(number);
-                }
+                self.begin_loss(&vm, number);
                 self.lose_vm(&vm, loss);
             }
             Event::Restarted(vm, next, number) => {
-                if let Some(link) = self.link_mut(&vm) {
-                    link.set_handled_loss(number);
-                }
+                self.begin_loss(&vm, number);
                 self.handle_restart(&vm, &next);
             }
+            Event::MaybeRestarted(vm, next, number) => {
+                self.begin_loss(&vm, number);
+                self.handle_possible_restart(&vm, &next);
+            }
             Event::Advised(step, answer) => {
                 let good = answer.as_ref().map(|(tickets, _)| tickets.len());
                 log::info!(
@@ -222,6 +233,7 @@
     async fn step(&mut self) -> Result<(), Fenced> {
         self.pool.set_listing_is_complete(self.node.store_health.listing_is_complete());
         self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
+        self.update_forecast();
         let orders = self.pool.plan(now());
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
@@ -240,6 +252,7 @@
         self.check_vms();
         self.report_cap_use();
         self.report_load();
+        self.publish_outlook();
         // Repairs and purges run after the orders are sent, and not while the store is slow: up to three appends of a
         // quarter of a second each would delay the orders of each step.
         if self.node.store.is_slow() {
@@ -256,6 +269,7 @@
             return;
         }
         self.vms_checked_at = now;
+        self.end_superseded_links();
         self.close_unused_links();
         for link in self.links.values() {
             link.set_poll_reason(self.pool.poll_reason(link.vm()));
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -9,6 +9,7 @@
 
 use super::advisor::Advisor;
 use super::incarnation_order::IncarnationOrder;
+use super::outlook::OutlookPublisher;
 use super::progress::ProgressWriter;
 use super::quota::Quota;
 use super::report::Reporter;
@@ -55,9 +56,11 @@
         tx: tx.clone(),
         purged_at: steady_ms(),
         reporter: Reporter::default(),
+        outlook_publisher: OutlookPublisher::default(),
         advisor,
         quota: Quota::default(),
         vms_checked_at: 0,
+        forecast_held: false,
     };
     owner.apply_workspaces();
     owner.adopt_jobs();
@@ -109,6 +112,7 @@
     fn adopt_jobs(&mut self) {
         let log = self.log.clone();
         self.pool.record_takeover(now());
+        self.pool.begin_arrivals(log.submissions_known_until());
         let jobs = log.connect_owner(Some(self.tx.clone()));
         for (id, entry) in jobs.iter() {
             self.pool.adopt(id, entry, now());
--- a/crates/scheduler/src/owner/telemetry.rs
+++ b/crates/scheduler/src/owner/telemetry.rs
@@ -1,11 +1,11 @@
 //! Metrics and log lines of an owner: its load, abandoned tasks and ends of runs.
 
 use metrics::{counter, gauge};
-use thistle_schedule::pool::{AbandonedTask, Load, ReportChanges};
+use thistle_schedule::pool::{AbandonedTask, EvacuationLoad, Load, ReportChanges};
 use thistle_schedule::{CrashHistory, EndKind, VmIncarnation, VmReport};
 
 use super::Owner;
-use crate::clock::now;
+use crate::clock::{now, steady_ms};
 
 impl Owner {
     /// Logs the tasks that were abandoned because VMs crashed under them.
@@ -19,6 +19,22 @@
         }
     }
 
+    /// Tells the pool up to when submissions are known, and logs when its forecast begins and ends to be held.
+    pub(super) fn update_forecast(&mut self) {
+        let known_until = self.log.submissions_known_until();
+        self.pool.set_submissions_known_until(known_until);
+        let now = steady_ms();
+        let held = self.pool.forecast_held_for(now).is_some();
+        if std::mem::replace(&mut self.forecast_held, held) == held {
+            return;
+        }
+        let step = if held { "held" } else { "released" };
+        let age_ms = now.saturating_sub(known_until);
+        log::info!("forecast step={step} pool={} age_ms={age_ms}", self.log.pool);
+        let pool = self.log.pool.to_string();
+        gauge!("thistle_forecast_held", "pool" => pool).set(f64::from(u8::from(held)));
+    }
+
     pub(super) fn update_load_metrics(&self) {
         let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load(now());
         let pool = self.log.pool.to_string();
@@ -28,6 +44,17 @@
         gauge!("thistle_pool_vms", "pool" => pool.clone()).set(f64::from(vms));
         let used = used_cpu as f64 / (cpu as f64).max(1.0);
         gauge!("thistle_pool_cpu_used", "pool" => pool).set(used);
+        self.update_evacuation_metrics();
+    }
+
+    fn update_evacuation_metrics(&self) {
+        let EvacuationLoad { vms, busy, cold, held } = self.pool.evacuation_load();
+        let pool = self.log.pool.to_string();
+        for (state, count) in [("listed", vms), ("busy", busy), ("cold", cold)] {
+            gauge!("thistle_evacuated_vms", "pool" => pool.clone(), "state" => state)
+                .set(f64::from(count));
+        }
+        gauge!("thistle_starts_held_by_evacuation", "pool" => pool).set(f64::from(held));
     }
 }
 
--- a/crates/scheduler/tests/evacuation.rs
+++ b/crates/scheduler/tests/evacuation.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use system::{System, job, submit, wait_until, wait_until_state};
+use system::{System, WAIT_TIMEOUT, job, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
 
 /// The time within which an evacuation must be in force, as in [`SETTINGS`].
@@ -82,6 +82,57 @@
     expect_that!(started_since(&system, "hall-a", returned_at), ge(24));
 }
 
+/// Guards against an evacuation that operators can only follow in the logs of all nodes: the metrics and `show` tell which VMs
+/// are there, what still runs there and what waits.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_see_what_an_evacuation_does() {
+    let system = start_with_two_halls(206, 1).await;
+    let node = &system.nodes[0];
+    submit(node, &id(1), &job(4, 0)).await;
+    wait_until("both halls work", async || {
+        HALLS.iter().all(|hall| !system.starts_in(hall).is_empty())
+    })
+    .await;
+    let has = async |line: &str| node.metrics().await.lines().any(|found| found == line);
+    wait_until("no hall is evacuated", async || has("thistle_halls_evacuated 0").await).await;
+    expect_that!(node.show(&[]), not(contains_substring("evacuated")));
+    system.platform.evacuate("hall-a");
+    for line in [
+        "thistle_halls_evacuated 1",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"listed\"} 2",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"busy\"} 2",
+        "thistle_evacuated_vms{pool=\"desk\",state=\"cold\"} 0",
+        "thistle_starts_held_by_evacuation{pool=\"desk\"} 0",
+    ] {
+        wait_until(line, async || has(line).await).await;
+    }
+    let age = async || -> f64 {
+        let metrics = node.metrics().await;
+        let line = metrics.lines().find(|l| l.starts_with("thistle_halls_read_age_seconds "));
+        line.and_then(|l| l.split(' ').next_back()?.parse().ok()).unwrap_or(f64::NAN)
+    };
+    expect_that!(age().await, lt(WAIT_TIMEOUT.as_secs_f64()));
+    let shown = node.show(&[]);
+    expect_that!(shown, contains_substring("hall hall-a evacuated since offset"));
+    expect_that!(
+        shown,
+        contains_substring("pool desk (node-10): 2 VMs, 0 cold, 2 tasks run there")
+    );
+    // A job with more tasks than the other hall has room for waits for the evacuated one.
+    submit(node, &id(2), &job(100, 5_000)).await;
+    let held = async || {
+        let metrics = node.metrics().await;
+        let line = metrics.lines().find(|l| l.starts_with("thistle_starts_held_by_evacuation{"));
+        line.is_some_and(|l| !l.ends_with(" 0"))
+    };
+    wait_until("starts are held by the evacuation", async || held().await).await;
+    system.platform.return_to_service("hall-a");
+    wait_until("the evacuation is over", async || has("thistle_halls_evacuated 0").await).await;
+    wait_until("no start is held any more", async || !held().await).await;
+    expect_that!(node.show(&[]), not(contains_substring("evacuated since")));
+}
+
 /// Nothing starts while all halls are evacuated. Waiting tasks start as soon as a hall is back in service.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -155,3 +206,46 @@
     wait_until_state(&system.nodes[0], &id(1), "completed").await;
     expect_that!(started_since(&system, "hall-a", cannot_read_since), eq(0));
 }
+
+/// Guards against VMs of an evacuated hall that stay paid for: idle ones are switched off after their replacements from another
+/// hall are there, and work again once the hall is back in service.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_vms_of_an_evacuated_hall_are_switched_off_and_come_back() {
+    let net = 207;
+    let mut system = System::start(net, 0, 0).await;
+    let machines = &system.platform.machines;
+    machines.set_off_pool("off");
+    for (hall, pool, host) in
+        [("hall-a", "desk", 100), ("hall-a", "desk", 101), ("hall-b", "desk", 110)]
+            .into_iter()
+            .chain([("hall-b", "desk", 111), ("hall-c", "off", 120), ("hall-c", "off", 121)])
+    {
+        let (name, ip) = (format!("m-{hall}-{host}"), system::ip(net, host));
+        machines.add_in(hall, &name, pool, ip).await.expect("the VM starts");
+    }
+    let policy = "policy:\n  need:\n    floor_vms: 4\n  moves:\n    switch_off_evacuated: true\n";
+    system.extra_settings = format!("{SETTINGS}{policy}");
+    system.add_node(system::ip(net, 10));
+    wait_until("the node is ready", || system.nodes[0].is_ready()).await;
+    run_large_job(&system, 1).await;
+    let in_desk = |hall: &str| {
+        let vms = system.platform.machines.vms();
+        vms.iter().filter(|vm| vm.place.hall == hall && vm.place.pool == system::POOL).count()
+    };
+    expect_that!(HALLS.map(in_desk), eq([2, 2]));
+    system.platform.evacuate("hall-a");
+    wait_until("the VMs of hall c replace those of hall a", async || {
+        (in_desk("hall-a"), in_desk("hall-b"), in_desk("hall-c")) == (0, 2, 2)
+    })
+    .await;
+    run_large_job(&system, 2).await;
+    // Both other halls are evacuated, so that all work needs the VMs that were switched off.
+    system.platform.return_to_service("hall-a");
+    HALLS[1..].iter().chain(&["hall-c"]).for_each(|hall| system.platform.evacuate(hall));
+    let returned_at = Instant::now();
+    submit(&system.nodes[0], &id(3), &job(24, 100)).await;
+    wait_until("work starts in hall a", async || started_since(&system, "hall-a", returned_at) > 0)
+        .await;
+    wait_until_state(&system.nodes[0], &id(3), "completed").await;
+}
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -53,6 +53,10 @@
     /// How long the process may take to shut down after the stop signal.
     #[serde(default = "default_stop")]
     pub stop_grace: Span,
+    /// The parts of the service agreement that are in force, by the platform's names. Some switch on decisions that are off
+    /// in `policy`.
+    #[serde(default)]
+    pub contracts: Vec<String>,
     /// The parameters of scheduling decisions.
     #[serde(default)]
     pub policy: Policy,
@@ -114,6 +118,7 @@
     in_range("policy.need.floor_vms", &need.floor_vms, &1, &1_000)?;
     in_range("policy.moves.margin_percent", &moves.margin_percent, &0, &100)?;
     in_range("policy.moves.at_once_percent", &moves.at_once_percent, &1, &100)?;
+    in_range("policy.moves.move_cost_ms", &moves.move_cost_ms, &0, &600_000)?;
     if need.arrivals == 1 {
         let remedy = "is 1, from which no rate can be computed; set it to 0, or to 2 or more";
         return Err(SettingsError::value("policy.need.arrivals", remedy));
