Log and metrics of starts that are sent late, and the age of the VM list

No change of logic.

`start step=sent` is logged for each copy sent 200 ms or more after its placement: how long the record and the place took, how the VM is listed at that moment, and how old the list is. thistle_start_delay_seconds has the time from placement to the first send, thistle_vms_read_age_seconds the age of the list. A start that is sent at once gets no further line.

--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -4,6 +4,7 @@
 
 use super::job::TaskState;
 use super::{Now, Pool, VmKey};
+use crate::Ms;
 use crate::id::{RunId, TaskId, VmIncarnation};
 use crate::spec::JobSpec;
 
@@ -22,6 +23,8 @@
     pub ticket: Option<String>,
     /// CPU that remains free on the VM with this run, in thousandths of a core; for the log line.
     pub free_cpu: u32,
+    /// When the run was placed on the VM.
+    pub placed_at: Ms,
 }
 
 /// An order to a VM, or a request to the advice service.
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -267,6 +267,7 @@
             checkpoint: job.task(task).map(|t| t.checkpoint.clone()).unwrap_or_default(),
             ticket,
             free_cpu: self.vms[vm].free().cpu,
+            placed_at: now,
         };
         self.orders.push(Order::Start(order));
         self.mark_changed(ready.job_key);
--- a/crates/scheduler/src/caps/mod.rs
+++ b/crates/scheduler/src/caps/mod.rs
@@ -11,7 +11,7 @@
 use thistle_schedule::quota::{CapUse, LentCap, limits};
 
 use crate::control::TOPIC;
-use crate::follow::{ReadMode, Update, follow_while_owning};
+use crate::follow::{ReadMode, Tail, Update, follow_while_owning};
 use crate::node::Node;
 
 pub use lender::run;
@@ -116,7 +116,7 @@
     if catalog.wait_for(has).await.is_err() {
         return;
     }
-    let apply = |update| {
+    let apply = |update, _: &Tail| {
         let records = match update {
             Update::Reloaded(records) | Update::Records(records) => records,
         };
--- a/crates/scheduler/src/fleet_owner/records.rs
+++ b/crates/scheduler/src/fleet_owner/records.rs
@@ -22,7 +22,7 @@
 
 /// Follows the fleet's record, which names the VMs that the owners of pools on this node have to empty.
 pub async fn follow_record(node: Arc<Node>) {
-    let apply = |update| {
+    let apply = |update, _: &Tail| {
         let (mut fleet, records) = match update {
             Update::Reloaded(records) => (FleetRecord::default(), records),
             Update::Records(records) if records.is_empty() => return,
--- a/crates/scheduler/src/follow.rs
+++ b/crates/scheduler/src/follow.rs
@@ -149,14 +149,14 @@
     node: &Node,
     (topic, part): (&str, u32),
     mode: ReadMode,
-    mut apply: impl FnMut(Update),
+    mut apply: impl FnMut(Update, &Tail),
     mut clear: impl FnMut(),
 ) {
     loop {
         node.is_owner.wait_for(true).await;
         let tail = Tail::new(topic, part);
         tokio::select! {
-            () = follow(node, tail, mode, |update, _| apply(update)) => (),
+            () = follow(node, tail, mode, &mut apply) => (),
             () = node.is_owner.wait_for(false) => (),
         }
         clear();
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -31,6 +31,7 @@
 mod query;
 mod query_peers;
 mod read_failures;
+mod read_time;
 mod readiness;
 mod relay;
 mod reply;
--- a/crates/scheduler/src/listing.rs
+++ b/crates/scheduler/src/listing.rs
@@ -33,7 +33,7 @@
             }
         }
         // Recorded only after the loop, when all records of this read are applied.
-        cx.record_operator_read(tail.read_at());
+        cx.operator_read.record(tail.read_at());
     })
     .await;
 }
@@ -147,10 +147,13 @@
 /// Follows the list of VM incarnations in the store.
 pub async fn follow_vms(node: Arc<Node>) {
     let mut unreadable = UnreadableEntries::default();
-    let apply = |update| {
+    let apply = |update, tail: &Tail| {
         let (mut table, records) = match update {
             Update::Reloaded(records) => (VmTable::new(), records),
-            Update::Records(records) if records.is_empty() => return,
+            Update::Records(records) if records.is_empty() => {
+                node.vms_read.record(tail.read_at());
+                return;
+            }
             Update::Records(records) => (VmTable::clone(&node.vms.borrow()), records),
         };
         for stored in records {
@@ -164,9 +167,11 @@
             }
             changed
         });
+        node.vms_read.record(tail.read_at());
         node.vms_listed.send_replace(true);
     };
     let clear = || {
+        node.vms_read.clear();
         node.vms_listed.send_replace(false);
         node.vms.send_replace(Arc::default());
     };
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -20,6 +20,7 @@
 use crate::ownership_flag::OwnershipFlag;
 use crate::peers::Peers;
 use crate::pool_log::PoolLog;
+use crate::read_time::ReadTime;
 use crate::store_health::StoreHealth;
 
 /// The longest lease of a job's task, in milliseconds: long enough for a pool to change its owner without losing work, and short
@@ -63,8 +64,10 @@
     pub waves: watch::Sender<Vec<WaveRequest>>,
     /// The data halls and which of them are evacuated.
     pub halls: watch::Sender<Arc<Halls>>,
-    /// When the latest read that reached the end of the operator's requests was sent; 0 before the first one.
-    operator_read_at: AtomicU64,
+    /// When the operator's requests were last read to their end.
+    pub operator_read: ReadTime,
+    /// When the list of VMs was last read to its end; never while this node owns nothing.
+    pub vms_read: ReadTime,
     /// The owners of the pools, the fleet and the caps, and the member nodes.
     pub ownership: Mutex<Ownership>,
     /// The offset up to which the claims have been read.
@@ -106,7 +109,8 @@
             lent: watch::Sender::new(Arc::default()),
             waves: watch::Sender::new(Vec::new()),
             halls: watch::Sender::new(Arc::default()),
-            operator_read_at: AtomicU64::new(0),
+            operator_read: ReadTime::default(),
+            vms_read: ReadTime::default(),
             claims_end: ClaimsEnd::default(),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
@@ -148,27 +152,11 @@
         lock(&self.pools).values().cloned().collect()
     }
 
-    /// Records when the latest fully applied read of the operator's requests was sent: all requests that the store had at that
-    /// time are in force.
-    pub fn record_operator_read(&self, sent_at: Option<Ms>) {
-        self.operator_read_at.fetch_max(sent_at.unwrap_or(0), Ordering::Relaxed);
-    }
-
     /// Returns whether this node's knowledge of evacuated data halls is recent enough to start tasks.
     pub fn halls_known(&self) -> bool {
         let within = self.settings.evacuate_within.map(|span| span.0.as_millis());
         let within = within.map(|ms| Ms::try_from(ms).unwrap_or(Ms::MAX));
-        halls::is_current(self.operator_read_at(), within, steady_ms())
-    }
-
-    /// Returns the age of this node's knowledge of evacuated data halls, or `None` before the first complete read.
-    pub fn halls_read_age(&self) -> Option<Ms> {
-        halls::read_age(self.operator_read_at(), steady_ms())
-    }
-
-    fn operator_read_at(&self) -> Option<Ms> {
-        let read_at = self.operator_read_at.load(Ordering::Relaxed);
-        (read_at > 0).then_some(read_at)
+        halls::is_current(self.operator_read.get(), within, steady_ms())
     }
 
     /// Returns whether this node may currently act as owner.
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -247,6 +247,16 @@
         !self.node.halls.borrow().accepts_work(&self.hall)
     }
 
+    /// Returns the state of the VM in the newest list, for log lines.
+    fn listed_state(&self) -> &'static str {
+        match self.node.vms.borrow().get(self.vm.id()) {
+            None => "no",
+            Some(facts) if facts.unreadable => "unreadable",
+            Some(facts) if facts.draining => "draining",
+            Some(_) => "ready",
+        }
+    }
+
     /// Waits until orders may be sent; returns false once the link is closed.
     async fn wait_until_may_send(&self) -> bool {
         while !self.is_closed() {
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -4,13 +4,14 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use metrics::histogram;
 use thistle_platform::worker::Start;
 use thistle_platform::{OrderError, StartAnswer};
 use thistle_schedule::pool::{StartOrder, StartResult};
-use thistle_schedule::{RunId, VmReport};
+use thistle_schedule::{Ms, RunId, VmReport};
 
 use super::super::losses::LossNumber;
-use super::{RETRY_PAUSE, Shared};
+use super::{RETRY_PAUSE, Shared, millis};
 use crate::clock::steady_ms;
 use crate::locks::lock;
 
@@ -18,7 +19,8 @@
 /// again immediately.
 const IMMEDIATE_FAILURE: Duration = Duration::from_millis(50);
 
-/// A start is logged if it waited at least this long for earlier starts to finish.
+/// A start is logged if it waited at least this long for earlier starts to finish, or is sent at least this long after it was
+/// placed.
 const LOGGED_WAIT: Duration = Duration::from_millis(200);
 
 /// Whether a start still has to be sent.
@@ -118,6 +120,45 @@
     }
 }
 
+/// How long a start has waited since it was placed, and for what, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+struct StartWait {
+    placed_at: Ms,
+    /// The wait for the record of the placement to be written.
+    record_ms: Ms,
+    /// The wait for earlier starts to the VM.
+    place_ms: Ms,
+    /// The number of copies sent so far.
+    copies: u32,
+}
+
+impl StartWait {
+    /// Creates the wait of a start whose record was written just now.
+    fn new(placed_at: Ms) -> Self {
+        let record_ms = steady_ms().saturating_sub(placed_at);
+        Self { placed_at, record_ms, place_ms: 0, copies: 0 }
+    }
+
+    /// Records that a copy is about to be sent, and logs it if the start was placed a while ago.
+    fn log_send(&mut self, link: &Shared, run: RunId) {
+        self.copies += 1;
+        let age = steady_ms().saturating_sub(self.placed_at);
+        if self.copies == 1 {
+            histogram!("thistle_start_delay_seconds").record(Duration::from_millis(age));
+        }
+        if age < millis(LOGGED_WAIT) {
+            return;
+        }
+        let Self { record_ms, place_ms, copies, .. } = self;
+        log::info!(
+            "start step=sent run={run} vm={} copy={copies} placed_ms_ago={age} record_ms={record_ms} place_ms={place_ms} listed={} list_age_ms={:?}",
+            link.vm,
+            link.listed_state(),
+            link.node.vms_read.age(),
+        );
+    }
+}
+
 /// Sends a start until its outcome is known, and records the outcome. Returns `None` if the start was dropped.
 pub(super) async fn start(
     link: &Shared,
@@ -147,9 +188,11 @@
     handled_loss: LossNumber,
     maybe_arrived: &mut bool,
 ) -> Option<StartResult> {
+    let mut wait = StartWait::new(order.placed_at);
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
     let waited = ordered_at.elapsed();
+    wait.place_ms = millis(waited);
     if waited >= LOGGED_WAIT {
         let waited_ms = waited.as_millis();
         log::info!(
@@ -216,6 +259,7 @@
             log_dropped(link, order.run, *maybe_arrived);
             return None;
         }
+        wait.log_send(link, order.run);
         let sent_at = Instant::now();
         let start = Start {
             run: order.run,
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -5,6 +5,7 @@
 
 use metrics::gauge;
 use metrics_exporter_prometheus::PrometheusHandle;
+use thistle_schedule::Ms;
 
 use crate::node::Node;
 
@@ -17,8 +18,9 @@
     gauge!("thistle_vms_listed").set(node.vms.borrow().len() as f64);
     gauge!("thistle_halls_evacuated").set(node.halls.borrow().evacuated().count() as f64);
     // Before the first complete read the age is unknown.
-    let read_age = node.halls_read_age().map_or(f64::NAN, |ms| ms as f64 / 1_000.0);
-    gauge!("thistle_halls_read_age_seconds").set(read_age);
+    let seconds = |age: Option<Ms>| age.map_or(f64::NAN, |ms| ms as f64 / 1_000.0);
+    gauge!("thistle_halls_read_age_seconds").set(seconds(node.operator_read.age()));
+    gauge!("thistle_vms_read_age_seconds").set(seconds(node.vms_read.age()));
     for log in node.pool_logs() {
         let pool = log.pool.to_string();
         gauge!("thistle_jobs_held", "pool" => pool.clone()).set(log.jobs().len() as f64);
