--- a/crates/scheduler/tests/soak/caps.rs
+++ b/crates/scheduler/tests/soak/caps.rs
@@ -59,7 +59,9 @@
                 match event.kind {
                     RunEventKind::Started => changes.push((event.at, run, 1)),
                     RunEventKind::Ended(_) => changes.push((event.at, run, -1)),
-                    RunEventKind::Acknowledged(_) | RunEventKind::LeaseExpired => (),
+                    RunEventKind::Acknowledged(_)
+                    | RunEventKind::LeaseExpired
+                    | RunEventKind::Draining => (),
                 }
             }
         }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -156,6 +156,7 @@
                         run.done_acknowledged_at = Some(event.at);
                     }
                 }
+                RunEventKind::Draining => (),
                 RunEventKind::LeaseExpired => {
                     let ended = vm_runs.values_mut().filter(|run| run.ended_at.is_some());
                     for run in ended.filter(|run| run.done_acknowledged_at.is_none()) {
@@ -187,6 +188,7 @@
         let base = Instant::now();
         let event_at = |&(ms, ref kind): &(u64, RunEventKind), attempt| RunEvent {
             at: base + Duration::from_millis(ms),
+            arrived_at: base + Duration::from_millis(ms),
             // The expiry of a lease belongs to no run.
             task: if *kind == RunEventKind::LeaseExpired { String::new() } else { TASK.to_owned() },
             attempt: if *kind == RunEventKind::LeaseExpired { 0 } else { attempt },
