--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -151,7 +151,7 @@
         }
         let Self { record_ms, place_ms, copies, .. } = self;
         log::info!(
-            "start step=sent run={run} vm={} copy={copies} placed_ms_ago={age} record_ms={record_ms} place_ms={place_ms} listed={} list_age_ms={:?}",
+            "late-start step=sent run={run} vm={} copy={copies} placed_ms_ago={age} record_ms={record_ms} place_ms={place_ms} listed={} list_age_ms={:?}",
             link.vm,
             link.listed_state(),
             link.node.vms_read.age(),
