A start is checked again right before it is sent

Cause: whether a VM accepts work was checked when a task was placed, and not when its start was sent. In between a start waits for the record of the placement, for the owner's lease and for one of the two places for starts to its VM; two starts to a silent VM keep these for up to a lease (6 s). Copies of unanswered starts were sent again without a check, too. The same holds for a VM that is cordoned, leaves the list or moves to another pool, and for a cap that is lowered meanwhile. Only the evacuation of a hall was checked.

Change: one rule (start_check) decides on the newest facts that the node has read, right before each copy is sent, under the lock under which the owner withdraws starts. Each step the owner withdraws the starts that wait and would not be sent, so their tasks are placed elsewhere in the same step. A start of which a copy may have arrived is given up as unclear: the VM's next report or a stop settles it, as before. A gang of which a member is withheld is stopped at once, instead of waiting for it until its other members end alone.

Why this works: between the check and the send there is no wait, but for the connection, which the timeout of an order bounds at 0.6 s.

start step=hall-evacuated is now late-start step=withheld reason=HallEvacuated.

--- a/crates/schedule/src/fleet/record.rs
+++ b/crates/schedule/src/fleet/record.rs
@@ -50,6 +50,13 @@
     pub stage: Stage,
 }
 
+impl VmWork {
+    /// Returns whether the VM moves to a pool.
+    fn moves_to(&self, pool: &str) -> bool {
+        matches!(&self.purpose, Purpose::Move { to } if to == pool)
+    }
+}
+
 /// The progress of a wave.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
 pub struct WaveRecord {
@@ -99,8 +106,12 @@
     /// arrived accepts work before the fleet's owner sees it in the pool, which takes 0.3 s, or seconds if the owner's node
     /// was just lost.
     pub fn cordoned_for(&self, pool: &str) -> impl Iterator<Item = &str> {
-        let arrives = move |w: &&VmWork| matches!(&w.purpose, Purpose::Move { to } if to == pool);
-        self.work.iter().filter(move |w| !arrives(w)).map(|w| w.vm.as_str())
+        self.work.iter().filter(move |w| !w.moves_to(pool)).map(|w| w.vm.as_str())
+    }
+
+    /// Returns whether a pool keeps a VM empty.
+    pub fn is_cordoned_for(&self, vm: &str, pool: &str) -> bool {
+        self.work.get(vm).is_some_and(|w| !w.moves_to(pool))
     }
 
     /// Returns the names of the VMs that are being emptied to move to another pool.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod progress;
 pub mod quota;
 pub mod spec;
+pub mod start_check;
 pub mod vm;
 pub mod workspace;
 
@@ -28,6 +29,7 @@
 pub use pool::Pool;
 pub use progress::{JobState, Phase, Progress};
 pub use spec::{JobSpec, Objective, Repeats, SpecError, Step};
+pub use start_check::{StartFacts, Withheld};
 pub use vm::{EndKind, ReportedRun, Room, RunEnd, VmFacts, VmLoss, VmReport};
 pub use workspace::{Caller, KeySecret, Workspace, WorkspaceConfig, Workspaces};
 
--- a/crates/schedule/src/pool/gang.rs
+++ b/crates/schedule/src/pool/gang.rs
@@ -1,11 +1,12 @@
 //! Placement of gangs, whose tasks work only together.
 
 use super::place::ReadyStep;
+use super::run::Run;
 use super::suspects::Isolation;
 use super::{Now, Pool};
 use crate::Ms;
 use crate::crash_history::Verdict;
-use crate::id::RunId;
+use crate::id::{RunId, TaskId};
 use crate::spec::Step;
 
 impl Pool {
@@ -60,6 +61,24 @@
         }
     }
 
+    /// Stops the other members of a gang of which one is not started, instead of letting them wait for it in vain.
+    pub(super) fn stop_gang_of(&mut self, run: RunId, now: Now) {
+        let is_member = |task: &TaskId, other: &Run| {
+            let same_step = TaskId { index: run.task.index, ..*task } == run.task;
+            other.in_gang && same_step && other.attempt == run.attempt && !other.stopping
+        };
+        let mut members = Vec::new();
+        for (vm, state) in &mut self.vms {
+            for (&task, member) in state.runs.iter_mut().filter(|(task, r)| is_member(task, r)) {
+                (member.stopping, member.stop_ordered) = (true, now.steady);
+                members.push((vm, task));
+            }
+        }
+        for (vm, task) in members {
+            self.order_stop(vm, task, run.attempt);
+        }
+    }
+
     /// Gives all members of a gang the same checkpoint. Any member's checkpoint is valid, but all must start from the same one.
     fn share_checkpoint(&mut self, ready: ReadyStep) {
         let job = &mut self.jobs[ready.job_key];
--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -7,6 +7,7 @@
 use crate::Ms;
 use crate::id::{RunId, TaskId, VmIncarnation};
 use crate::spec::JobSpec;
+use crate::vm::Room;
 
 /// An order to start a run.
 #[derive(Clone, Debug)]
@@ -25,6 +26,8 @@
     pub free_cpu: u32,
     /// When the run was placed on the VM.
     pub placed_at: Ms,
+    /// The configured cap of the job's workspace when the run was placed.
+    pub cap: Room,
 }
 
 /// An order to a VM, or a request to the advice service.
@@ -61,6 +64,8 @@
     StartedWithCopies,
     /// The VM did not accept the run, and no copy of the order is in flight.
     NotTaken,
+    /// The order was not sent, because the VM no longer accepts it; no copy of it is in flight.
+    Withheld,
     /// The VM has no room for the run; nothing was started.
     NoRoom,
     /// The VM rejected the run because the VM is unhealthy; nothing was started.
@@ -93,6 +98,10 @@
             }
             StartResult::Unclear => (found.confirmed, found.unclear) = (Some(now.steady), true),
             StartResult::NotTaken => self.release(vm_key, run, now),
+            StartResult::Withheld => {
+                self.release(vm_key, run, now);
+                self.stop_gang_of(run, now);
+            }
             StartResult::NoRoom => {
                 v.exclude_for_room(now.steady);
                 self.release(vm_key, run, now);
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -258,6 +258,7 @@
     ) {
         let task = ready.task(index);
         let ticket = self.ticket(ready.step_id(), &self.vms[vm].id, now);
+        let cap = self.quota.configured_cap(self.jobs[ready.job_key].workspace);
         let job = &mut self.jobs[ready.job_key];
         job.has_started = true;
         let order = StartOrder {
@@ -268,6 +269,7 @@
             ticket,
             free_cpu: self.vms[vm].free().cpu,
             placed_at: now,
+            cap,
         };
         self.orders.push(Order::Start(order));
         self.mark_changed(ready.job_key);
--- a/crates/schedule/src/quota/ledger.rs
+++ b/crates/schedule/src/quota/ledger.rs
@@ -186,6 +186,11 @@
         allowed
     }
 
+    /// Returns the configured cap of a workspace; without one, the cap has no limits.
+    pub fn configured_cap(&self, key: Option<WorkspaceKey>) -> Room {
+        key.and_then(|key| self.arena.get(key)?.cap).unwrap_or_default()
+    }
+
     /// Returns how much more CPU a workspace may use under its cap, if that is limited.
     pub fn cpu_left(&self, key: WorkspaceKey) -> Option<u64> {
         let entry = self.arena.get(key)?;
@@ -297,7 +302,7 @@
         let counts = |lent: &&LentCap| {
             view.records_read
                 && lent.version.max(view.as_of) >= self.limited_since
-                && !is_higher(lent.cap, cap)
+                && !is_higher_cap(lent.cap, cap)
         };
         let Some(lent) = self.lent.as_ref().filter(counts) else { return Some(Room::default()) };
         Some(lent.share(&view.pool).map(|share| share.room).unwrap_or_default())
@@ -322,8 +327,8 @@
     })
 }
 
-/// Returns whether the lent cap is higher than the current one, so that the pools' use may exceed the current one.
-fn is_higher(lent: Room, cap: Room) -> bool {
-    let mut resources = amounts(lent).into_iter().zip(amounts(cap));
-    resources.any(|(lent, cap)| cap > 0 && (lent == 0 || lent > cap))
+/// Returns whether a cap is higher than the current one, so that the use under it may exceed the current one.
+pub(crate) fn is_higher_cap(other: Room, cap: Room) -> bool {
+    let mut resources = amounts(other).into_iter().zip(amounts(cap));
+    resources.any(|(other, cap)| cap > 0 && (other == 0 || other > cap))
 }
--- a/crates/schedule/src/quota/mod.rs
+++ b/crates/schedule/src/quota/mod.rs
@@ -13,6 +13,7 @@
 mod ledger;
 mod lender;
 
+pub(crate) use ledger::is_higher_cap;
 pub use ledger::{Held, Ledger, WorkspaceKey};
 pub use lender::{Lender, divide};
 
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -2,6 +2,7 @@
 
 mod hold;
 mod orders;
+mod pending_starts;
 
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -9,6 +10,7 @@
 
 use thistle_platform::{OrderError, WorkerClient};
 use thistle_schedule::pool::{PollReason, StartOrder};
+use thistle_schedule::start_check::{self, StartFacts, Withheld};
 use thistle_schedule::{RunId, TaskLease, VmFacts, VmIncarnation, VmLoss};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, Semaphore, watch};
@@ -19,7 +21,7 @@
 use super::tokens::LinkToken;
 use crate::clock::steady_ms;
 use crate::node::Node;
-use orders::PendingStarts;
+use pending_starts::PendingStarts;
 
 /// Pause before a VM that does not answer is called again.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
@@ -42,7 +44,6 @@
     node: Arc<Node>,
     vm: VmIncarnation,
     pool: Arc<str>,
-    hall: Arc<str>,
     token: LinkToken,
     client: WorkerClient,
     lease: Mutex<TaskLease>,
@@ -93,7 +94,6 @@
             node: node.clone(),
             vm: facts.id.clone(),
             pool: facts.pool.clone(),
-            hall: facts.hall.clone(),
             token,
             client: WorkerClient::new(facts.addr, facts.id.clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
@@ -165,6 +165,16 @@
         self.shared.pending_starts.withdraw_unsent()
     }
 
+    /// Withdraws the waiting starts that will not be sent to the VM as it is now, and returns their runs. Copies that were sent
+    /// before are not affected.
+    pub fn withdraw_withheld_starts(&self) -> Vec<RunId> {
+        let withdrawn = self.shared.pending_starts.withdraw_withheld(|o| self.shared.withheld(o));
+        for &(run, reason) in &withdrawn {
+            orders::log_withheld(&self.shared, run, reason, false);
+        }
+        withdrawn.into_iter().map(|(run, _)| run).collect()
+    }
+
     /// Records that the owner has handled the result of a start.
     pub fn set_start_handled(&self, run: RunId) {
         self.shared.pending_starts.remove(run);
@@ -192,7 +202,8 @@
     /// Sends a start order.
     pub fn start(&self, order: StartOrder) {
         let shared = self.shared.clone();
-        shared.pending_starts.add(order.run);
+        let order = Arc::new(order);
+        shared.pending_starts.add(order.clone());
         let handled_loss = self.handled_loss;
         tokio::spawn(async move {
             if let Some(result) = orders::start(&shared, &order, handled_loss).await {
@@ -242,9 +253,20 @@
         !self.is_closed() && self.node.may_act(&self.pool, self.token.claim)
     }
 
-    /// Returns whether the VM's hall accepts no new work.
-    fn is_evacuated(&self) -> bool {
-        !self.node.halls.borrow().accepts_work(&self.hall)
+    /// Returns why a start must not be sent to the VM now, or `None` if it may be sent.
+    fn withheld(&self, order: &StartOrder) -> Option<Withheld> {
+        let (vms, fleet) = (self.node.vms.borrow().clone(), self.node.fleet.borrow().clone());
+        let (halls, catalog) =
+            (self.node.halls.borrow().clone(), self.node.catalog.borrow().clone());
+        let workspace = catalog.as_ref().and_then(|c| c.workspaces.get(&order.spec.workspace));
+        let facts = StartFacts {
+            pool: &self.pool,
+            listed: vms.get(self.vm.id()).map(|facts| &**facts),
+            fleet: &fleet,
+            halls: &halls,
+            cap: workspace.map(|w| w.cap),
+        };
+        start_check::check(order, &facts)
     }
 
     /// Returns the state of the VM in the newest list, for log lines.
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -1,16 +1,15 @@
 //! Sends orders to a VM until their outcome is known.
 
-use std::collections::HashMap;
-use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
-use metrics::histogram;
+use metrics::{counter, histogram};
 use thistle_platform::worker::Start;
 use thistle_platform::{OrderError, StartAnswer};
 use thistle_schedule::pool::{StartOrder, StartResult};
-use thistle_schedule::{Ms, RunId, VmReport};
+use thistle_schedule::{Ms, RunId, Withheld};
 
 use super::super::losses::LossNumber;
+use super::pending_starts::StartState;
 use super::{RETRY_PAUSE, Shared, millis};
 use crate::clock::steady_ms;
 use crate::locks::lock;
@@ -23,103 +22,6 @@
 /// placed.
 const LOGGED_WAIT: Duration = Duration::from_millis(200);
 
-/// Whether a start still has to be sent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum StartState {
-    /// The start was neither cancelled nor listed yet.
-    Unknown,
-    /// The start was cancelled.
-    Cancelled,
-    /// The VM has listed the run.
-    Listed,
-}
-
-/// A start whose outcome the owner has not handled yet.
-#[derive(Clone, Copy, Debug)]
-struct PendingStart {
-    state: StartState,
-    /// Whether the VM may have executed the start, or may yet execute it.
-    maybe_executed: bool,
-}
-
-/// The starts whose outcome the owner has not handled yet.
-///
-/// A start that is dropped because of a loss before it was sent stays here until the owner handles that loss: its run cannot
-/// have crashed the VM.
-#[derive(Debug, Default)]
-pub(super) struct PendingStarts(Mutex<HashMap<RunId, PendingStart>>);
-
-impl PendingStarts {
-    pub fn add(&self, run: RunId) {
-        let pending = PendingStart { state: StartState::Unknown, maybe_executed: false };
-        lock(&self.0).insert(run, pending);
-    }
-
-    pub fn remove(&self, run: RunId) {
-        lock(&self.0).remove(&run);
-    }
-
-    /// Cancels the start of a run that is to stop.
-    pub fn cancel(&self, run: RunId) {
-        if let Some(pending) = lock(&self.0).get_mut(&run) {
-            pending.state = StartState::Cancelled;
-        }
-    }
-
-    /// Records the runs that a VM has listed.
-    pub fn record_listed(&self, report: &VmReport) {
-        let mut starts = lock(&self.0);
-        if starts.is_empty() {
-            return;
-        }
-        let listed = report.running.iter().map(|r| r.run).chain(report.ended.iter().map(|e| e.run));
-        for run in listed {
-            if let Some(pending) = starts.get_mut(&run).filter(|p| p.state == StartState::Unknown) {
-                pending.state = StartState::Listed;
-            }
-        }
-    }
-
-    /// Withdraws the starts that the VM can't have executed, so that they are never sent, and returns their runs.
-    pub fn withdraw_unsent(&self) -> Vec<RunId> {
-        let mut starts = lock(&self.0);
-        starts.extract_if(|_, pending| !pending.maybe_executed).map(|(run, _)| run).collect()
-    }
-
-    /// Records that a start is about to be sent. Returns false if it was withdrawn and must not be sent.
-    fn begin_send(&self, run: RunId) -> bool {
-        let mut starts = lock(&self.0);
-        let Some(pending) = starts.get_mut(&run) else { return false };
-        pending.maybe_executed = true;
-        true
-    }
-
-    /// Records the result of a start. An executed or unclear start needs no entry any more. One that was not executed keeps
-    /// its entry until the owner has handled the result, as a loss of the VM may be handled first.
-    fn record_result(&self, run: RunId, result: StartResult) {
-        match result {
-            StartResult::Started | StartResult::StartedWithCopies | StartResult::Unclear => {
-                self.remove(run);
-            }
-            StartResult::NotTaken | StartResult::NoRoom | StartResult::Unhealthy => {
-                self.record_not_executed(run);
-            }
-        }
-    }
-
-    /// Records that the VM can't have executed a start. Its entry stays until the owner has handled the loss of the VM.
-    fn record_not_executed(&self, run: RunId) {
-        if let Some(pending) = lock(&self.0).get_mut(&run) {
-            pending.maybe_executed = false;
-        }
-    }
-
-    /// Returns the state of a start, or `None` if it was withdrawn.
-    fn get(&self, run: RunId) -> Option<StartState> {
-        lock(&self.0).get(&run).map(|pending| pending.state)
-    }
-}
-
 /// How long a start has waited since it was placed, and for what, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 struct StartWait {
@@ -233,6 +135,11 @@
             // Another copy could start a finished task again in the VM's next incarnation.
             Some(StartState::Listed) => return Some(StartResult::StartedWithCopies),
         }
+        if let Some(reason) = link.withheld(order) {
+            let result = if *maybe_arrived { StartResult::Unclear } else { StartResult::Withheld };
+            log_withheld(link, order.run, reason, *maybe_arrived);
+            return Some(result);
+        }
         if *maybe_arrived && lock(&link.lease).is_unresponsive() {
             // The next incarnation could accept a copy, whose lease would start then and end later than the owner expects.
             tokio::time::sleep(RETRY_PAUSE).await;
@@ -243,17 +150,6 @@
             continue;
         }
         let refused = if *maybe_arrived { StartResult::Unclear } else { StartResult::NotTaken };
-        if link.is_evacuated() {
-            // A copy that was sent before may run; another one could start the task long after the hall was evacuated.
-            log::info!(
-                "start step=hall-evacuated run={} vm={} hall={} sent={}",
-                order.run,
-                link.vm,
-                link.hall,
-                *maybe_arrived
-            );
-            return Some(refused);
-        }
         // Decided under the lock under which the owner withdraws unsent starts, right before the start is sent.
         if !link.pending_starts.begin_send(order.run) {
             log_dropped(link, order.run, *maybe_arrived);
@@ -318,6 +214,12 @@
     }
 }
 
+/// Logs and counts a start that is not sent, or not sent again.
+pub(super) fn log_withheld(link: &Shared, run: RunId, reason: Withheld, sent: bool) {
+    log::info!("late-start step=withheld run={run} vm={} reason={reason:?} sent={sent}", link.vm);
+    counter!("thistle_starts_withheld", "reason" => format!("{reason:?}")).increment(1);
+}
+
 fn log_dropped(link: &Shared, run: RunId, sent: bool) {
     let closed = link.is_closed();
     log::info!("start step=dropped run={run} vm={} sent={sent} link_closed={closed}", link.vm);
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -234,6 +234,7 @@
         self.pool.set_listing_is_complete(self.node.store_health.listing_is_complete());
         self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
         self.update_forecast();
+        self.withdraw_withheld_starts();
         let orders = self.pool.plan(now());
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -234,6 +234,15 @@
         }
     }
 
+    /// Withdraws the starts that wait for a VM and will not be sent, so that their tasks run elsewhere at once.
+    pub(super) fn withdraw_withheld_starts(&mut self) {
+        for link in self.links.values() {
+            for run in link.withdraw_withheld_starts() {
+                self.pool.apply_start_result(link.vm(), run, StartResult::Withheld, now());
+            }
+        }
+    }
+
     /// Abandons the runs on a VM incarnation that is lost.
     pub(super) fn lose_vm(&mut self, vm: &VmIncarnation, loss: VmLoss) {
         let lost = self.pool.vm_lost(vm, loss, now());
--- a/crates/scheduler/tests/caps.rs
+++ b/crates/scheduler/tests/caps.rs
@@ -91,6 +91,29 @@
     expect_that!(max_running_at_once(&system, ID, 24).await, le(2));
 }
 
+/// Guards against starts that were placed under a cap, waited behind unanswered ones, and are sent after the cap was lowered.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_that_waited_are_not_sent_under_a_lowered_cap() {
+    let system = System::start(95, 1, 1).await;
+    put_cap(&system, 2, 16_000);
+    wait_until_in_force(&system, 2).await;
+    let node = &system.nodes[0];
+    expect_that!(submit(node, "00000000000000b1", &job(1, 10)).await, eq(200));
+    expect_that!(max_running_at_once(&system, "00000000000000b1", 1).await, le(1));
+    let vm = system.platform.machines.vms().remove(0);
+    vm.set_unresponsive(true);
+    expect_that!(submit(node, ID, &job(16, 1_500)).await, eq(200));
+    let ordered = format!("start step=ordered run={ID}");
+    wait_until("all starts were ordered", async || node.log().matches(&ordered).count() >= 16)
+        .await;
+    put_cap(&system, 3, 1_000);
+    wait_until_in_force(&system, 3).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    vm.set_unresponsive(false);
+    expect_that!(max_running_at_once(&system, ID, 16).await, le(2));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn without_caps_no_record_of_caps_is_written() {
