Soak: VMs that drain, planned and at short notice, and fall silent around it

No test had a VM that drains while starts to it wait: no fake VM ever said that it leaves, and the soak did not check the rule. Its new kind has bursts of work, VMs that announce their end 3.5 to 8 s or 0.2 to 2 s before it, or leave the list without a word, most of them silent around that, VMs that crash, and nodes that are killed. The rule is checked by its words: no order that arrives more than 3 s after the announcement is carried out. An order that the VM itself carries out late counts by its arrival. Stores, links and pauses stay out, as the rule binds only nodes in touch; kills stay in without an exemption.

--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -15,6 +15,8 @@
 mod checks;
 #[path = "soak/crashing_jobs.rs"]
 mod crashing_jobs;
+#[path = "soak/draining.rs"]
+mod draining;
 #[path = "soak/evacuations.rs"]
 mod evacuations;
 #[path = "soak/faults.rs"]
@@ -84,6 +86,10 @@
 const RESTART_SEEDS: [u64; 2] = [4_000, 4_055];
 /// Seeds of a short run with data halls that are evacuated and returned to service.
 const EVACUATION_SEEDS: [u64; 2] = [5_000, 5_001];
+/// Seeds of a short run with VMs that announce that they will leave.
+///
+/// 6000, 6002: starts that had waited behind unanswered ones were sent 4 s after the announcement of their VM.
+const DRAINING_SEEDS: [u64; 2] = [6_000, 6_002];
 /// Seeds of a run with many processes.
 const MANY_PROCESSES_SEEDS: [u64; 1] = [3_000];
 
@@ -165,6 +171,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_when_vms_drain() {
+    for seed in seeds_or_default(DRAINING_SEEDS) {
+        run_seed(seed, Kind::Draining).await;
+    }
+}
+
 /// Run by hand: `cargo test --release -p thistle-scheduler --test soak many_processes -- --ignored --nocapture`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "starts as many processes as a machine can run with nothing else on it"]
@@ -193,6 +206,8 @@
     Restarts,
     /// Any fault, and data halls that are evacuated and returned to service, one or all, some only for a moment.
     Evacuations,
+    /// Faults of VMs and restarts of nodes, and VMs that announce that they will leave, during bursts of work.
+    Draining,
     /// Nodes that are stopped and started, reloads of settings, and new configurations.
     PlannedWork,
 }
@@ -210,6 +225,7 @@
             Self::Cap => (10, 60),
             Self::Bursts => (70, 20),
             Self::Restarts => (1, 9),
+            Self::Draining => (192, 30),
             Self::ManyProcesses => (90, 10),
         }
     }
@@ -224,7 +240,7 @@
             | Self::Evacuations => 3,
             Self::FaultsOfMany => 14,
             // One node is down at first and replaces another one later.
-            Self::Bursts => 4,
+            Self::Bursts | Self::Draining => 4,
             Self::ManyProcesses => MANY_PROCESSES,
         }
     }
@@ -239,7 +255,7 @@
 
     const fn load_pattern(self) -> LoadPattern {
         match self {
-            Self::Bursts | Self::ManyProcesses => LoadPattern::Bursts,
+            Self::Bursts | Self::ManyProcesses | Self::Draining => LoadPattern::Bursts,
             _ => LoadPattern::Even,
         }
     }
@@ -272,6 +288,7 @@
             Kind::Restarts => soak.restart_or_fault().await,
             Kind::Cap => soak.cap_or_fault().await,
             Kind::Evacuations => soak.evacuation_or_fault().await,
+            Kind::Draining => soak.drain_or_fault().await,
             Kind::Bursts | Kind::ManyProcesses => soak.inject_burst_fault().await,
         }
         soak.check_newest_config().await;
@@ -291,6 +308,7 @@
     broken.extend(soak.started_too_often());
     broken.extend(soak.starts_over_cap());
     broken.extend(soak.starts_in_evacuated_halls());
+    broken.extend(soak.starts_on_draining_vms());
     if kind == Kind::PlannedWork {
         broken.extend(checks::unanswered_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/bursts.rs
+++ b/crates/scheduler/tests/soak/bursts.rs
@@ -89,7 +89,7 @@
         self.scheduled_repairs.iter().any(|(_, repair)| reconnects(repair))
     }
 
-    fn apply_due_repairs(&mut self) {
+    pub fn apply_due_repairs(&mut self) {
         let now = Instant::now();
         let (due, remaining) = std::mem::take(&mut self.scheduled_repairs)
             .into_iter()
@@ -130,7 +130,7 @@
         vms
     }
 
-    fn cut_off_several(&mut self, ms: std::ops::Range<u64>) -> String {
+    pub fn cut_off_several(&mut self, ms: std::ops::Range<u64>) -> String {
         let mut vms = self.vms_to_cut_off();
         vms.truncate(self.rng.random_range(2..=4));
         let delayed = self.rng.random_bool(0.4);
@@ -138,7 +138,7 @@
         self.limit_connectivity(vms, connectivity, ms)
     }
 
-    fn cut_off_partly(&mut self) -> String {
+    pub fn cut_off_partly(&mut self) -> String {
         let mut vms = self.vms_to_cut_off();
         vms.truncate(self.rng.random_range(1..=2));
         let parts = [Connectivity::HoldsOnly, Connectivity::LateOrders, Connectivity::RequestsOnly];
@@ -146,7 +146,7 @@
         self.limit_connectivity(vms, connectivity, PARTLY_CUT_OFF_MS)
     }
 
-    fn limit_connectivity(
+    pub fn limit_connectivity(
         &mut self,
         vms: Vec<Arc<VmFake>>,
         connectivity: Connectivity,
@@ -167,7 +167,7 @@
     }
 
     /// Removes the entries of VMs that keep working.
-    fn remove_entries_for_a_while(&mut self) -> String {
+    pub fn remove_entries_for_a_while(&mut self) -> String {
         let mut vms = self.system.platform.machines.vms();
         vms.shuffle(&mut self.rng);
         vms.truncate(self.rng.random_range(1..=2));
@@ -202,7 +202,7 @@
         format!("{description} for {after:?}")
     }
 
-    fn kill_and_start(&mut self, node: usize) -> String {
+    pub fn kill_and_start(&mut self, node: usize) -> String {
         if !self.is_up(node) {
             return format!("kill and start {node}: it is not up");
         }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -30,6 +30,8 @@
     OverCap { run: String, running: i64 },
     /// A task was started in a data hall when its evacuation had to be in force.
     InEvacuatedHall { run: String, hall: &'static str, after: Duration },
+    /// A task was started on a VM too long after the VM had announced that it will leave.
+    OnDrainingVm { run: String, after: Duration },
     /// A node accepted a request and did not answer it, although there was only planned work.
     Unanswered { job: String, node: usize },
 }
--- a/crates/scheduler/tests/soak/faults.rs
+++ b/crates/scheduler/tests/soak/faults.rs
@@ -202,7 +202,7 @@
         format!("store {fault:?}")
     }
 
-    async fn inject_vm_fault(&mut self) -> String {
+    pub async fn inject_vm_fault(&mut self) -> String {
         let vms = self.system.platform.machines.vms();
         // Tasks go to the fullest VM that fits, so most VMs are idle, and a fault of an idle VM has little effect.
         let busy: Vec<_> = vms.iter().filter(|vm| !vm.running().is_empty()).cloned().collect();
