Stops that only move a task are checked again before each copy

The owner stops a lasting task on a VM that is to be emptied if no more than the allowed number of others of its step are absent. The stop waits for a place, or is lost and sent again, also a second later when the VM still lists the run. If another task of the step goes away meanwhile, that one and the stopped one are both absent.

a_lost_stop_of_a_move_is_not_repeated_once_another_task_is_absent was red before. Such a stop is now withheld while the limit forbids it, before each copy and before it is ordered again, and goes out once the others work again. It is sent before the append of the step's records, which may take seconds and of which it has no part. Not done: taking back a stop of which a copy may have arrived; the run counts as absent until its end is known, as before.

--- a/crates/schedule/src/pool/gang.rs
+++ b/crates/schedule/src/pool/gang.rs
@@ -65,12 +65,13 @@
     pub(super) fn stop_gang_of(&mut self, run: RunId, now: Now) {
         let is_member = |task: &TaskId, other: &Run| {
             let same_step = TaskId { index: run.task.index, ..*task } == run.task;
-            other.in_gang && same_step && other.attempt == run.attempt && !other.stopping
+            let stops = other.stopping && !other.moving;
+            other.in_gang && same_step && other.attempt == run.attempt && !stops
         };
         let mut members = Vec::new();
         for (vm, state) in &mut self.vms {
             for (&task, member) in state.runs.iter_mut().filter(|(task, r)| is_member(task, r)) {
-                (member.stopping, member.stop_ordered) = (true, now.steady);
+                (member.stopping, member.moving, member.stop_ordered) = (true, false, now.steady);
                 members.push((vm, task));
             }
         }
--- a/crates/schedule/src/pool/leaving.rs
+++ b/crates/schedule/src/pool/leaving.rs
@@ -2,11 +2,11 @@
 //! tasks that can be resumed elsewhere. The evacuation of a data hall is no reason to move tasks: those
 //! that run there end as usual.
 
-use super::job::{Task, TaskState};
+use super::job::{Job, Task, TaskState};
 use super::remaining::WORTH_STOPPING_MS;
 use super::run::Run;
 use super::{Now, Pool, VmKey};
-use crate::id::TaskId;
+use crate::id::{RunId, TaskId, VmIncarnation};
 use crate::spec::Step;
 
 impl Pool {
@@ -39,6 +39,40 @@
         }
     }
 
+    /// Returns the runs whose stops must not be sent now, or not again: they only move, and so many other tasks of their steps
+    /// have gone away since that none may be stopped.
+    pub fn withheld_moves(&self) -> Vec<(VmIncarnation, RunId)> {
+        let mut withheld = Vec::new();
+        for (key, vm) in &self.vms {
+            for (&task, run) in vm.runs.iter().filter(|(_, run)| run.moving) {
+                if self.is_move_withheld(key, task) {
+                    withheld.push((vm.id.clone(), RunId { task, attempt: run.attempt }));
+                }
+            }
+        }
+        withheld
+    }
+
+    /// Returns whether too many other tasks of a lasting step are absent to stop this one, unless its VM drains.
+    pub(super) fn is_move_withheld(&self, vm: VmKey, task: TaskId) -> bool {
+        let Some(job) = self.job_key(task).and_then(|key| self.jobs.get(key)) else { return false };
+        let Some(step_spec) = job.spec.steps.get(usize::from(task.step)) else { return false };
+        step_spec.lasting && !self.vms[vm].draining() && !self.may_be_absent(job, step_spec, task)
+    }
+
+    /// Returns whether a task may be stopped by the limit on absent tasks of its step.
+    fn may_be_absent(&self, job: &Job, step_spec: &Step, task: TaskId) -> bool {
+        let Some(step) =
+            job.repetitions.get(&task.repetition).and_then(|t| t.steps.get(usize::from(task.step)))
+        else {
+            return false;
+        };
+        let index = usize::try_from(task.index).unwrap_or(usize::MAX);
+        let others = step.tasks.iter().enumerate().filter(|&(i, _)| i != index);
+        let others_absent = others.filter(|(_, t)| !self.is_working(t)).count();
+        others_absent < usize::try_from(step_spec.may_miss.max(1)).unwrap_or(1)
+    }
+
     /// Returns whether a run must be stopped because another pool urgently needs its VM. The task may have to wait for room, as
     /// its own pool needs the VM less.
     fn is_urgent(&self, vm: VmKey, task: TaskId, now: Now) -> bool {
@@ -76,10 +110,7 @@
         if now.steady < self.moves_allowed_from {
             return false;
         }
-        let others = step.tasks.iter().enumerate().filter(|&(i, _)| i != index);
-        let others_absent = others.filter(|(_, t)| !self.is_working(t)).count();
-        let budget = usize::try_from(step_spec.may_miss.max(1)).unwrap_or(1);
-        others_absent < budget && self.fits_elsewhere(vm, task, step_spec, now)
+        self.may_be_absent(job, step_spec, task) && self.fits_elsewhere(vm, task, step_spec, now)
     }
 
     /// Returns whether a lasting task is known to be working. On an unreachable VM it may have died.
@@ -106,7 +137,7 @@
 
     fn stop_to_move(&mut self, vm: VmKey, task: TaskId, attempt: u32, now: Now) {
         if let Some(run) = self.vms[vm].runs.get_mut(&task) {
-            run.stopping = true;
+            (run.stopping, run.moving) = (true, true);
             run.stop_ordered = now.steady;
         }
         if let Some((step, index)) = self.job_mut(task).and_then(|j| j.step_mut(task)) {
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -263,9 +263,9 @@
         self.mark_changed(key);
         let mut stops = Vec::new();
         for (vm_key, vm) in &mut self.vms {
-            let of_job = vm.runs.iter_mut().filter(|(task, run)| task.job == id && !run.stopping);
-            for (&task, run) in of_job {
-                run.stopping = true;
+            let of_job = vm.runs.iter_mut().filter(|(task, _)| task.job == id);
+            for (&task, run) in of_job.filter(|(_, run)| !run.stopping || run.moving) {
+                (run.stopping, run.moving) = (true, false);
                 run.stop_ordered = now.steady;
                 stops.push((vm_key, task, run.attempt));
             }
--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -41,6 +41,8 @@
         vm: VmIncarnation,
         /// The run.
         run: RunId,
+        /// Whether the run is stopped only to move its task to another VM.
+        for_move: bool,
     },
     /// Request advice on which VMs may run a step.
     RequestAdvice(super::AdviceRequest),
@@ -142,6 +144,8 @@
 
     pub(super) fn order_stop(&mut self, vm: VmKey, task: TaskId, attempt: u32) {
         let Some(v) = self.vms.get(vm) else { return };
-        self.orders.push(Order::Stop { vm: v.id.clone(), run: RunId { task, attempt } });
+        let for_move = v.runs.get(&task).is_some_and(|r| r.attempt == attempt && r.moving);
+        let run = RunId { task, attempt };
+        self.orders.push(Order::Stop { vm: v.id.clone(), run, for_move });
     }
 }
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -107,7 +107,9 @@
             } else if now.steady >= run.stop_ordered + STOP_RETRY_MS {
                 // The stop order may have been issued while there was no connection to the VM.
                 run.stop_ordered = now.steady;
-                self.order_stop(key, task, reported.run.attempt);
+                if !run.moving || !self.is_move_withheld(key, task) {
+                    self.order_stop(key, task, reported.run.attempt);
+                }
             }
             return;
         }
--- a/crates/schedule/src/pool/run.rs
+++ b/crates/schedule/src/pool/run.rs
@@ -34,6 +34,8 @@
     /// The crash to count against the task if the VM does not list the run: the VM has probably restarted under it.
     pub crash_if_missing: Option<Crash>,
     pub stopping: bool,
+    /// Whether the run is being stopped only to move its task to another VM.
+    pub moving: bool,
     /// When the run was last ordered to stop.
     pub stop_ordered: Ms,
     /// The target tail latency of a serving task in milliseconds, or 0 for other tasks.
@@ -78,6 +80,7 @@
             unclear: false,
             crash_if_missing: None,
             stopping: false,
+            moving: false,
             stop_ordered: 0,
             tail_target_ms: step_spec.tail_target_ms,
             fills: step_spec.fills,
--- a/crates/schedule/tests/emptying.rs
+++ b/crates/schedule/tests/emptying.rs
@@ -8,7 +8,7 @@
 use common::{JOB, at, end, job, plan_and_start, pool_with_vms, report, row, starts, step, stops};
 use googletest::prelude::*;
 use thistle_schedule::pool::StartOrder;
-use thistle_schedule::{EndKind, JobId, Pool, RunEnd, Step};
+use thistle_schedule::{EndKind, JobId, Pool, RunEnd, RunId, Step, VmLoss};
 
 fn checkpointing_step(count: u32, cpu: u32) -> Step {
     Step { checkpointing: true, estimated_ms: 4_000, ..step(count, cpu) }
@@ -135,3 +135,44 @@
         expect_that!(stops(&pool.plan(at(200))), eq(&vec![leaving]), "{draining} drains");
     }
 }
+
+/// Starts two lasting tasks of which one may be absent, has the first one's VM cordoned, and returns the order to stop that task.
+fn move_of_one_of_two() -> (Pool, RunId, StartOrder) {
+    let mut pool = pool_with_vms(&["a", "b"]);
+    pool.submit(JOB, job(vec![common::lasting_step(2, 1)]), at(0));
+    let started = plan_and_start(&mut pool, 10);
+    common::report_all_running(&mut pool, &started, 100);
+    for name in ["c", "d"] {
+        pool.list_vm(common::vm(name, 1));
+        pool.apply_report(&common::vm(name, 1).id, &report(0, vec![], vec![]), at(20));
+    }
+    pool.set_cordoned([Arc::from("a")].into());
+    let on_a = |start: &&StartOrder| start.vm == common::vm("a", 1).id;
+    let moved = started.iter().find(on_a).expect("a task runs on a").clone();
+    let other = started.iter().find(|start| start.run != moved.run).expect("two tasks run").clone();
+    assert_eq!(stops(&pool.plan(at(200))), vec![moved.run]);
+    (pool, moved.run, other)
+}
+
+/// Guards against a stop that is lost, and is ordered again after another task of the step went away: both are then absent.
+#[gtest]
+fn a_lost_stop_of_a_move_is_not_repeated_once_another_task_is_absent() {
+    let (mut pool, moved, other) = move_of_one_of_two();
+    pool.vm_lost(&other.vm, VmLoss::LeaseOver, at(7_000));
+    let a = common::vm("a", 1).id.clone();
+    pool.apply_report(&a, &report(7_100, vec![row(moved, 100)], vec![]), at(7_110));
+    expect_that!(stops(&pool.plan(at(7_120))), is_empty());
+}
+
+/// Guards against a stop that waits for its turn, and is sent after another task of the step went away.
+#[gtest]
+fn a_stop_of_a_move_is_withheld_while_another_task_is_absent() {
+    let (mut pool, moved, other) = move_of_one_of_two();
+    expect_that!(pool.withheld_moves(), is_empty());
+    pool.vm_lost(&other.vm, VmLoss::LeaseOver, at(7_000));
+    let a = common::vm("a", 1).id.clone();
+    expect_that!(pool.withheld_moves(), eq(&vec![(a, moved)]));
+    let again = plan_and_start(&mut pool, 7_010);
+    common::report_all_running(&mut pool, &again, 8_000);
+    expect_that!(pool.withheld_moves(), is_empty());
+}
--- a/crates/schedule/tests/histories/mod.rs
+++ b/crates/schedule/tests/histories/mod.rs
@@ -293,7 +293,7 @@
         for order in orders {
             match order {
                 Order::Start(start) => self.start(&start),
-                Order::Stop { vm, run } => {
+                Order::Stop { vm, run, .. } => {
                     for sim in self.vms.iter_mut().filter(|v| v.facts().id == vm) {
                         sim.end(run.task, EndKind::Stopped);
                     }
--- a/crates/schedule/tests/world/in_flight.rs
+++ b/crates/schedule/tests/world/in_flight.rs
@@ -18,7 +18,7 @@
 fn describe(order: &Order) -> String {
     match order {
         Order::Start(start) => format!("start {} on {}", start.run, start.vm),
-        Order::Stop { vm, run } => format!("stop {run} on {vm}"),
+        Order::Stop { vm, run, .. } => format!("stop {run} on {vm}"),
         Order::Throttle { vm, run, percent } => format!("throttle {run} on {vm} to {percent}"),
         Order::RequestAdvice(_) => "advice request".to_owned(),
     }
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -4,6 +4,7 @@
 mod orders;
 mod pending_starts;
 
+use std::collections::HashSet;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -20,6 +21,7 @@
 use super::losses::{LossCounter, LossNumber, NewestLoss};
 use super::tokens::LinkToken;
 use crate::clock::steady_ms;
+use crate::locks::lock;
 use crate::node::Node;
 use pending_starts::PendingStarts;
 
@@ -58,6 +60,7 @@
     losses: Arc<LossCounter>,
     newest_loss: NewestLoss,
     pending_starts: PendingStarts,
+    withheld_moves: Mutex<HashSet<RunId>>,
     starts: Semaphore,
     stops: Semaphore,
     /// Interrupts a call that waits for the end of a run.
@@ -105,6 +108,7 @@
             losses,
             newest_loss: NewestLoss::default(),
             pending_starts: PendingStarts::default(),
+            withheld_moves: Mutex::default(),
             starts: Semaphore::new(MAX_ORDERS_IN_FLIGHT),
             stops: Semaphore::new(MAX_ORDERS_IN_FLIGHT),
             wake_poll: Notify::new(),
@@ -213,17 +217,22 @@
     }
 
     /// Sends a stop order and cancels a start of the same run that was not sent yet.
-    pub fn stop(&self, run: RunId) {
+    pub fn stop(&self, run: RunId, for_move: bool) {
         let shared = self.shared.clone();
         shared.pending_starts.cancel(run);
         let handled_loss = self.handled_loss;
         tokio::spawn(async move {
-            if orders::stop(&shared, run, handled_loss).await.is_some() {
+            if orders::stop(&shared, run, for_move, handled_loss).await.is_some() {
                 shared.send_event(Event::Stopped(shared.vm.clone(), run));
             }
         });
     }
 
+    /// Sets the runs whose stops, if sent only to move their tasks, must not be sent for now.
+    pub fn withhold_moves(&self, runs: HashSet<RunId>) {
+        *lock(&self.shared.withheld_moves) = runs;
+    }
+
     /// Sets the share of full speed at which a run works, in percent.
     pub fn set_speed(&self, run: RunId, percent: u32) {
         let shared = self.shared.clone();
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -197,13 +197,22 @@
     }
 }
 
-/// Sends a stop until it is answered or its VM is lost.
-pub(super) async fn stop(link: &Shared, run: RunId, handled_loss: LossNumber) -> Option<()> {
+/// Sends a stop until it is answered or its VM is lost. The stop of a run that only moves is checked again before each copy.
+pub(super) async fn stop(
+    link: &Shared,
+    run: RunId,
+    for_move: bool,
+    handled_loss: LossNumber,
+) -> Option<()> {
     let _permit = link.stops.acquire().await.ok()?;
     loop {
         if !link.wait_until_may_send().await || link.newest_loss.is_after(handled_loss) {
             return None;
         }
+        if for_move && lock(&link.withheld_moves).contains(&run) {
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
         let sent_at = Instant::now();
         match link.client.stop(run, link.token.on_the_wire).await {
             Ok(()) => return Some(()),
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -236,9 +236,16 @@
         self.update_forecast();
         self.withdraw_withheld_starts();
         let orders = self.pool.plan(now());
+        self.withhold_moves();
         let records = self.pool.take_records();
         let acks = self.pool.take_acks();
         self.log_abandoned_tasks();
+        // The stops of moves are sent before the append: they change no record, and might not be allowed after it.
+        let is_move = |order: &Order| matches!(order, Order::Stop { for_move: true, .. });
+        let (moves, orders): (Vec<Order>, Vec<Order>) = orders.into_iter().partition(is_move);
+        for order in moves {
+            self.dispatch(order);
+        }
         if !records.is_empty() {
             self.write_progress(records).await?;
         }
@@ -309,10 +316,13 @@
                 counter!("thistle_starts").increment(1);
                 link.start(start);
             }
-            Order::Stop { vm, run } => {
-                log::info!("stop step=ordered run={run} vm={vm} token={}", self.token);
+            Order::Stop { vm, run, for_move } => {
+                log::info!(
+                    "stop step=ordered run={run} vm={vm} token={} for_move={for_move}",
+                    self.token
+                );
                 counter!("thistle_stops").increment(1);
-                link.stop(run);
+                link.stop(run, for_move);
             }
             Order::Throttle { vm, run, percent } => {
                 log::info!("pace step=ordered run={run} vm={vm} percent={percent}");
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -1,12 +1,12 @@
 //! Keeps an owner's links consistent with the VMs that the store lists.
 
 use std::borrow::Cow;
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use metrics::counter;
 use thistle_schedule::pool::{LostRun, StartResult, VmSummary};
-use thistle_schedule::{Ms, TaskLease, VmFacts, VmIncarnation, VmLoss};
+use thistle_schedule::{Ms, RunId, TaskLease, VmFacts, VmIncarnation, VmLoss};
 
 use super::link::Link;
 use super::losses::LossNumber;
@@ -243,6 +243,17 @@
         }
     }
 
+    /// Tells each link which stops of moves must not be sent now.
+    pub(super) fn withhold_moves(&self) {
+        let mut withheld: HashMap<VmIncarnation, HashSet<RunId>> = HashMap::new();
+        for (vm, run) in self.pool.withheld_moves() {
+            withheld.entry(vm).or_default().insert(run);
+        }
+        for link in self.links.values() {
+            link.withhold_moves(withheld.remove(link.vm()).unwrap_or_default());
+        }
+    }
+
     /// Abandons the runs on a VM incarnation that is lost.
     pub(super) fn lose_vm(&mut self, vm: &VmIncarnation, loss: VmLoss) {
         let lost = self.pool.vm_lost(vm, loss, now());
