A start without an answer is no proof that its task crashed the VM

Callers would see an innocent job fail (LOST).

The owner counted two crashes of VMs under one task alone, soon after its start, which abandons a task at once. In each, one of the two starts had been sent and never answered, and no VM has a record of it: the VM was down already (its next incarnation answered 21 ms and 211 ms after the start was ordered).

Such a crash still counts as one of the four or five that abandon any task, so that a guilty task whose answers are all lost is started no more than five times. It no longer counts as one that the task alone can have caused: for that the VM has to have answered the start or listed the run.

a_start_without_an_answer_is_no_proof_that_its_task_crashed_the_vm was red before; crash_histories (random histories of guilty and innocent jobs) passes as before.

--- a/crates/schedule/src/crash_history.rs
+++ b/crates/schedule/src/crash_history.rs
@@ -7,8 +7,8 @@
 //!   disconnected, so its loss is unclear until the VM answers again (not counted) or is replaced (counted).
 //! - A crash soon after the task's start makes the task a suspect, and so does a second crash at any time. A suspect does
 //!   not share a VM with tasks of other jobs, so that its next crash is conclusive and affects no other job.
-//! - A task is abandoned after two crashes soon after its start on a VM without tasks of other jobs, after four crashes
-//!   of which two came soon after its start, or after five crashes in all.
+//! - A task is abandoned after two crashes soon after its start on a VM where it has certainly run and that had no tasks of
+//!   other jobs, after four crashes of which two came soon after its start, or after five crashes in all.
 
 use serde::{Deserialize, Serialize};
 
@@ -48,7 +48,7 @@
 pub struct Crash {
     /// The crash came soon after the run's start.
     pub at_start: bool,
-    /// The VM ran no tasks of other jobs.
+    /// The run has certainly existed, and the VM ran no tasks of other jobs.
     pub alone: bool,
 }
 
@@ -59,7 +59,7 @@
     pub crashes: u32,
     /// The number of these that crashed soon after the task's start.
     pub at_start: u32,
-    /// The number of those in `at_start` that ran no tasks of other jobs.
+    /// The number of those in `at_start` under which the task has certainly run, without tasks of other jobs.
     pub alone: u32,
     /// VMs that became unresponsive and may have crashed.
     pub unclear: Vec<UnclearLoss>,
--- a/crates/schedule/src/pool/suspects.rs
+++ b/crates/schedule/src/pool/suspects.rs
@@ -90,7 +90,9 @@
         // The answer to the start may arrive after the end of the VM.
         let soon = ended.saturating_sub(run.started) <= CRASH_AT_START_MS;
         let at_start = run.ordered_at.is_some() && (soon || run.confirmed.is_none());
-        let alone = self.runs.keys().all(|other| other.job == task.job);
+        // A start without an answer may have reached the VM after its end.
+        let has_run = run.listed || run.confirmed.is_some() && !run.unclear;
+        let alone = has_run && self.runs.keys().all(|other| other.job == task.job);
         Some(Crash { at_start, alone })
     }
 }
--- a/crates/schedule/tests/crashing_tasks.rs
+++ b/crates/schedule/tests/crashing_tasks.rs
@@ -14,7 +14,7 @@
 use thistle_schedule::job_log::{JobEntry, Version, encode_progress, progress_key};
 use thistle_schedule::pool::StartResult;
 use thistle_schedule::{
-    CrashHistory, JobId, JobLog, Ms, Phase, Pool, Progress, Step, Verdict, VmFacts, VmLoss,
+    CrashHistory, JobId, JobLog, Ms, Phase, Pool, Progress, Step, TaskId, Verdict, VmFacts, VmLoss,
     VmReport,
 };
 
@@ -282,6 +282,26 @@
     expect_that!((history.crashes, history.alone), eq((1, 1)));
 }
 
+/// Guards against a job that is abandoned because two VMs crashed just before its starts arrived there. A start without an answer
+/// may never have run, so its crash counts, but not as one that the task alone can have caused.
+#[gtest]
+fn a_start_without_an_answer_is_no_proof_that_its_task_crashed_the_vm() {
+    let mut pool = pool_with_vms(&["a", "b", "c"]);
+    pool.submit(JOB, job(vec![step(1, 500)]), at(0));
+    let mut now = 10;
+    for _ in 0..2 {
+        let start = starts(&pool.plan(at(now))).pop().expect("there is room");
+        pool.take_records();
+        pool.vm_lost(&start.vm, VmLoss::Replaced, at(now + 21));
+        now += 3_000;
+    }
+    let task = TaskId { job: JOB, repetition: 0, step: 0, index: 0 };
+    let history = pool.crash_history_of(task).cloned().unwrap_or_default();
+    expect_that!((history.crashes, history.at_start, history.alone), eq((2, 2, 0)));
+    expect_that!(history.verdict(), eq(Verdict::Suspect));
+    expect_that!(starts(&pool.plan(at(now))), len(eq(1)));
+}
+
 /// Each suspect runs alone, so other jobs have no room on the VM that it holds and on the VMs for which further suspects wait.
 /// If the pool's need counts only the CPU of the suspects, another job in a pool of three or four VMs does not start for 3 s.
 #[gtest]
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -81,9 +81,9 @@
 /// Sends a start until its outcome is known or it is cancelled. Sending it again is harmless, as the VM starts a run
 /// only once.
 ///
-/// A start may wait for the store and for earlier starts, and its VM may be lost meanwhile. `handled_loss` is the newest
-/// loss that the owner had handled when it decided. Sent after a later loss, the start would run a task that the
-/// owner also starts elsewhere.
+/// A start may wait for the store and for earlier starts, and its VM may be lost or stop accepting work meanwhile, so each
+/// copy is checked right before it is sent. `handled_loss` is the newest loss that the owner had handled when it decided.
+/// Sent after a later loss, the start would run a task that the owner also starts elsewhere.
 async fn send_start(
     link: &Shared,
     order: &StartOrder,
