--- a/crates/schedule/tests/emptying.rs
+++ b/crates/schedule/tests/emptying.rs
@@ -113,10 +113,8 @@
     expect_that!(stops(&pool.plan(at(50))), eq(&vec![started.run]));
 }
 
-/// If a lasting task is moved off a healthy VM and then another task of its step off a draining VM, whose stop arrives
-/// first, more tasks of the step are missing than allowed.
-#[gtest]
-fn a_lasting_task_on_a_draining_vm_is_moved_before_one_on_a_healthy_vm() {
+/// Starts the two lasting tasks of a step, of which one may be absent, on VMs a and b. VMs c and d have room.
+fn two_lasting_tasks() -> (Pool, Vec<StartOrder>) {
     let mut pool = pool_with_vms(&["a", "b"]);
     pool.submit(JOB, job(vec![common::lasting_step(2, 1)]), at(0));
     let started = plan_and_start(&mut pool, 10);
@@ -125,6 +123,14 @@
         pool.list_vm(common::vm(name, 1));
         pool.apply_report(&common::vm(name, 1).id, &report(0, vec![], vec![]), at(20));
     }
+    (pool, started)
+}
+
+/// If a lasting task is moved off a healthy VM and then another task of its step off a draining VM, whose stop arrives
+/// first, more tasks of the step are missing than allowed.
+#[gtest]
+fn a_lasting_task_on_a_draining_vm_is_moved_before_one_on_a_healthy_vm() {
+    let (pool, started) = two_lasting_tasks();
     for draining in ["b", "a"] {
         let mut pool = pool.clone();
         let healthy = if draining == "a" { "b" } else { "a" };
@@ -138,14 +144,7 @@
 
 /// Starts two lasting tasks of which one may be absent, has the first one's VM cordoned, and returns the order to stop that task.
 fn move_of_one_of_two() -> (Pool, RunId, StartOrder) {
-    let mut pool = pool_with_vms(&["a", "b"]);
-    pool.submit(JOB, job(vec![common::lasting_step(2, 1)]), at(0));
-    let started = plan_and_start(&mut pool, 10);
-    common::report_all_running(&mut pool, &started, 100);
-    for name in ["c", "d"] {
-        pool.list_vm(common::vm(name, 1));
-        pool.apply_report(&common::vm(name, 1).id, &report(0, vec![], vec![]), at(20));
-    }
+    let (mut pool, started) = two_lasting_tasks();
     pool.set_cordoned([Arc::from("a")].into());
     let on_a = |start: &&StartOrder| start.vm == common::vm("a", 1).id;
     let moved = started.iter().find(on_a).expect("a task runs on a").clone();
--- a/crates/scheduler/tests/waiting_starts.rs
+++ b/crates/scheduler/tests/waiting_starts.rs
@@ -11,7 +11,7 @@
 use googletest::prelude::*;
 use system::{POOL, System, job, submit, wait_until, wait_until_state};
 use thistle_platform::listing;
-use thistle_platform::standin::{RunEvent, RunEventKind, VmFake, bodies};
+use thistle_platform::standin::{Fault, RunEvent, RunEventKind, VmFake, bodies};
 
 const ID: &str = "5c0e7a21d94b36f8";
 const VMS: u8 = 4;
@@ -20,6 +20,8 @@
 const TASKS: usize = TASKS_PER_VM * VMS as usize;
 /// The number of starts that may be in flight to a VM.
 const IN_FLIGHT: usize = 2;
+/// The partitions that may hold the pool's progress.
+const PROGRESS_PARTITIONS: [u32; 4] = [1, 3, 5, 7];
 /// The time after which nothing may start on a VM that drains.
 const DRAIN_WITHIN: Duration = Duration::from_secs(3);
 /// A VM that replies again is queried within this time.
@@ -68,13 +70,18 @@
     (system, vm)
 }
 
-/// Submits a job that fills all VMs, and waits until all of its starts are ordered.
-async fn order_starts(system: &System) {
+/// Submits a job that fills all VMs.
+async fn submit_large_job(system: &System) {
     let step = serde_json::json!({
         "count": TASKS, "cpu": 4_000, "memMb": 256, "estimatedMs": 100,
     });
     let large_job = bodies::job_of("ms=100", &[step]);
     expect_that!(submit(&system.nodes[0], ID, &large_job).await.status, eq(200));
+}
+
+/// Submits a job that fills all VMs, and waits until all of its starts are ordered.
+async fn order_starts(system: &System) {
+    submit_large_job(system).await;
     let ordered = format!("start step=ordered run={ID}");
     let all = async || system.nodes[0].log().matches(&ordered).count() >= TASKS;
     wait_until("all starts were ordered", all).await;
@@ -160,20 +167,17 @@
 async fn a_start_whose_record_was_written_late_is_not_sent_to_a_vm_that_drains() {
     let (system, vm) = start(46).await;
     let set_progress_fault = |fault| {
-        for part in [1, 3, 5, 7] {
+        for part in PROGRESS_PARTITIONS {
             system.platform.store.set_part_fault("jobs.desk", part, fault);
         }
     };
-    set_progress_fault(thistle_platform::standin::Fault::Unresponsive);
-    let step = serde_json::json!({
-        "count": TASKS, "cpu": 4_000, "memMb": 256, "estimatedMs": 100,
-    });
-    let large_job = bodies::job_of("ms=100", &[step]);
-    expect_that!(submit(&system.nodes[0], ID, &large_job).await.status, eq(200));
+    set_progress_fault(Fault::Unresponsive);
+    submit_large_job(&system).await;
+    // By then the starts are placed, and their record waits.
     tokio::time::sleep(Duration::from_millis(500)).await;
     Change::Drains.apply(&system, &vm);
     tokio::time::sleep(DRAIN_WITHIN).await;
-    set_progress_fault(thistle_platform::standin::Fault::None);
+    set_progress_fault(Fault::None);
     expect_each_started_once(&system).await;
     expect_that!(starts_on(&vm).len(), eq(0));
 }
