A job none of whose starts was carried out is queued again

Cause: a job counts as started from the first order of a start, as the order may be carried out from then on. It went on to count so when the start was withheld, or not taken by its VM.

--- a/crates/schedule/src/pool/job.rs
+++ b/crates/schedule/src/pool/job.rs
@@ -116,7 +116,10 @@
     /// The estimated length of the critical path from each step to the end of the job, in milliseconds.
     pub critical_paths: Vec<u64>,
     pub phase: Phase,
+    /// Whether a start was ordered that may have been, or may yet be, carried out.
     pub has_started: bool,
+    /// Whether a run of a task may have existed.
+    pub may_have_run: bool,
     pub settled_ms: u64,
     /// Open repetitions: those that are due and not done.
     pub repetitions: BTreeMap<u32, RepetitionState>,
@@ -143,6 +146,7 @@
             critical_paths: spec.critical_paths(),
             phase: Phase::Open,
             has_started: false,
+            may_have_run: false,
             settled_ms: 0,
             repetitions: BTreeMap::new(),
             next_repetition: 0,
@@ -242,6 +246,13 @@
         self.repetitions.is_empty() && self.next_repetition >= self.spec.repetitions()
     }
 
+    /// Records that a start was not carried out. Without any other one, the job has not started.
+    pub fn record_not_started(&mut self) {
+        let is_assigned = |task: &Task| matches!(task.state, TaskState::Assigned(_));
+        let mut steps = self.repetitions.values().flat_map(|repetition| &repetition.steps);
+        self.has_started = self.may_have_run || steps.any(|s| s.tasks.iter().any(is_assigned));
+    }
+
     /// Returns the progress record of the job.
     pub fn progress(&self, vm_id: impl Fn(VmKey) -> Option<VmIncarnation>) -> Progress {
         let crash_history = |(task, crash_history): (&TaskId, &CrashHistory)| CrashHistoryRecord {
--- a/crates/schedule/src/pool/losses.rs
+++ b/crates/schedule/src/pool/losses.rs
@@ -128,6 +128,7 @@
             }
         }
         for lost in &lost {
+            self.record_run(lost.run.task);
             let next =
                 self.vms[key].runs.get(&lost.run.task).and_then(|run| successor.may_have(run));
             match next {
--- a/crates/schedule/src/pool/order.rs
+++ b/crates/schedule/src/pool/order.rs
@@ -97,24 +97,43 @@
                 found.confirmed = Some(now.steady);
                 found.started = now.steady;
                 v.room_rejections = 0;
+                self.record_run(run.task);
             }
-            StartResult::Unclear => (found.confirmed, found.unclear) = (Some(now.steady), true),
-            StartResult::NotTaken => self.release(vm_key, run, now),
+            StartResult::Unclear => {
+                (found.confirmed, found.unclear) = (Some(now.steady), true);
+                self.record_run(run.task);
+            }
+            StartResult::NotTaken => self.release_unstarted(vm_key, run, now),
             StartResult::Withheld => {
-                self.release(vm_key, run, now);
+                self.release_unstarted(vm_key, run, now);
                 self.stop_gang_of(run, now);
             }
             StartResult::NoRoom => {
                 v.exclude_for_room(now.steady);
-                self.release(vm_key, run, now);
+                self.release_unstarted(vm_key, run, now);
             }
             StartResult::Unhealthy => {
                 v.exclude_briefly(now.steady);
-                self.release(vm_key, run, now);
+                self.release_unstarted(vm_key, run, now);
             }
         }
     }
 
+    /// Releases a run whose start was not carried out.
+    fn release_unstarted(&mut self, vm: VmKey, run: RunId, now: Now) {
+        self.release(vm, run, now);
+        if let Some(job) = self.job_mut(run.task) {
+            job.record_not_started();
+        }
+    }
+
+    /// Records that a run of a task may have existed.
+    pub(super) fn record_run(&mut self, task: TaskId) {
+        if let Some(job) = self.job_mut(task) {
+            job.may_have_run = true;
+        }
+    }
+
     /// Records that a VM has answered a stop: the run is about to end, or its start is blocked.
     pub fn record_stop_answer(&mut self, vm: &VmIncarnation, run: RunId, now: Now) {
         let Some(&vm_key) = self.vm_keys.get(vm) else { return };
--- a/crates/schedule/src/pool/report.rs
+++ b/crates/schedule/src/pool/report.rs
@@ -90,10 +90,11 @@
             (run.progress, run.progress_at) = (reported.percent, now.steady);
             // A listed run exists, even if this owner did not order it and never received an answer about it.
             run.confirmed.get_or_insert(requested_at);
-            (run.listed, run.unclear, run.crash_if_missing) = (true, false, None);
+            (run.unclear, run.crash_if_missing) = (false, None);
             if !reported.checkpoint.is_empty() {
                 run.checkpoint.clone_from(&reported.checkpoint);
             }
+            let is_first_listing = !std::mem::replace(&mut run.listed, true);
             // A run that is being stopped no longer counts as working.
             if !run.stopping {
                 let (lasting, started) = (run.lasting, run.started);
@@ -111,6 +112,9 @@
                     self.order_stop(key, task, reported.run.attempt);
                 }
             }
+            if is_first_listing {
+                self.record_run(task);
+            }
             return;
         }
         let last_stop = vm.unknown_runs.entry(reported.run).or_insert(0);
