Review case 2: a lasting job is given up because its workers crash

A job whose tasks never failed is shown as failed, and its tasks at work are stopped beyond may_miss, after five crashes of workers under one task.

--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -376,17 +376,20 @@
         if self.up:
             self.end(run, "done")
 
-    def die(self):
-        """All that runs here dies at once."""
+    def die(self, said=True):
+        """All that runs here dies at once. A worker that crashes says nothing: its entry goes after three
+        heartbeats of silence."""
         self.up = False
         for run in self.running.values():
             run.ended, run.how = time.monotonic(), "died"
             self.platform.record(f"worker {self.id} ({self.service}): gone with {run.task} run {run.attempt}")
         self.running = {}
         self.server.close()
+        self.wake.set()
         for task in self.tasks:
             task.cancel()
-        self.platform.store.push("keyed.servers", 0, [(self.id, b"")])
+        delay = 0 if said else 3 * HEARTBEAT_S
+        asyncio.get_running_loop().call_later(delay, self.platform.store.push, "keyed.servers", 0, [(self.id, b"")])
 
     async def answer(self, method, path, query, headers, body):
         if not self.up:
@@ -507,6 +510,14 @@
         machine.worker = Worker(self, machine, machine.pool, wid, machine.ip)
         await machine.worker.start()
 
+    async def crash(self, machine, down_s):
+        """The machine's worker crashes, and a new life of it, with a new ID, comes after a while."""
+        self.record(f"crash of {machine.name}, worker {machine.worker.id}")
+        machine.worker.die(said=False)
+        machine.worker, machine.state = None, "down"
+        await asyncio.sleep(down_s)
+        await self.bring_up(machine)
+
     def put_config(self, version, routes):
         """Writes a configuration; `routes` are (name, path prefix, service). The store's answer is the
         acknowledgement from which every bound runs."""
