--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -9,7 +9,6 @@
 import os
 import random
 import shutil
-import signal
 import socket
 import struct
 import subprocess
@@ -23,11 +22,6 @@
 HOST = "jobs.example"
 
 # Bounds of the small deployment `budnet-dk`, in seconds.
-CONTACT_S = 3.0
-CONFIG_APPLY_S = 2.0
-VISIBLE_S = 3.0
-CANCEL_S = 3.0
-STOP_S = 0.4
 MAX_LOCK_S = 10.0
 MOVE_S = 1.5
 UPKEEP_S = 2.0
@@ -196,9 +190,6 @@
     def __init__(self, record):
         self.record = record
         self.parts = {}
-        # Partitions that are down: calls about them are neither done nor answered.
-        self.silent = set()
-        self.refused_appends = []
 
     def part(self, topic, part):
         return self.parts.setdefault((topic, part), Partition())
@@ -224,10 +215,6 @@
         topic, part = query.get("topic", ""), int(query.get("part", -1))
         if not topic.startswith("keyed.") or part < 0:
             return 400, b""
-        if (topic, part) in self.silent:
-            while (topic, part) in self.silent:
-                await asyncio.sleep(0.1)
-            return None
         if path == "/thistlelanding/log-append":
             return await self.append(topic, part, query, body)
         if path == "/thistlelanding/log-read":
@@ -246,7 +233,6 @@
                 return 400, b""
             longest = max((1 + len(k.encode()) + len(v) for k, v in records), default=0)
             if longest > self.RECORD_BYTES or len(body) > self.CALL_BYTES:
-                self.refused_appends.append((topic, part, longest))
                 self.record(f"store: append to {topic}/{part} refused with 413: a record of {longest} bytes")
                 return 413, b""
             if topic == "keyed.servers":
@@ -284,8 +270,6 @@
             except asyncio.TimeoutError:
                 break
         await asyncio.sleep(0.002)
-        if (topic, part) in self.silent:
-            return None
         out, size = [], 0
         for key, value in p.records[start:]:
             size += 5 + len(key) + len(value)
@@ -437,8 +421,7 @@
         run.worker = self
         self.running[key] = run
         self.platform.runs.append(run)
-        if self.platform.log_starts:
-            self.platform.record(f"worker {self.id} ({self.service}): start of {run.task} run {run.attempt}")
+        self.platform.record(f"worker {self.id} ({self.service}): start of {run.task} run {run.attempt}")
         if run.ms:
             asyncio.create_task(self.work(run))
         return 200, {"clockMs": self.clock()}
@@ -480,7 +463,6 @@
         self.store = Store(record)
         self.machines = {}
         self.runs = []
-        self.log_starts = True
         self.services = []
         self.lives = 0
         self.next_host = 100
@@ -581,10 +563,16 @@
 
 # ---------------------------------------------------------------- the system
 
-def free_port(ip):
-    with socket.socket() as s:
-        s.bind((ip, 0))
-        return s.getsockname()[1]
+def free_ports(ip, count):
+    """Returns different free ports: each stays bound until all are found."""
+    sockets = [socket.socket() for _ in range(count)]
+    try:
+        for s in sockets:
+            s.bind((ip, 0))
+        return [s.getsockname()[1] for s in sockets]
+    finally:
+        for s in sockets:
+            s.close()
 
 
 class Node:
@@ -592,9 +580,8 @@
 
     def __init__(self, platform, folder, number, ip, hall):
         self.name = f"frontend-{hall}-{number}"
-        self.addr = (ip, free_port(ip))
-        self.ready_addr = (ip, free_port(ip))
-        metrics, relay = free_port(ip), free_port(ip)
+        listen, ready, metrics, relay = free_ports(ip, 4)
+        self.addr, self.ready_addr = (ip, listen), (ip, ready)
         self.settings = os.path.join(folder, self.name + ".yaml")
         self.log = os.path.join(folder, self.name + ".log")
         contracts = ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep",
@@ -616,22 +603,14 @@
                                         stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         log.close()
 
-    def signal(self, number):
-        if self.process and self.process.poll() is None:
-            self.process.send_signal(number)
-
     def kill(self):
         if self.process:
-            self.signal(signal.SIGKILL)
+            self.process.kill()
             self.process.wait()
 
     async def is_ready(self):
         return (await call(self.ready_addr, "GET", "/thistlelanding/readyz", timeout=1))[0] == 200
 
-    def grep(self, *words):
-        with open(self.log, encoding="utf-8", errors="replace") as f:
-            return [line.strip() for line in f if all(w in line for w in words)]
-
 
 class System:
     """A small deployment: a platform and six nodes in three halls."""
@@ -670,13 +649,6 @@
         self.record(f"client -> {node.name}: {method} {path}: {reason_of(answer)}")
         return answer
 
-    def owner_of(self, shard):
-        newest = self.platform.store.part("keyed.control", 0).newest.get(f"owner/{shard}")
-        if not newest:
-            return None
-        name = json.loads(newest[1])["owner"]["name"]
-        return next((n for n in self.nodes if n.name == name), None)
-
     def stop(self):
         for node in self.nodes:
             node.kill()
