Log lines and metrics of cancellations, from their acknowledgement to the owner's reading

The logs could not tell whether an owner had read a cancellation, from which partition, at which offset and how old it was, nor how old the sender's reads were as a start went out.

cancel step=kept names the partition and offset of the record on the node that wrote it; cancel step=read the same and the age on the pool's owner; cancel step=handled shows that the owner has acted on it. The line of the request names the pool and by whose records its state was found (view). Records carry the time at which the cancellation was received; older nodes ignore it. late-start step=sent has read_ages_ms, the ages of the last complete reads of both partitions of submissions. New metrics: thistle_cancel_read_seconds, thistle_start_read_age_seconds by partition. No decision changes.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -11,6 +11,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use crate::Ms;
 use crate::id::JobId;
 use crate::progress::{JobState, Phase, Progress};
 use crate::spec::JobSpec;
@@ -46,6 +47,11 @@
     key.strip_prefix(SUBMIT)?.parse().ok()
 }
 
+/// Returns the job of a cancel record's key.
+pub fn job_of_cancel_key(key: &str) -> Option<JobId> {
+    key.strip_prefix(CANCEL)?.parse().ok()
+}
+
 /// Returns the job of a progress record's key.
 pub fn job_of_progress_key(key: &str) -> Option<JobId> {
     key.strip_prefix(PROGRESS)?.parse().ok()
@@ -98,7 +104,8 @@
     Ok(spec)
 }
 
-/// The first byte of a cancellation record; the encoded caller follows.
+/// The first byte of a cancellation record; the encoded caller follows, and then the time at which a node received the
+/// cancellation, if that is known.
 const CANCELLED: u8 = 1;
 
 /// Encodes a cancellation.
@@ -108,6 +115,20 @@
     record
 }
 
+/// Encodes a cancellation that a node received at `received_ms` by its wall clock.
+pub fn encode_received_cancel(caller: &Caller, received_ms: Ms) -> Vec<u8> {
+    let mut record = encode_cancel(caller);
+    record.extend(encode(&received_ms));
+    record
+}
+
+/// Returns when a cancellation was received, in milliseconds by the wall clock of the node that received it, if its record
+/// contains the time.
+pub fn cancel_received_ms(value: &[u8]) -> Option<Ms> {
+    let (_, record) = value.split_first()?;
+    postcard::from_bytes::<(Caller, Ms)>(record).ok().map(|(_, received_ms)| received_ms)
+}
+
 /// Decodes a cancellation. Older records lack the caller, and cancel their job whatever its workspace.
 fn decode_cancel(value: &[u8]) -> Result<Option<Caller>, postcard::Error> {
     match value {
--- a/crates/scheduler/src/append.rs
+++ b/crates/scheduler/src/append.rs
@@ -18,6 +18,7 @@
 use metrics::counter;
 use thistle_platform::{Appended, Guard, KeyedRecord};
 use thistle_schedule::Ms;
+use thistle_schedule::job_log::job_of_cancel_key;
 
 use crate::clock::steady_ms;
 use crate::node::Node;
@@ -191,6 +192,15 @@
     }
 }
 
+/// Logs where cancellations were written.
+fn log_cancels(log: &PoolLog, part: u32, records: &[KeyedRecord], offset: u64) {
+    for (offset, record) in (offset..).zip(records) {
+        if let Some(id) = job_of_cancel_key(&record.key) {
+            log::info!("cancel step=kept id={id} pool={} part={part} offset={offset}", log.pool);
+        }
+    }
+}
+
 async fn append_to(
     node: &Arc<Node>,
     log: &Arc<PoolLog>,
@@ -205,6 +215,7 @@
                 log::info!("submit step=spare pool={} count={}", log.pool, records.len());
                 counter!("thistle_spare_submissions").increment(1);
             }
+            log_cancels(log, part, records, offset);
             log.apply_own(node, part, records, offset, end).await;
             WriteOutcome::Kept
         }
--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -12,7 +12,7 @@
 use metrics::{counter, histogram};
 use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, body};
-use thistle_schedule::job_log::{cancel_key, encode_cancel, encode_spec, submit_key};
+use thistle_schedule::job_log::{cancel_key, encode_received_cancel, encode_spec, submit_key};
 use thistle_schedule::quota::within;
 use thistle_schedule::{Caller, Catalog, JobId, JobSpec, JobState, Queue, Step};
 use thistle_wire::serve::HEADER_TIMEOUT;
@@ -273,11 +273,16 @@
     let written = match state.is_some_and(JobState::is_final) {
         true => WriteOutcome::Kept,
         false => {
-            let record = KeyedRecord::new(cancel_key(id), encode_cancel(caller));
+            let record = encode_received_cancel(caller, wall_ms());
+            let record = KeyedRecord::new(cancel_key(id), record);
             node.ensure_pool_log(pool).write(record).await
         }
     };
-    log::info!("cancel id={id} queue={} state={state:?} written={written:?}", queue.name);
+    log::info!(
+        "cancel id={id} queue={} pool={pool} state={state:?} view={} written={written:?}",
+        queue.name,
+        find_job::view_of(node, pool),
+    );
     match (written, found) {
         (WriteOutcome::Kept, SearchResult::NotFound) => reply::no_such_job(),
         (written, _) => reply_to_outcome(written),
--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -48,6 +48,15 @@
     logs.iter().filter_map(|log| Some((log.pool.clone(), log.read_age()?))).collect()
 }
 
+/// Returns by whose records this node reports on the jobs of a pool, for log lines.
+pub fn view_of(node: &Node, pool: &str) -> &'static str {
+    match node.pool_log_of(pool) {
+        Some(log) if log.is_owned() => "owner",
+        Some(log) if log.is_followed() => "follower",
+        Some(_) | None => "peer",
+    }
+}
+
 /// Returns the reply about a job if its submission is known.
 fn known_reply(log: &PoolLog, id: JobId, caller: &Caller) -> Option<QueryReply> {
     let jobs = log.jobs();
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -69,6 +69,7 @@
 
     /// Handles a cancellation that was read.
     pub(super) fn take_in_cancel(&mut self, id: JobId) {
+        log::info!("cancel step=handled id={id} pool={}", self.log.pool);
         self.pool.cancel(id, now());
         let is_bound = self.log.jobs().get(id).is_none_or(JobEntry::is_bound);
         if !is_bound {
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -23,6 +23,7 @@
 use crate::clock::steady_ms;
 use crate::locks::lock;
 use crate::node::Node;
+use crate::pool_log::PoolLog;
 use pending_starts::PendingStarts;
 
 /// Pause before a VM that does not answer is called again.
@@ -44,8 +45,8 @@
 
 struct Shared {
     node: Arc<Node>,
+    log: Arc<PoolLog>,
     vm: VmIncarnation,
-    pool: Arc<str>,
     token: LinkToken,
     client: WorkerClient,
     lease: Mutex<TaskLease>,
@@ -88,6 +89,7 @@
     /// Opens the link; `losses` numbers all losses reported to the owner.
     pub fn open(
         node: &Arc<Node>,
+        log: &Arc<PoolLog>,
         facts: &Arc<VmFacts>,
         token: LinkToken,
         tx: UnboundedSender<Event>,
@@ -95,8 +97,8 @@
     ) -> Self {
         let shared = Arc::new(Shared {
             node: node.clone(),
+            log: log.clone(),
             vm: facts.id.clone(),
-            pool: facts.pool.clone(),
             token,
             client: WorkerClient::new(facts.addr, facts.id.clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
@@ -259,7 +261,7 @@
 
     /// Returns whether orders may be sent; checked right before each one.
     fn may_send(&self) -> bool {
-        !self.is_closed() && self.node.may_act(&self.pool, self.token.claim)
+        !self.is_closed() && self.node.may_act(&self.log.pool, self.token.claim)
     }
 
     /// Returns why a start must not be sent to the VM now, or `None` if it may be sent.
@@ -269,7 +271,7 @@
             (self.node.halls.borrow().clone(), self.node.catalog.borrow().clone());
         let workspace = catalog.as_ref().and_then(|c| c.workspaces.get(&order.spec.workspace));
         let facts = StartFacts {
-            pool: &self.pool,
+            pool: &self.log.pool,
             listed: vms.get(self.vm.id()).map(|facts| &**facts),
             fleet: &fleet,
             halls: &halls,
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -13,6 +13,7 @@
 use super::{RETRY_PAUSE, Shared, millis};
 use crate::clock::steady_ms;
 use crate::locks::lock;
+use crate::pool_log::SUBMISSION_PARTITIONS;
 
 /// An order that failed sooner than this is sent again after a pause; one that waited longer for its answer is sent
 /// again immediately.
@@ -48,12 +49,17 @@
         if self.copies == 1 {
             histogram!("thistle_start_delay_seconds").record(Duration::from_millis(age));
         }
+        let read_ages = link.log.read_ages();
+        for (part, age) in SUBMISSION_PARTITIONS.iter().zip(read_ages) {
+            let age = Duration::from_millis(age.unwrap_or_else(steady_ms));
+            histogram!("thistle_start_read_age_seconds", "part" => part.to_string()).record(age);
+        }
         if age < millis(LOGGED_WAIT) {
             return;
         }
         let Self { record_ms, place_ms, copies, .. } = self;
         log::info!(
-            "late-start step=sent run={run} vm={} copy={copies} placed_ms_ago={age} record_ms={record_ms} place_ms={place_ms} listed={} list_age_ms={:?}",
+            "late-start step=sent run={run} vm={} copy={copies} placed_ms_ago={age} record_ms={record_ms} place_ms={place_ms} listed={} list_age_ms={:?} read_ages_ms={read_ages:?}",
             link.vm,
             link.listed_state(),
             link.node.vms_read.age(),
--- a/crates/scheduler/src/owner/vms.rs
+++ b/crates/scheduler/src/owner/vms.rs
@@ -78,7 +78,7 @@
     /// Opens the link to a VM, replacing the link to an earlier incarnation.
     fn open_link(&mut self, facts: &Arc<VmFacts>) {
         let (tx, losses) = (self.tx.clone(), self.losses.clone());
-        let link = Link::open(&self.node, facts, self.tokens.next(), tx, losses);
+        let link = Link::open(&self.node, &self.log, facts, self.tokens.next(), tx, losses);
         self.links.insert(facts.id.id().clone(), link);
     }
 
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -8,8 +8,12 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
+use metrics::histogram;
+use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, Stored};
-use thistle_schedule::job_log::{Version, job_of_progress_key, job_of_submit_key};
+use thistle_schedule::job_log::{
+    Version, cancel_received_ms, job_of_progress_key, job_of_submit_key,
+};
 use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
@@ -21,6 +25,7 @@
 use crate::owner::Event;
 use crate::ownership_flag::OwnershipFlag;
 use crate::read_failures::ReadFailures;
+use crate::read_time::ReadTime;
 use crate::submit::{Submission, run_submitter};
 use crate::write_outcome::WriteOutcome;
 use submission_partitions::PartitionState;
@@ -79,8 +84,8 @@
     partition_states: [PartitionState; SUBMISSION_PARTITIONS.len()],
     /// Whether the last read by `follow_records` failed: the owner's read of submissions, or a standby's read of new records.
     last_read_failed: AtomicBool,
-    /// When the last read of the first partition of submissions that reached its end was started.
-    submissions_read_at: AtomicU64,
+    /// When the last read of each partition of submissions that reached its end was started.
+    read_at: [ReadTime; SUBMISSION_PARTITIONS.len()],
     submitter: UnboundedSender<Submission>,
     /// The number of jobs read so far, for metrics.
     pub submitted: AtomicU64,
@@ -102,7 +107,7 @@
             had_owner: AtomicBool::new(false),
             partition_states: Default::default(),
             last_read_failed: AtomicBool::new(false),
-            submissions_read_at: AtomicU64::new(0),
+            read_at: Default::default(),
             submitter,
             submitted: AtomicU64::new(0),
         });
@@ -160,7 +165,12 @@
 
     /// Returns the time up to which all submissions to the first partition are known.
     pub fn submissions_known_until(&self) -> Ms {
-        self.submissions_read_at.load(Ordering::Relaxed)
+        self.read_at[0].get().unwrap_or(0)
+    }
+
+    /// Returns the ages of the last complete reads of the partitions of submissions and cancellations, in milliseconds.
+    pub fn read_ages(&self) -> [Option<Ms>; SUBMISSION_PARTITIONS.len()] {
+        self.read_at.each_ref().map(ReadTime::age)
     }
 
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
@@ -220,11 +230,8 @@
     fn apply_record(&self, jobs: &mut JobLog, part: u32, offset: u64, record: &KeyedRecord) {
         match jobs.apply_from(part, &record.key, record.value()) {
             Ok(Some(change)) => {
-                if let (LogChange::Submitted(id), true) = (change, self.is_owned()) {
-                    log::info!(
-                        "job id={id} step=read pool={} part={part} offset={offset}",
-                        self.pool
-                    );
+                if self.is_owned() {
+                    self.log_read(change, part, offset, record);
                 }
                 self.notify_owner(change);
             }
@@ -235,6 +242,28 @@
         }
     }
 
+    /// Logs a submission or a cancellation that the owner's node has read.
+    fn log_read(&self, change: LogChange, part: u32, offset: u64, record: &KeyedRecord) {
+        let pool = &self.pool;
+        match change {
+            LogChange::Submitted(id) => {
+                log::info!("job id={id} step=read pool={pool} part={part} offset={offset}");
+            }
+            LogChange::Cancelled(id) => {
+                // Clocks of nodes differ, so the age may be off by as much.
+                let received_ms = cancel_received_ms(&record.value);
+                let age = received_ms.map(|at| wall_ms().saturating_sub(at));
+                log::info!(
+                    "cancel step=read id={id} pool={pool} part={part} offset={offset} age_ms={age:?}"
+                );
+                if let Some(age) = age {
+                    histogram!("thistle_cancel_read_seconds").record(Duration::from_millis(age));
+                }
+            }
+            LogChange::PassedOn(_) | LogChange::BoundElsewhere(_) => (),
+        }
+    }
+
     fn notify_owner(&self, change: LogChange) {
         if matches!(change, LogChange::Submitted(_)) {
             self.submitted.fetch_add(1, Ordering::Relaxed);
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -9,7 +9,7 @@
 
 use super::{
     Cursor, FALLBACK_PROGRESS, FALLBACK_SUBMISSIONS, OVERFLOW_PROGRESS, PROGRESS, PoolLog,
-    SUBMISSIONS,
+    SUBMISSION_PARTITIONS, SUBMISSIONS,
 };
 use crate::clock::steady_ms;
 use crate::node::Node;
@@ -88,8 +88,8 @@
     }
 
     fn record_read_at(&self, part: u32, began: Ms) {
-        if part == SUBMISSIONS {
-            self.submissions_read_at.fetch_max(began, Ordering::Relaxed);
+        if let Some(index) = SUBMISSION_PARTITIONS.iter().position(|&p| p == part) {
+            self.read_at[index].record(Some(began));
         }
     }
 
