Starts by old records: an acknowledged cancellation binds whoever starts tasks (cancel_within)

Cause: any node acknowledges a cancellation once a partition holds its record. The owner acts by what it has read, and nothing in a start asked how old that was: with a backlog of submissions on its link, with reads of one partition that fail for it alone, and after a takeover without the fallback partition it starts what was cancelled meanwhile.

Change: a start is sent only while both partitions of submissions were read to their ends within cancel_within (a new setting, 3 s unless the platform names it) less the time of an order, by the rule that evacuations have had (schedule::freshness), and if the job is not cancelled by the newest records that the node has read (Withheld::Cancelled). Age is asked before the records are, so that a read in between can't let a start go out. Meanwhile the pool places nothing, so that jobs count as pending and not as begun. A start that waited gets its lease as it is sent. New log lines cancel step=starting-nothing and step=starting-again, gauge thistle_cancels_known.

Weighed: a partition of cancellations of its own (older nodes would not read it), an answer to the caller only after the owner has confirmed (the caller waits as long as the owner is behind; ackTimeoutMs).

--- a/crates/schedule/src/halls.rs
+++ b/crates/schedule/src/halls.rs
@@ -6,11 +6,7 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use crate::Ms;
-
-/// The longest time that a start takes to arrive, in milliseconds. A node that may not have read a new evacuation sends its
-/// last starts this long before the evacuation must take effect.
-const START_DELIVERY_MS: Ms = 1_000;
+use crate::{Ms, freshness};
 
 /// The evacuation of a hall, which accepts no new work.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -62,5 +58,5 @@
 /// without evacuations.
 pub fn is_current(read_at: Option<Ms>, within: Option<Ms>, now: Ms) -> bool {
     let Some(within) = within else { return true };
-    read_at.is_some_and(|at| now < at + within.saturating_sub(START_DELIVERY_MS))
+    freshness::is_current(read_at, within, now)
 }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod catalog;
 pub mod crash_history;
 pub mod fleet;
+pub mod freshness;
 pub mod halls;
 pub mod id;
 pub mod job_log;
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -119,6 +119,8 @@
     halls: Arc<Halls>,
     /// Whether more halls may be evacuated than this owner knows of.
     halls_unknown: bool,
+    /// Whether jobs may have been cancelled whose cancellations this owner has not read.
+    cancels_unknown: bool,
     /// The earliest time at which a lasting task may be stopped to be moved.
     moves_allowed_from: Ms,
     /// Whether the VM listing is believed complete. After an outage of the store, entries that expired during the
@@ -180,7 +182,7 @@
         self.expire_unclear_losses(now);
         self.cancel_starts_beyond_room(now);
         self.move_tasks_off_leaving_vms(now);
-        if !self.halls_unknown {
+        if !self.halls_unknown && !self.cancels_unknown {
             self.place_waiting(now);
         }
         std::mem::take(&mut self.orders)
--- a/crates/schedule/src/pool/vms.rs
+++ b/crates/schedule/src/pool/vms.rs
@@ -82,6 +82,11 @@
         self.cordoned = names;
     }
 
+    /// Sets whether all cancellations are known that have to be in force. While they are not, nothing is started.
+    pub const fn set_cancels_known(&mut self, known: bool) {
+        self.cancels_unknown = !known;
+    }
+
     /// Sets which data halls are evacuated. While `known` is false, any hall may be evacuated and nothing is started.
     pub fn set_halls(&mut self, halls: Arc<Halls>, known: bool) {
         self.halls_unknown = !known;
--- a/crates/schedule/src/start_check.rs
+++ b/crates/schedule/src/start_check.rs
@@ -2,7 +2,7 @@
 //!
 //! Load pattern: a burst queues dozens of starts to a VM that has just stopped answering. For seconds they wait for the record of
 //! their placement, for the owner's lease, or for earlier starts without an answer. Meanwhile the VM announces that it will
-//! leave, or another change takes it out of use, and then it answers again.
+//! leave, or another change takes it out of use, and then it answers again; or a caller cancels the job.
 //!
 //! Each copy of a start is checked right before it is sent, by the newest facts that the node has read. The owner also checks
 //! the starts that wait, so that a task whose start will not be sent runs elsewhere at once.
@@ -16,6 +16,8 @@
 /// Why a start is not sent to its VM.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Withheld {
+    /// The job was cancelled.
+    Cancelled,
     /// The VM is not listed, or is listed as another incarnation.
     NotListed,
     /// The VM belongs to another pool.
@@ -35,6 +37,8 @@
 /// The newest facts that a node has read.
 #[derive(Clone, Copy, Debug)]
 pub struct StartFacts<'a> {
+    /// Whether the job was cancelled.
+    pub cancelled: bool,
     /// The pool whose owner sends the start.
     pub pool: &'a str,
     /// The entry of the VM's ID.
@@ -49,6 +53,9 @@
 
 /// Returns why a start must not be sent, or `None` if it may be sent.
 pub fn check(order: &StartOrder, facts: &StartFacts<'_>) -> Option<Withheld> {
+    if facts.cancelled {
+        return Some(Withheld::Cancelled);
+    }
     let Some(vm) = facts.listed.filter(|vm| vm.id.may_be_same(&order.vm)) else {
         return Some(Withheld::NotListed);
     };
--- a/crates/schedule/tests/start_check.rs
+++ b/crates/schedule/tests/start_check.rs
@@ -32,7 +32,14 @@
 /// Checks a start on VM `a` that is listed as `listed`.
 fn check_listed(listed: Option<&VmFacts>) -> Option<Withheld> {
     let (fleet, halls) = (FleetRecord::default(), Halls::default());
-    let facts = StartFacts { pool: "desk", listed, fleet: &fleet, halls: &halls, cap: None };
+    let facts = StartFacts {
+        cancelled: false,
+        pool: "desk",
+        listed,
+        fleet: &fleet,
+        halls: &halls,
+        cap: None,
+    };
     check(&placed_start(), &facts)
 }
 
@@ -50,6 +57,22 @@
     expect_that!(check_listed(Some(&vm_with(|f| f.id = started))), none());
 }
 
+/// Guards against a start that waited while its job was cancelled.
+#[gtest]
+fn a_start_of_a_cancelled_job_is_withheld() {
+    let (fleet, halls, listed) = (FleetRecord::default(), Halls::default(), vm("a", 1));
+    let listed = Some(&*listed);
+    let facts = StartFacts {
+        cancelled: true,
+        pool: "desk",
+        listed,
+        fleet: &fleet,
+        halls: &halls,
+        cap: None,
+    };
+    expect_that!(check(&placed_start(), &facts), some(eq(Withheld::Cancelled)));
+}
+
 #[gtest]
 fn a_start_is_withheld_from_a_vm_that_stopped_accepting_work() {
     expect_that!(check_listed(None), some(eq(Withheld::NotListed)));
@@ -68,7 +91,7 @@
         let listed = Some(&*listed);
         check(
             &placed_start(),
-            &StartFacts { pool: "desk", listed, fleet, halls: &halls, cap: None },
+            &StartFacts { cancelled: false, pool: "desk", listed, fleet, halls: &halls, cap: None },
         )
     };
     let maintained = fleet_with_work(Purpose::Maintain { wave: 1 });
@@ -84,8 +107,14 @@
     let (fleet, listed) = (FleetRecord::default(), vm("a", 1));
     let mut evacuated = Halls::default();
     evacuated.evacuate(Evacuation { hall: listed.hall.clone(), offset: 1 });
-    let facts =
-        |halls, cap| StartFacts { pool: "desk", listed: Some(&listed), fleet: &fleet, halls, cap };
+    let facts = |halls, cap| StartFacts {
+        cancelled: false,
+        pool: "desk",
+        listed: Some(&listed),
+        fleet: &fleet,
+        halls,
+        cap,
+    };
     let in_evacuated_hall = check(&placed_start(), &facts(&evacuated, None));
     expect_that!(in_evacuated_hall, some(eq(Withheld::HallEvacuated)));
     let open = Halls::default();
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -162,6 +162,11 @@
         halls::is_current(self.operator_read.get(), within, steady_ms())
     }
 
+    /// Returns the time after the acknowledgement of a cancellation from which no task of the job may start, in milliseconds.
+    pub fn cancel_within(&self) -> Ms {
+        Ms::try_from(self.settings.cancel_within.0.as_millis()).unwrap_or(Ms::MAX)
+    }
+
     /// Returns whether this node may currently act as owner.
     pub fn lease_valid(&self) -> bool {
         steady_ms() < self.lease_until.load(Ordering::Relaxed)
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -264,13 +264,20 @@
         !self.is_closed() && self.node.may_act(&self.log.pool, self.token.claim)
     }
 
+    /// Returns whether this node has read recently enough what forbids starts.
+    fn may_start(&self) -> bool {
+        self.node.halls_known() && self.log.knows_cancels(&self.node)
+    }
+
     /// Returns why a start must not be sent to the VM now, or `None` if it may be sent.
     fn withheld(&self, order: &StartOrder) -> Option<Withheld> {
         let (vms, fleet) = (self.node.vms.borrow().clone(), self.node.fleet.borrow().clone());
         let (halls, catalog) =
             (self.node.halls.borrow().clone(), self.node.catalog.borrow().clone());
         let workspace = catalog.as_ref().and_then(|c| c.workspaces.get(&order.spec.workspace));
+        let job = order.run.task.job;
         let facts = StartFacts {
+            cancelled: self.log.jobs().get(job).is_some_and(|entry| entry.cancelled),
             pool: &self.log.pool,
             listed: vms.get(self.vm.id()).map(|facts| &**facts),
             fleet: &fleet,
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -141,6 +141,8 @@
             // Another copy could start a finished task again in the VM's next incarnation.
             Some(StartState::Listed) => return Some(StartResult::StartedWithCopies),
         }
+        // Asked before the facts are checked, which then include what this reads.
+        let may_start = link.may_start();
         if let Some(reason) = link.withheld(order) {
             let result = if *maybe_arrived { StartResult::Unclear } else { StartResult::Withheld };
             log_withheld(link, order.run, reason, *maybe_arrived);
@@ -151,7 +153,10 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
-        if !link.node.halls_known() {
+        if !may_start {
+            if !*maybe_arrived {
+                deadline_ms = None;
+            }
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -120,6 +120,8 @@
     vms_checked_at: Ms,
     /// Whether the forecast was held at the last step.
     forecast_held: bool,
+    /// Whether all cancellations that have to be in force were known at the last step.
+    cancels_known: bool,
 }
 
 impl Owner {
@@ -255,6 +257,7 @@
     async fn step(&mut self) -> Result<(), Fenced> {
         self.pool.set_listing_is_complete(self.node.store_health.listing_is_complete());
         self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
+        self.update_cancels_known();
         self.review_queues().await?;
         self.notify_origins();
         self.update_forecast();
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -63,6 +63,7 @@
         quota: Quota::default(),
         vms_checked_at: 0,
         forecast_held: false,
+        cancels_known: true,
     };
     owner.apply_workspaces();
     owner.adopt_jobs();
--- a/crates/scheduler/src/owner/telemetry.rs
+++ b/crates/scheduler/src/owner/telemetry.rs
@@ -35,6 +35,19 @@
         gauge!("thistle_forecast_held", "pool" => pool).set(f64::from(u8::from(held)));
     }
 
+    /// Tells the pool whether all cancellations that have to be in force are known, and logs when that changes.
+    pub(super) fn update_cancels_known(&mut self) {
+        let known = self.log.knows_cancels(&self.node);
+        self.pool.set_cancels_known(known);
+        if std::mem::replace(&mut self.cancels_known, known) == known {
+            return;
+        }
+        let step = if known { "starting-again" } else { "starting-nothing" };
+        let (pool, ages) = (&self.log.pool, self.log.read_ages());
+        log::info!("cancel step={step} pool={pool} read_ages_ms={ages:?}");
+        gauge!("thistle_cancels_known", "pool" => pool.to_string()).set(f64::from(u8::from(known)));
+    }
+
     pub(super) fn update_load_metrics(&self) {
         let Load { waiting, placed, jobs, vms, used_cpu, cpu, .. } = self.pool.load(now());
         let pool = self.log.pool.to_string();
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -14,7 +14,7 @@
 use thistle_schedule::job_log::{
     Version, cancel_received_ms, job_of_progress_key, job_of_submit_key,
 };
-use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress};
+use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress, freshness};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 
@@ -173,6 +173,12 @@
         self.read_at.each_ref().map(ReadTime::age)
     }
 
+    /// Returns whether all cancellations were read that have to be in force.
+    pub fn knows_cancels(&self, node: &Node) -> bool {
+        let read_at = self.read_at.each_ref().map(ReadTime::get);
+        freshness::are_current(&read_at, node.cancel_within(), steady_ms())
+    }
+
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
         match part {
             SUBMISSIONS => &self.cursors[0],
--- a/crates/scheduler/tests/late_cancels.rs
+++ b/crates/scheduler/tests/late_cancels.rs
@@ -7,7 +7,7 @@
 use googletest::prelude::*;
 use hyper::Method;
 use serde_json::json;
-use system::{System, send, submit, wait_until, wait_until_state};
+use system::{System, job, send, submit, wait_until, wait_until_state};
 use thistle_platform::standin::{Fault, RunEventKind, StoreEndpoint, bodies};
 
 /// The job that is cancelled while it waits for room.
@@ -21,6 +21,7 @@
 const FULL: u32 = 16_000;
 const TOPIC: &str = "jobs.desk";
 const SUBMISSIONS: u32 = 0;
+const FALLBACK: u32 = 2;
 
 fn job_of(cpu: u32, text: &str) -> serde_json::Value {
     bodies::job_of(text, &[json!({ "count": 1, "cpu": cpu, "memMb": 256, "estimatedMs": 100 })])
@@ -45,7 +46,7 @@
             wait_until("a node is ready", || node.is_ready()).await;
         }
         let setup = Self { system, endpoint };
-        setup.submit(FIRST, &job_of(FULL, "ms=10")).await;
+        setup.submit(FIRST, &job(1, 10)).await;
         wait_until_state(&setup.system.nodes[1], FIRST, "completed").await;
         setup
     }
@@ -85,6 +86,13 @@
             .collect();
         expect_that!(late, is_empty(), "starts, by the time since the acknowledgement");
     }
+
+    /// Checks that the pool still executes jobs.
+    async fn expect_pool_works(&self) {
+        let next = "00000000000000f3";
+        self.submit(next, &job(1, 10)).await;
+        wait_until_state(&self.system.nodes[1], next, "completed").await;
+    }
 }
 
 /// Guards against an owner that starts tasks by old records: the cancellation is behind a backlog of submissions on its link.
@@ -105,3 +113,55 @@
     setup.endpoint.set_part_fault(TOPIC, SUBMISSIONS, Fault::None);
     wait_until_state(&setup.system.nodes[1], ID, "cancelled").await;
 }
+
+/// Checks that the job is not started if its cancellation is written to a partition that the owner alone can't read.
+async fn expect_unreadable_cancel_binds(net: u8, part: u32) {
+    let setup = Setup::start(net).await;
+    setup.submit_waiting_job().await;
+    let store = &setup.system.platform.store;
+    if part == FALLBACK {
+        store.set_part_fault(TOPIC, SUBMISSIONS, Fault::RejectsAppends);
+    }
+    setup.endpoint.set_part_fault(TOPIC, part, Fault::Unresponsive);
+    // A read that waits for records has ended by then.
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let acknowledged = setup.cancel().await;
+    setup.expect_no_late_start(acknowledged).await;
+    setup.endpoint.set_part_fault(TOPIC, part, Fault::None);
+    store.set_part_fault(TOPIC, SUBMISSIONS, Fault::None);
+    setup.expect_pool_works().await;
+}
+
+/// Guards against an owner that starts tasks while its reads of the first partition fail.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_is_not_started_while_the_owner_cannot_read_the_first_partition() {
+    expect_unreadable_cancel_binds(76, SUBMISSIONS).await;
+}
+
+/// Guards against an owner that starts tasks while its reads of the fallback partition fail.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_is_not_started_while_the_owner_cannot_read_the_fallback_partition() {
+    expect_unreadable_cancel_binds(77, FALLBACK).await;
+}
+
+/// Guards against a new owner that goes on without the fallback partition, in which the cancellation is.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_is_not_started_by_a_new_owner_that_cannot_read_the_fallback_partition() {
+    let mut setup = Setup::start(78).await;
+    setup.submit_waiting_job().await;
+    setup.system.platform.store.set_part_fault(TOPIC, SUBMISSIONS, Fault::RejectsAppends);
+    let acknowledged = setup.cancel().await;
+    setup.system.nodes[0].kill();
+    setup.system.nodes[1].kill();
+    setup.endpoint.set_part_fault(TOPIC, FALLBACK, Fault::Busy);
+    setup.system.nodes[0].start();
+    setup.expect_no_late_start(acknowledged).await;
+    setup.endpoint.set_part_fault(TOPIC, FALLBACK, Fault::None);
+    setup.system.platform.store.set_part_fault(TOPIC, SUBMISSIONS, Fault::None);
+    setup.system.nodes[1].start();
+    wait_until("the second node is ready", || setup.system.nodes[1].is_ready()).await;
+    setup.expect_pool_works().await;
+}
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -47,6 +47,9 @@
     /// The time after which an evacuated hall gets no new work; without a value no hall is ever evacuated.
     #[serde(default)]
     pub evacuate_within: Option<Span>,
+    /// The time after the acknowledgement of a cancellation from which no task of the job starts.
+    #[serde(default = "default_cancel")]
+    pub cancel_within: Span,
     /// The minimum time for which the state of settled jobs is reported.
     #[serde(default = "default_keep")]
     pub keep_settled: Span,
@@ -74,6 +77,9 @@
 const fn default_gap() -> Span {
     Span::from_secs(3)
 }
+const fn default_cancel() -> Span {
+    Span::from_secs(3)
+}
 const fn default_keep() -> Span {
     Span::from_secs(120)
 }
@@ -93,9 +99,11 @@
         let day = Span::from_secs(86_400);
         in_range("keep_settled", &self.keep_settled, &second, &day)?;
         in_range("machine_order_gap", &self.machine_order_gap, &second, &Span::from_secs(600))?;
+        let (shortest, longest) = (Span::from_secs(2), Span::from_secs(600));
         if let Some(within) = &self.evacuate_within {
-            in_range("evacuate_within", within, &Span::from_secs(2), &Span::from_secs(600))?;
+            in_range("evacuate_within", within, &shortest, &longest)?;
         }
+        in_range("cancel_within", &self.cancel_within, &shortest, &longest)?;
         check_policy(&self.policy)?;
         let mut listeners = vec![self.listen, self.readiness_listen, self.metrics_listen];
         listeners.extend(self.relay_listen);
