Cancellations that the owner reads late: their writer notifies the owner directly

Cause: the owner reads submissions and cancellations in one order, a page at a time. The check of starts bounds what begins, not what runs.

Change: the node that has written a cancellation sends it to the pool's owner too (POST /cancellations/POOL at the address that forwards calls). The owner applies it as if read; the record stays what counts, and a lost notice costs only time.

Evidence: a_cancelled_job_is_stopped_by_an_owner_with_a_backlog_of_submissions, before: the task still ran 3.9 s after the acknowledgement, stop_ms (0.9 s) beyond cancel_ms (3 s); passes now.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -20,6 +20,7 @@
 
 use crate::access::caller_of;
 use crate::admission::refuse_by_load;
+use crate::cancel_notice::notify_owner;
 use crate::clock::steady_ms;
 use crate::find_job::{self, SearchResult, find_log, search_pools};
 use crate::node::Node;
@@ -275,7 +276,12 @@
         false => {
             let record = encode_received_cancel(caller, wall_ms());
             let record = KeyedRecord::new(cancel_key(id), record);
-            node.ensure_pool_log(pool).write(record).await
+            let log = node.ensure_pool_log(pool);
+            let written = log.write(record.clone()).await;
+            if written == WriteOutcome::Kept {
+                notify_owner(node, &log, record);
+            }
+            written
         }
     };
     log::info!(
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -2,14 +2,15 @@
 //! the pools that this node owns, and maintains VMs.
 //!
 //! Nodes coordinate only through the store. They call each other directly only to forward store calls
-//! for a node that cannot reach the store, to forward submissions to a pool's owner, and to query the
-//! jobs of a pool whose records they do not follow. Lock order: a pool log's cursors, then its jobs,
+//! for a node that cannot reach the store, to forward submissions to a pool's owner and notify it of
+//! cancellations, and to query the jobs of a pool whose records they do not follow. Lock order: a pool log's cursors, then its jobs,
 //! then the node's tables; no lock but a cursor's is held across an await.
 
 mod access;
 mod admission;
 mod append;
 mod callers;
+mod cancel_notice;
 mod caps;
 mod clock;
 pub mod concurrency_limit;
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -12,7 +12,7 @@
 use thistle_model::clock::wall_ms;
 use thistle_platform::{KeyedRecord, Stored};
 use thistle_schedule::job_log::{
-    Version, cancel_received_ms, job_of_progress_key, job_of_submit_key,
+    Version, cancel_received_ms, job_of_cancel_key, job_of_progress_key, job_of_submit_key,
 };
 use thistle_schedule::{JobId, JobLog, LogChange, Ms, Progress, freshness};
 use tokio::sync::mpsc::UnboundedSender;
@@ -256,15 +256,10 @@
                 log::info!("job id={id} step=read pool={pool} part={part} offset={offset}");
             }
             LogChange::Cancelled(id) => {
-                // Clocks of nodes differ, so the age may be off by as much.
-                let received_ms = cancel_received_ms(&record.value);
-                let age = received_ms.map(|at| wall_ms().saturating_sub(at));
+                let age = record_cancel_age(record);
                 log::info!(
                     "cancel step=read id={id} pool={pool} part={part} offset={offset} age_ms={age:?}"
                 );
-                if let Some(age) = age {
-                    histogram!("thistle_cancel_read_seconds").record(Duration::from_millis(age));
-                }
             }
             LogChange::PassedOn(_) | LogChange::BoundElsewhere(_) => (),
         }
@@ -308,6 +303,25 @@
         }
     }
 
+    /// Applies a cancellation that another node has written, before this node reads it. Returns whether it was one.
+    pub fn apply_cancel_notice(&self, record: &KeyedRecord) -> bool {
+        let Some(id) = job_of_cancel_key(&record.key) else { return false };
+        let mut jobs = self.jobs();
+        match jobs.apply(&record.key, record.value()) {
+            Ok(Some(change)) => {
+                let age = record_cancel_age(record);
+                log::info!("cancel step=notified id={id} pool={} age_ms={age:?}", self.pool);
+                self.notify_owner(change);
+            }
+            Ok(None) => (),
+            Err(e) => {
+                log::error!("jobs step=unreadable pool={} key={}", self.pool, e.0);
+                return false;
+            }
+        }
+        true
+    }
+
     /// Applies progress that this node has just appended as owner.
     pub async fn apply_progress(
         &self,
@@ -333,3 +347,11 @@
         jobs
     }
 }
+
+/// Returns how long ago a cancellation was received that its pool's owner learns of now, in milliseconds, and records it as a
+/// metric. It may be off by the difference between the clocks of two nodes.
+fn record_cancel_age(record: &KeyedRecord) -> Option<Ms> {
+    let age = wall_ms().saturating_sub(cancel_received_ms(&record.value)?);
+    histogram!("thistle_cancel_read_seconds").record(Duration::from_millis(age));
+    Some(age)
+}
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -1,5 +1,5 @@
 //! The HTTP server for other nodes: forwards store calls for nodes that cannot reach the store directly, accepts forwarded
-//! submissions and the reports of pools, and answers queries. Also watches whether this node reaches the store directly.
+//! submissions, notices of cancellations and the reports of pools, and answers queries. Also watches whether this node reaches the store directly.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use crate::fleet_owner::{REPORT_PATH, Rejection, accept_report};
 use crate::node::Node;
 use crate::request_body;
-use crate::{find_job, forward, query};
+use crate::{cancel_notice, find_job, forward, query};
 
 /// How often the direct route to the store is probed while calls go through another node.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -72,6 +72,12 @@
             };
             reply(status.as_u16(), Either::Left(Full::default()))
         }
+        Ok(body) if path.starts_with(cancel_notice::PATH) => {
+            match cancel_notice::accept_notice(node, &path[cancel_notice::PATH.len()..], &body) {
+                true => reply(StatusCode::OK.as_u16(), Either::Left(Full::default())),
+                false => not_forwarded(),
+            }
+        }
         Ok(body) if path == query::PATH => match find_job::answer_query(node, &body).await {
             Some(encoded) => reply(StatusCode::OK.as_u16(), Either::Left(encoded.into())),
             None => not_forwarded(),
--- a/crates/scheduler/tests/late_cancels.rs
+++ b/crates/scheduler/tests/late_cancels.rs
@@ -16,6 +16,8 @@
 const FILLER: &str = "00000000000000f2";
 /// The time after the acknowledgement of a cancellation from which no task of the job may be started.
 const CANCEL_WITHIN: Duration = Duration::from_secs(3);
+/// The time after that within which its running tasks are stopped.
+const STOP_WITHIN: Duration = Duration::from_millis(900);
 /// How long the filling job occupies the only VM, in milliseconds. The cancellation is acknowledged in the first second.
 const FILLER_MS: u32 = 5_000;
 const FULL: u32 = 16_000;
@@ -65,6 +67,17 @@
         wait_until("the owner has read the job", is_read).await;
     }
 
+    /// Submits so many bytes that the owner needs longer to read them over its link than the filling job takes.
+    async fn submit_backlog(&self) {
+        const JOBS: usize = 120;
+        self.endpoint.set_part_fault(TOPIC, SUBMISSIONS, Fault::SlowLinks);
+        // The steps need more than any VM has, so that these jobs take no room.
+        let step = json!({ "count": 1, "cpu": 4 * FULL, "memMb": 256, "estimatedMs": 100 });
+        let large = bodies::job_of(&"x".repeat(4_000), &vec![step; 900]);
+        let ids: Vec<String> = (0..JOBS).map(|i| format!("{i:016x}")).collect();
+        futures::future::join_all(ids.iter().map(|id| self.submit(id, &large))).await;
+    }
+
     /// Cancels the job through the node that does not own the pool.
     async fn cancel(&self) -> Instant {
         let answer = send(&self.system.nodes[1], Method::DELETE, &format!("/quotes/{ID}")).await;
@@ -99,21 +112,30 @@
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_cancelled_job_is_not_started_by_an_owner_with_a_backlog_of_submissions() {
-    const BACKLOG: usize = 120;
     let setup = Setup::start(75).await;
     setup.submit_waiting_job().await;
-    setup.endpoint.set_part_fault(TOPIC, SUBMISSIONS, Fault::SlowLinks);
-    // The steps need more than any VM has, so that these jobs take no room.
-    let step = json!({ "count": 1, "cpu": 4 * FULL, "memMb": 256, "estimatedMs": 100 });
-    let large = bodies::job_of(&"x".repeat(4_000), &vec![step; 900]);
-    let ids: Vec<String> = (0..BACKLOG).map(|i| format!("{i:016x}")).collect();
-    futures::future::join_all(ids.iter().map(|id| setup.submit(id, &large))).await;
+    setup.submit_backlog().await;
     let acknowledged = setup.cancel().await;
     setup.expect_no_late_start(acknowledged).await;
     setup.endpoint.set_part_fault(TOPIC, SUBMISSIONS, Fault::None);
     wait_until_state(&setup.system.nodes[1], ID, "cancelled").await;
 }
 
+/// Guards against an owner that stops the tasks of a cancelled job only once it has read a backlog of submissions.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_is_stopped_by_an_owner_with_a_backlog_of_submissions() {
+    let setup = Setup::start(79).await;
+    setup.submit(ID, &job_of(FULL, "ms=30000")).await;
+    wait_until_state(&setup.system.nodes[1], ID, "running").await;
+    setup.submit_backlog().await;
+    let acknowledged = setup.cancel().await;
+    tokio::time::sleep(CANCEL_WITHIN + STOP_WITHIN).await;
+    let vms = setup.system.platform.machines.vms();
+    let runs: usize = vms.iter().map(|vm| vm.running().len()).sum();
+    expect_that!(runs, eq(0), "{:?} after the acknowledgement", acknowledged.elapsed());
+}
+
 /// Checks that the job is not started if its cancellation is written to a partition that the owner alone can't read.
 async fn expect_unreadable_cancel_binds(net: u8, part: u32) {
     let setup = Setup::start(net).await;
