An acknowledged cancellation binds however many others cancelled the ID

What callers saw: cancellations of an ID that are read before its submission were kept for eight callers. The ninth got 200, and if it was the one that may see the job, the job ran all the same.

Cause: JobLog::cancel dropped the record once MAX_EARLY_CANCELS callers were known.

Evidence: a_cancellation_by_the_submitter_binds_however_many_others_cancelled_the_id_first failed before the change with 'Value of: cancelled, Expected: has a value which is equal to true, Actual: Some(false), caller 8'.

Why it works: the callers are a set without a limit of its own. A caller is a queue and a workspace that a node has authenticated, so that the set is bounded by the configuration, and repeats add nothing.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -147,10 +147,6 @@
     Ok((version, progress))
 }
 
-/// The maximum number of callers whose cancellations of one ID are kept until its submission is read. One is usual; more come
-/// from mistakes.
-const MAX_EARLY_CANCELS: usize = 8;
-
 /// The error for a record that cannot be decoded, with its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadRecord(pub String);
@@ -168,8 +164,8 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Whether a caller that may see the job has cancelled it.
     pub cancelled: bool,
-    /// The callers that cancelled this ID before its submission was read.
-    pub cancelled_by: Vec<Option<Caller>>,
+    /// The callers that cancelled this ID before its submission was read, at most one for each queue and workspace.
+    pub cancelled_by: BTreeSet<Option<Caller>>,
     /// The progress.
     pub progress: Progress,
     /// The version of the record that holds the progress.
@@ -345,13 +341,7 @@
                 is_new.then_some(LogChange::Cancelled(id))
             }
             Some(_) => None,
-            None => {
-                let is_new = !entry.cancelled_by.contains(&caller);
-                if is_new && entry.cancelled_by.len() < MAX_EARLY_CANCELS {
-                    entry.cancelled_by.push(caller);
-                }
-                is_new.then_some(LogChange::Cancelled(id))
-            }
+            None => entry.cancelled_by.insert(caller).then_some(LogChange::Cancelled(id)),
         }
     }
 
--- a/crates/schedule/src/workspace.rs
+++ b/crates/schedule/src/workspace.rs
@@ -163,7 +163,7 @@
 }
 
 /// The caller of a request, as the node that accepted the request determined by its key.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Caller {
     /// The queue that was called.
     pub queue: String,
--- a/crates/schedule/tests/job_records.rs
+++ b/crates/schedule/tests/job_records.rs
@@ -219,6 +219,31 @@
     expect_that!(keys, eq(&written), "all records of the job are dropped with it");
 }
 
+/// Guards against a cancellation that is dropped because many other callers have cancelled the ID before its submission is read.
+#[gtest]
+fn a_cancellation_by_the_submitter_binds_however_many_others_cancelled_the_id_first() {
+    const CALLERS: usize = 40;
+    const REPEATS: usize = 3;
+    let caller = |i: usize| Caller { queue: "quotes".into(), workspace: Some(format!("w{i}")) };
+    for submitter in 0..CALLERS {
+        let mut log = JobLog::default();
+        for i in (0..CALLERS).cycle().take(REPEATS * CALLERS) {
+            let record = encode_cancel(&caller(i));
+            assert_that!(log.apply(&cancel_key(JOB), Some(&record)), ok(anything()));
+        }
+        let early = log.get(JOB).map_or(0, |entry| entry.cancelled_by.len());
+        assert_that!(early, le(CALLERS), "repeats take no memory");
+        let spec = JobSpec {
+            workspace: format!("w{submitter}"),
+            ..job(vec![step(4, 500)]).as_ref().clone()
+        };
+        let submitted = log.apply(&submit_key(JOB), Some(&encode_spec(&spec)));
+        assert_that!(submitted, ok(some(eq(&LogChange::Submitted(JOB)))));
+        let cancelled = log.get(JOB).map(|entry| entry.cancelled);
+        assert_that!(cancelled, some(eq(true)), "caller {submitter}");
+    }
+}
+
 /// Returns a job of one task with five repetitions, one a second.
 fn repeating() -> Arc<JobSpec> {
     let repeats = Some(Repeats { count: 5, start_at_ms: WALL_CLOCK_MS, interval_ms: 1_000 });
