A settled job does not run again if one partition drops it before another was read

What callers saw: a completed or cancelled job could run again after its pool had changed hands.

Cause: an owner that drops the records of a settled job appends the drop to the fallback partition, then to the first one. These appends are not fenced, so they may take effect while a new owner reads the pool, or the first one never if its owner has failed. The new owner reads the partitions side by side. If it read the drop of the fallback partition before the submission in the first one, JobLog removed the entry with the progress that was already read, and the submission then counted as new.

Evidence: progress_outlives_a_drop_that_is_read_before_the_partition_that_still_holds_the_job failed before the change, with the submission in the first partition only and in both: 'Expected: has a value which is equal to Completed, Actual: Some(Open)'.

Why it works: the first partition is the last one to get the drop. Until the drop was read there, the entry is hidden with its progress, as after a reload that misses the submission; the submission brings it back. The drop in the first partition removes it, so that hidden entries do not pile up.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -172,11 +172,13 @@
     pub version: Version,
     /// The partitions that hold its submission, as far as they were read.
     pub partitions: PartitionSet,
+    /// The partitions that have dropped its submission.
+    pub dropped_by: PartitionSet,
     /// The pools that have passed the submission on.
     pub origins: BTreeSet<Arc<str>>,
     /// Whether another pool has notified this one that the job is bound elsewhere.
     pub is_bound_elsewhere: bool,
-    /// The partition that a reload found without its submission, if no other one holds it.
+    /// The partition that has dropped its submission or that a reload found without it, if no other one is known to hold it.
     pub missing_from: Option<u32>,
 }
 
@@ -349,6 +351,7 @@
     fn submit(&mut self, partition: u32, id: JobId, spec: JobSpec) -> Option<LogChange> {
         let entry = self.jobs.entry(id).or_default();
         entry.partitions.insert(partition);
+        entry.dropped_by.remove(partition);
         let was_gone = entry.missing_from.take().is_some();
         if entry.spec.is_some() {
             return was_gone.then_some(LogChange::Submitted(id));
--- a/crates/schedule/src/job_log/partition_set.rs
+++ b/crates/schedule/src/job_log/partition_set.rs
@@ -5,7 +5,10 @@
 use super::{JobEntry, JobLog};
 use crate::id::JobId;
 
-/// The set of partitions that hold a submission, as far as they were read. A pool has only a few partitions.
+/// The first partition of submissions. A settled job is dropped there last.
+const FIRST: u32 = 0;
+
+/// A set of partitions of submissions. A pool has only a few partitions.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct PartitionSet(u32);
 
@@ -36,12 +39,19 @@
 
 impl JobLog {
     /// Records that a partition dropped a submission. The job's entry is removed only once no other partition holds the
-    /// submission: otherwise it would be read there as new, and its progress would be lost.
+    /// submission: otherwise it would be read there as new, and its progress would be lost. The first partition may hold it
+    /// unread until its own drop was read; the entry is hidden until then.
     pub(super) fn drop_submission(&mut self, partition: u32, id: JobId) {
         let Some(entry) = self.jobs.get_mut(&id) else { return };
         entry.partitions.remove(partition);
-        if entry.partitions.is_empty() {
+        entry.dropped_by.insert(partition);
+        if !entry.partitions.is_empty() {
+            return;
+        }
+        if entry.dropped_by.holds(FIRST) {
             self.jobs.remove(&id);
+        } else {
+            entry.missing_from = Some(partition);
         }
     }
 
--- a/crates/schedule/tests/dropped_submissions.rs
+++ b/crates/schedule/tests/dropped_submissions.rs
@@ -68,3 +68,21 @@
     log.record_reload(FIRST, &HashSet::new());
     expect_that!(log.len(), eq(0));
 }
+
+/// Guards against a settled job that runs again: a new owner reads several partitions at once, and reads that the fallback
+/// partition has dropped the job before it has read the first one, which still holds it.
+#[gtest]
+fn progress_outlives_a_drop_that_is_read_before_the_partition_that_still_holds_the_job() {
+    for is_in_fallback in [false, true] {
+        let mut log = JobLog::default();
+        apply_completion(&mut log);
+        log.record_reload(FALLBACK, &HashSet::from_iter(is_in_fallback.then_some(JOB)));
+        if is_in_fallback {
+            apply_submission(&mut log, FALLBACK);
+        }
+        expect_that!(log.apply_from(FALLBACK, &submit_key(JOB), None), ok(none()));
+        log.record_reload(FIRST, &HashSet::from([JOB]));
+        apply_submission(&mut log, FIRST);
+        expect_that!(phase(&log), some(eq(Phase::Completed)), "{is_in_fallback}");
+    }
+}
