A purge of notices keeps cancellations that were not passed on

What callers saw: an acknowledged cancellation could be lost if its record is in a pool that knows of the job only that it is bound elsewhere.

Cause: a purge drops entries of which only the notice is left at once, with all their records. Cancellations were no reason to keep one, so a cancellation read between the owner's last event and its purge was dropped before it was passed on.

Evidence: a_notice_is_not_all_that_is_left_of_a_job_that_was_cancelled failed before the change: 'Value of: log.get(JOB).map(JobEntry::is_notice_only), Expected: has a value which is equal to false, Actual: Some(true)'.

Why it works: such an entry is not a notice only. The owner passes the cancellation on and records the job as a copy, which is dropped after the time for which settled jobs are kept.

--- a/crates/schedule/src/job_log/origins.rs
+++ b/crates/schedule/src/job_log/origins.rs
@@ -53,6 +53,7 @@
             && self.spec.is_none()
             && self.progress == Progress::default()
             && self.origins.is_empty()
+            && self.cancelled_by.is_empty()
     }
 }
 
--- a/crates/schedule/tests/job_records.rs
+++ b/crates/schedule/tests/job_records.rs
@@ -244,6 +244,18 @@
     }
 }
 
+/// Guards against a cancellation that is dropped with the notice that its job is bound to another pool, which has to get it.
+#[gtest]
+fn a_notice_is_not_all_that_is_left_of_a_job_that_was_cancelled() {
+    let mut log = JobLog::default();
+    for (key, value) in [bound_elsewhere("hub"), cancel()] {
+        let is_notice_only = log.get(JOB).is_none_or(JobEntry::is_notice_only);
+        expect_that!(is_notice_only, eq(true), "before {key}");
+        assert_that!(log.apply(&key, value.as_deref()), ok(some(anything())));
+    }
+    expect_that!(log.get(JOB).map(JobEntry::is_notice_only), some(eq(false)));
+}
+
 /// Returns a job of one task with five repetitions, one a second.
 fn repeating() -> Arc<JobSpec> {
     let repeats = Some(Repeats { count: 5, start_at_ms: WALL_CLOCK_MS, interval_ms: 1_000 });
