--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -147,10 +147,6 @@
     Ok((version, progress))
 }
 
-/// The maximum number of callers whose cancellations of one ID are kept until its submission is read. One is usual; more come
-/// from mistakes.
-const MAX_EARLY_CANCELS: usize = 8;
-
 /// The error for a record that cannot be decoded, with its key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BadRecord(pub String);
@@ -168,19 +164,21 @@
     pub spec: Option<Arc<JobSpec>>,
     /// Whether a caller that may see the job has cancelled it.
     pub cancelled: bool,
-    /// The callers that cancelled this ID before its submission was read.
-    pub cancelled_by: Vec<Option<Caller>>,
+    /// The callers that cancelled this ID before its submission was read, at most one for each queue and workspace.
+    pub cancelled_by: BTreeSet<Option<Caller>>,
     /// The progress.
     pub progress: Progress,
     /// The version of the record that holds the progress.
     pub version: Version,
     /// The partitions that hold its submission, as far as they were read.
     pub partitions: PartitionSet,
+    /// The partitions that have dropped its submission.
+    pub dropped_by: PartitionSet,
     /// The pools that have passed the submission on.
     pub origins: BTreeSet<Arc<str>>,
     /// Whether another pool has notified this one that the job is bound elsewhere.
     pub is_bound_elsewhere: bool,
-    /// The partition that a reload found without its submission, if no other one holds it.
+    /// The partition that has dropped its submission or that a reload found without it, if no other one is known to hold it.
     pub missing_from: Option<u32>,
 }
 
@@ -345,13 +343,7 @@
                 is_new.then_some(LogChange::Cancelled(id))
             }
             Some(_) => None,
-            None => {
-                let is_new = !entry.cancelled_by.contains(&caller);
-                if is_new && entry.cancelled_by.len() < MAX_EARLY_CANCELS {
-                    entry.cancelled_by.push(caller);
-                }
-                is_new.then_some(LogChange::Cancelled(id))
-            }
+            None => entry.cancelled_by.insert(caller).then_some(LogChange::Cancelled(id)),
         }
     }
 
@@ -359,6 +351,7 @@
     fn submit(&mut self, partition: u32, id: JobId, spec: JobSpec) -> Option<LogChange> {
         let entry = self.jobs.entry(id).or_default();
         entry.partitions.insert(partition);
+        entry.dropped_by.remove(partition);
         let was_gone = entry.missing_from.take().is_some();
         if entry.spec.is_some() {
             return was_gone.then_some(LogChange::Submitted(id));
