Cancellations while a queue has several pools: written to each pool that may start the job

What callers saw: a job waits for room in pool A, its queue is routed to pool B, and its cancellation is acknowledged. A's owner starts the job more than 3 s later.

Cause: a cancellation was written to one pool, where the search had found the job or else to which the queue is routed, and that pool's owner passed it on. That takes as long as the owner does not read (or is dead), as the queue is not handed over, or as the other pool cannot be written. The age of an owner's reads of its own partitions does not help: the cancellation is not in them.

Why it works now: unless the job is known to have started, and so is bound to the pool in which it was found, the cancellation is written to all related pools at once, and acknowledged only once each has it. Whichever owner starts the job has the record in its own partitions. Cancellations are idempotent, and owners keep early ones; a record that an owner has already is no event, so what is passed on ends there. If some pools have not taken the record the outcome is unknown (504), as a part may take effect.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures::future::join_all;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue};
 use hyper::service::service_fn;
@@ -21,7 +22,7 @@
 use crate::access::caller_of;
 use crate::admission::refuse_by_load;
 use crate::clock::steady_ms;
-use crate::find_job::{self, SearchResult, find_log, search_pools};
+use crate::find_job::{self, SearchResult, find_log, related_pools, search_pools};
 use crate::node::Node;
 use crate::reply::{self, Reply};
 use crate::request_body::{self, BodyError};
@@ -261,7 +262,7 @@
     let Call { queue, caller, .. } = call;
     let found = search_pools(node, queue, id, caller).await;
     // An unknown job is cancelled too: its submission may still be on its way to the store, or the job in a pool that cannot be
-    // read. The owners of pools pass cancellations on to the pool that has the job.
+    // read.
     let (pool, state) = match &found {
         SearchResult::InPool(pool, state) => (pool, Some(*state)),
         SearchResult::NotTheirs(_) => {
@@ -270,12 +271,16 @@
         }
         SearchResult::NotFound | SearchResult::NotRead => (&queue.pool, None),
     };
-    let written = match state.is_some_and(JobState::is_final) {
-        true => WriteOutcome::Kept,
-        false => {
-            let record = encode_received_cancel(caller, wall_ms());
-            let record = KeyedRecord::new(cancel_key(id), record);
-            node.ensure_pool_log(pool).write(record).await
+    let written = match state {
+        Some(state) if state.is_final() => WriteOutcome::Kept,
+        // A job that has started is bound to its pool.
+        Some(JobState::Running) => write_cancel(node, std::slice::from_ref(pool), caller, id).await,
+        _ => {
+            let mut pools = related_pools(node, queue);
+            if !pools.contains(pool) {
+                pools.push(pool.clone());
+            }
+            write_cancel(node, &pools, caller, id).await
         }
     };
     log::info!(
@@ -289,6 +294,19 @@
     }
 }
 
+/// Writes a cancellation to all pools whose owners may start the job. An owner starts jobs by the records of its own pool, and the
+/// owner of another pool may pass the cancellation on too late.
+async fn write_cancel(
+    node: &Arc<Node>,
+    pools: &[Arc<str>],
+    caller: &Caller,
+    id: JobId,
+) -> WriteOutcome {
+    let record = KeyedRecord::new(cancel_key(id), encode_received_cancel(caller, wall_ms()));
+    let logs: Vec<_> = pools.iter().map(|pool| node.ensure_pool_log(pool)).collect();
+    WriteOutcome::of_all(&join_all(logs.iter().map(|log| log.write(record.clone()))).await)
+}
+
 async fn state(node: &Arc<Node>, call: &Call<'_>, id: JobId) -> Reply {
     let queue = call.queue;
     match search_pools(node, queue, id, &call.caller).await {
--- a/crates/scheduler/src/write_outcome.rs
+++ b/crates/scheduler/src/write_outcome.rs
@@ -22,6 +22,14 @@
             other => other,
         }
     }
+
+    /// Returns the outcome of a record that was written to several pools: it is known only if all of them agree.
+    pub fn of_all(outcomes: &[Self]) -> Self {
+        match outcomes {
+            [first, rest @ ..] if rest.iter().all(|outcome| outcome == first) => *first,
+            _ => Self::Unknown,
+        }
+    }
 }
 
 /// Decodes the outcomes of `count` records. If outcomes are missing or cannot be decoded, all records count as `Unknown`.
--- a/crates/scheduler/tests/rerouting/mod.rs
+++ b/crates/scheduler/tests/rerouting/mod.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hyper::Method;
+use thistle_platform::standin::StoreEndpoint;
 use thistle_platform::standin::bodies::{self, Route};
 use thistle_schedule::job_log::{cancel_key, encode_cancel, encode_spec, submit_key};
 use thistle_schedule::{Caller, JobSpec, Room, Step};
@@ -39,6 +40,26 @@
     /// The same with additional lines of settings.
     pub async fn start_with_settings(net: u8, nodes: u8, extra_settings: &str) -> Self {
         let system = System::start_with_settings(net, VMS, nodes, extra_settings).await;
+        Self::start_in(system, net).await
+    }
+
+    /// The same with an address of the store for each node.
+    pub async fn start_with_endpoints(net: u8, nodes: u8) -> (Self, Vec<StoreEndpoint>) {
+        let mut system = System::start(net, VMS, 0).await;
+        let mut endpoints = Vec::new();
+        for i in 0..nodes {
+            let endpoint = system.platform.open_endpoint(system::ip(net, 2 + i)).await;
+            let endpoint = endpoint.expect("the endpoint opens");
+            system.add_node_at(system::ip(net, 10 + i), endpoint.addr);
+            endpoints.push(endpoint);
+        }
+        for node in &system.nodes {
+            wait_until("a node is ready", || node.is_ready()).await;
+        }
+        (Self::start_in(system, net).await, endpoints)
+    }
+
+    async fn start_in(system: System, net: u8) -> Self {
         for i in 0..VMS {
             let name = format!("h-{i}");
             let added = system.platform.machines.add(&name, HUB, system::ip(net, 150 + i)).await;
@@ -129,6 +150,13 @@
         pools
     }
 
+    /// Returns the node that owns a pool according to the store.
+    pub fn owner_of(&self, pool: &str) -> Option<usize> {
+        let claim = self.system.platform.store.newest("control", 0, &format!("owner/{pool}"))?;
+        let claim: serde_json::Value = serde_json::from_slice(&claim).ok()?;
+        self.system.nodes.iter().position(|node| claim["owner"]["name"] == node.name.as_str())
+    }
+
     /// Waits until all jobs are completed according to each node.
     pub async fn wait_until_completed(&self, ids: &[String]) {
         for id in ids {
