Callers of other workspaces cannot cancel a job that is read after their cancellations

What callers saw: an accepted job was cancelled and never ran, though its own workspace had not cancelled it.

Cause: cancellations that are read before their submission are reported to the owner whoever sent them. The owner cancelled the job of each such report if its schedule had the job by then. If the submission was read together with two of them, the first report made the owner adopt the job and the second one cancelled it.

Why it works: the owner asks the records whether the job is cancelled, where only callers that may see it count.

--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -70,8 +70,16 @@
     /// Handles a cancellation that was read.
     pub(super) fn take_in_cancel(&mut self, id: JobId) {
         log::info!("cancel step=handled id={id} pool={}", self.log.pool);
-        self.pool.cancel(id, now());
-        let is_bound = self.log.jobs().get(id).is_none_or(JobEntry::is_bound);
+        let (is_cancelled, is_bound) = {
+            let jobs = self.log.jobs();
+            let entry = jobs.get(id);
+            // The submission may have been read since, and other workspaces cannot cancel the job.
+            let is_cancelled = entry.is_none_or(|e| e.cancelled || e.spec.is_none());
+            (is_cancelled, entry.is_none_or(JobEntry::is_bound))
+        };
+        if is_cancelled {
+            self.pool.cancel(id, now());
+        }
         if !is_bound {
             self.take_in(id);
         }
--- a/crates/scheduler/tests/keys.rs
+++ b/crates/scheduler/tests/keys.rs
@@ -5,11 +5,15 @@
 
 mod system;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use hyper::Method;
 use system::{Node, POOL, System, job, request, wait_until};
 use thistle_platform::http::Answer;
-use thistle_platform::standin::bodies;
+use thistle_platform::standin::{Fault, bodies};
+use thistle_schedule::job_log::{cancel_key, encode_cancel, encode_spec, submit_key};
+use thistle_schedule::{Caller, JobSpec, Room, Step};
 
 const ID: &str = "5c0e7a21d94b36f8";
 const OTHER_ID: &str = "6c0e7a21d94b36f8";
@@ -145,3 +149,37 @@
     expect_that!(call(node, Method::GET, "/open/", Some("nonsense")).await.status, eq(200));
     expect_that!(node.log(), contains_substring("step=doubtful"));
 }
+
+/// Guards against a job that is cancelled by callers of other workspaces, whose cancellations its owner reads together with the
+/// submission.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn other_workspaces_do_not_cancel_a_job_that_is_read_after_their_cancellations() {
+    let system = System::start(96, 2, 1).await;
+    let node = &system.nodes[0];
+    put_workspaces(&system, 2, &["key-a"], &["key-n"]);
+    wait_until_status(node, "no-such-key", 401).await;
+    expect_that!(submit(node, &format!("/quotes/{OTHER_ID}"), Some("key-a")).await, eq(200));
+    wait_until("the first job runs", async || system.starts_of(OTHER_ID).len() == 1).await;
+    let (topic, part) = ("jobs.desk", 0);
+    let store = &system.platform.store;
+    store.set_part_fault(topic, part, Fault::Unresponsive);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    let id = ID.parse().expect("a job ID");
+    let queue = "r/quotes/".to_owned();
+    for workspace in ["night", "morning", "noon"] {
+        let caller = Caller { queue: queue.clone(), workspace: Some(workspace.to_owned()) };
+        store.put(topic, &cancel_key(id), encode_cancel(&caller));
+    }
+    let demand = Room { cpu: 500, mem_mb: 256, gpu: 0 };
+    let spec = JobSpec {
+        steps: vec![Step { count: 1, demand, estimated_ms: 100, ..Step::default() }],
+        queue,
+        workspace: "lunch".to_owned(),
+        admitted_by: 2,
+        ..JobSpec::default()
+    };
+    store.put(topic, &submit_key(id), encode_spec(&spec));
+    store.set_part_fault(topic, part, Fault::None);
+    wait_until("the job runs", async || system.starts_of(ID).len() == 1).await;
+}
