A partition that is down for all nodes does not stop its pool

Cause: the owner could not tell a partition that fails for it alone, to which others still write cancellations, from one that is down.

Change: while reads of a partition fail, the owner asks two other nodes every 250 ms whether the store answers them about it (a new query; older nodes do not answer it). If it answers both, but not about this partition, no cancellation can have been written there since, and the partition counts as known up to the beginning of that check. With one answer, or without other nodes, the pool waits.

--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -8,7 +8,9 @@
 use crate::clock::steady_ms;
 use crate::locks::lock;
 use crate::node::Node;
-use crate::pool_log::{FALLBACK_MAX_AGE_MS, FALLBACK_SUBMISSIONS, PROGRESS, PoolLog, SUBMISSIONS};
+use crate::pool_log::{
+    FALLBACK_MAX_AGE_MS, FALLBACK_SUBMISSIONS, PROGRESS, PoolLog, SUBMISSIONS, is_answered,
+};
 use crate::query::{Query, QueryReply};
 use crate::query_peers::query_peers;
 
@@ -72,7 +74,10 @@
     match reply {
         QueryReply::State(state) => state.is_final(),
         QueryReply::NotTheirs => true,
-        QueryReply::NoSuchJob | QueryReply::Pending(_) | QueryReply::NotRead => false,
+        QueryReply::NoSuchJob
+        | QueryReply::Pending(_)
+        | QueryReply::NotRead
+        | QueryReply::Answered(_) => false,
     }
 }
 
@@ -172,7 +177,9 @@
         QueryReply::State(state) => SearchResult::InPool(log.pool.clone(), state),
         QueryReply::NotTheirs => SearchResult::NotTheirs(log.pool.clone()),
         QueryReply::NoSuchJob => SearchResult::NotFound,
-        QueryReply::Pending(_) | QueryReply::NotRead => SearchResult::NotRead,
+        QueryReply::Pending(_) | QueryReply::NotRead | QueryReply::Answered(_) => {
+            SearchResult::NotRead
+        }
     }
 }
 
@@ -226,7 +233,8 @@
         QueryReply::State(_)
         | QueryReply::NotTheirs
         | QueryReply::NoSuchJob
-        | QueryReply::NotRead => None,
+        | QueryReply::NotRead
+        | QueryReply::Answered(_) => None,
     }
 }
 
@@ -259,12 +267,16 @@
 
 async fn local_reply(node: &Node, query: &Query) -> QueryReply {
     let Some(log) = node.pool_log_of(query.pool()) else { return QueryReply::NotRead };
+    if let Query::Partition { part, .. } = query {
+        return is_answered(node, &log.topic, *part).await;
+    }
     if !is_followed(node, &log).await {
         return QueryReply::NotRead;
     }
     match query {
         Query::State { id, caller, .. } => local_state(node, &log, *id, caller).await,
         Query::Pending { queue, .. } => local_pending(node, &log, queue).await,
+        Query::Partition { .. } => QueryReply::NotRead,
     }
 }
 
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -1,5 +1,6 @@
 //! The records of one pool that this node has read.
 
+mod outage;
 mod read;
 mod submission_partitions;
 
@@ -28,6 +29,7 @@
 use crate::read_time::ReadTime;
 use crate::submit::{Submission, run_submitter};
 use crate::write_outcome::WriteOutcome;
+pub use outage::is_answered;
 use submission_partitions::PartitionState;
 
 /// The partition to which any node appends submissions and cancellations.
@@ -86,6 +88,10 @@
     last_read_failed: AtomicBool,
     /// When the last read of each partition of submissions that reached its end was started.
     read_at: [ReadTime; SUBMISSION_PARTITIONS.len()],
+    /// Whether this node fails to read each partition of submissions.
+    is_failing: [AtomicBool; SUBMISSION_PARTITIONS.len()],
+    /// When the last check was started that found each partition of submissions down for other nodes too.
+    down_at: [ReadTime; SUBMISSION_PARTITIONS.len()],
     submitter: UnboundedSender<Submission>,
     /// The number of jobs read so far, for metrics.
     pub submitted: AtomicU64,
@@ -108,12 +114,15 @@
             partition_states: Default::default(),
             last_read_failed: AtomicBool::new(false),
             read_at: Default::default(),
+            is_failing: Default::default(),
+            down_at: Default::default(),
             submitter,
             submitted: AtomicU64::new(0),
         });
         tokio::spawn(run_submitter(node.clone(), log.clone(), rx));
         tokio::spawn(read::follow_records(node.clone(), log.clone()));
         tokio::spawn(read::follow_fallback(node.clone(), log.clone()));
+        tokio::spawn(outage::check_outages(node.clone(), log.clone()));
         log
     }
 
@@ -173,10 +182,12 @@
         self.read_at.each_ref().map(ReadTime::age)
     }
 
-    /// Returns whether all cancellations were read that have to be in force.
+    /// Returns whether all cancellations are known that have to be in force. A partition that is down for other nodes too has got
+    /// none.
     pub fn knows_cancels(&self, node: &Node) -> bool {
-        let read_at = self.read_at.each_ref().map(ReadTime::get);
-        freshness::are_current(&read_at, node.cancel_within(), steady_ms())
+        let times = self.read_at.iter().zip(&self.down_at);
+        let known_until: Vec<_> = times.map(|(read, down)| read.get().max(down.get())).collect();
+        freshness::are_current(&known_until, node.cancel_within(), steady_ms())
     }
 
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
--- a/crates/scheduler/src/pool_log/read.rs
+++ b/crates/scheduler/src/pool_log/read.rs
@@ -41,8 +41,8 @@
             node.store_health.record_call(result.is_ok());
             let from = cursor.next;
             match &result {
-                Ok(()) => cursor.failures.record_success(&self.topic, part),
-                Err(e) => cursor.failures.record_failure(&self.topic, part, from, e),
+                Ok(()) => self.record_success(&mut cursor, part),
+                Err(e) => self.record_failure(&mut cursor, part, from, e),
             }
             result?;
         }
@@ -88,11 +88,25 @@
     }
 
     fn record_read_at(&self, part: u32, began: Ms) {
-        if let Some(index) = SUBMISSION_PARTITIONS.iter().position(|&p| p == part) {
+        if let Some(index) = index_of(part) {
             self.read_at[index].record(Some(began));
         }
     }
 
+    fn record_success(&self, cursor: &mut Cursor, part: u32) {
+        cursor.failures.record_success(&self.topic, part);
+        if let Some(index) = index_of(part) {
+            self.is_failing[index].store(false, Ordering::Relaxed);
+        }
+    }
+
+    fn record_failure(&self, cursor: &mut Cursor, part: u32, from: Option<u64>, e: &StoreError) {
+        cursor.failures.record_failure(&self.topic, part, from, e);
+        if let Some(index) = index_of(part) {
+            self.is_failing[index].store(true, Ordering::Relaxed);
+        }
+    }
+
     /// Reads new records for a standby.
     async fn read_new_records(&self, node: &Node) -> Result<(), StoreError> {
         let since = steady_ms();
@@ -115,12 +129,12 @@
             }
             Err(ReadError::Store(e)) => {
                 let mut cursor = self.cursor(SUBMISSIONS).lock().await;
-                cursor.failures.record_failure(&self.topic, SUBMISSIONS, Some(from), &e);
+                self.record_failure(&mut cursor, SUBMISSIONS, Some(from), &e);
                 return Err(e);
             }
         };
         let mut cursor = self.cursor(SUBMISSIONS).lock().await;
-        cursor.failures.record_success(&self.topic, SUBMISSIONS);
+        self.record_success(&mut cursor, SUBMISSIONS);
         let next = from + batch.records.len() as u64;
         if cursor.next.is_some_and(|known| known < next) {
             self.apply(SUBMISSIONS, &batch.records);
@@ -215,3 +229,8 @@
         }
     }
 }
+
+/// Returns the index of a partition among those of submissions.
+fn index_of(part: u32) -> Option<usize> {
+    SUBMISSION_PARTITIONS.iter().position(|&p| p == part)
+}
--- a/crates/scheduler/src/query.rs
+++ b/crates/scheduler/src/query.rs
@@ -25,13 +25,22 @@
         /// The queue's name.
         queue: String,
     },
+    /// Requests whether the store answers the node about a partition of the pool's records.
+    Partition {
+        /// The pool.
+        pool: String,
+        /// The partition.
+        part: u32,
+    },
 }
 
 impl Query {
     /// Returns the pool that the query is about.
     pub fn pool(&self) -> &str {
         match self {
-            Self::State { pool, .. } | Self::Pending { pool, .. } => pool,
+            Self::State { pool, .. }
+            | Self::Pending { pool, .. }
+            | Self::Partition { pool, .. } => pool,
         }
     }
 }
@@ -49,4 +58,6 @@
     Pending(u64),
     /// The node does not follow this pool's records, or currently cannot read them.
     NotRead,
+    /// Whether the store answers the node about the partition; it answers about others.
+    Answered(bool),
 }
--- a/crates/scheduler/src/query_peers.rs
+++ b/crates/scheduler/src/query_peers.rs
@@ -41,6 +41,14 @@
     None
 }
 
+/// Queries one node. A node that does not reply counts as one that cannot read the pool's records.
+pub async fn query_node(node: &Node, query: &Query, addr: SocketAddr) -> QueryReply {
+    query_one(node, query, addr).await.unwrap_or_else(|e| {
+        log::info!("ask step=failed pool={} error=\"{e}\"", query.pool());
+        QueryReply::NotRead
+    })
+}
+
 async fn query_one(node: &Node, query: &Query, addr: SocketAddr) -> Result<QueryReply, String> {
     let body = postcard::to_stdvec(query).map_err(|e| e.to_string())?;
     let call = Call::new(Method::POST, PATH, TIMEOUT).with_bytes(body.into());
