Submissions are passed on to another pool once the cancellations that only this pool has were read

What callers saw: a job and its cancellation, both acknowledged, are in pool A. Then the job's queue is routed to pool B. A's owner, which reads one partition and not the fallback one (or is behind between the two records), passes the job on without its cancellation; B's owner starts it more than 3 s after the acknowledgement.

Cause: passing a submission on is a start that another owner makes at any later time, and nothing asked how far A's owner had read. Nodes that know the assignment write cancellations to both pools, so those that only A has were acknowledged before.

Why it works now: an owner passes a submission on only after both partitions of its pool were read to their ends 500 ms after it took note of the queue's current assignment. What it has not read by then was written by nodes that know the assignment, and is in the other pool too. A job that is known to be cancelled is passed on at once, its cancellation first. The cost is up to 1.5 s for jobs that arrive in the wrong pool within that time of a change of the route or a takeover (the fallback partition is read each second), none later.

--- a/crates/schedule/src/assignment.rs
+++ b/crates/schedule/src/assignment.rs
@@ -66,6 +66,8 @@
     HandoverDue,
     /// The jobs that are bound to earlier pools have not been read.
     EarlierNotRead,
+    /// Cancellations that other pools do not have yet may not have been read.
+    CancelsNotRead,
     /// The job's records could not be written to the pool that it belongs to.
     NotPassedOn,
 }
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -20,11 +20,16 @@
 /// Pause before a failed attempt to pass something on or to change an assignment is repeated, in milliseconds.
 const RETRY_MS: Ms = 100;
 
+/// The longest time until all nodes in touch with the store have read a new assignment, in milliseconds.
+const ASSIGNMENT_DELAY_MS: Ms = 500;
+
 /// The jobs whose pool is not decided, what is being passed on, and the queues that are being handed over.
 #[derive(Default)]
 pub(super) struct Intake {
     /// The assignments by which jobs are decided.
     pub assignments: Arc<Assignments>,
+    /// When the current assignment of each queue was noted, by the steady clock.
+    pub assigned_at: HashMap<Arc<str>, Ms>,
     /// The configuration by which jobs are decided.
     pub catalog: Option<Arc<Catalog>>,
     /// The jobs that wait, and why.
@@ -117,21 +122,39 @@
                 }
             },
             Home::AssignedTo(pool) => {
-                if let Some(offset) = self.intake.assignments.offset_of(queue) {
-                    self.pass_on(id, entry, &pool, Phase::Moved(offset));
+                let Some(offset) = self.intake.assignments.offset_of(queue) else { return };
+                let (known, phase) = (self.phase_of(id, entry), Phase::Moved(offset));
+                let is_passed_on = known == phase || known == Phase::Copy || entry.spec.is_none();
+                if !is_passed_on && !entry.cancelled && !self.knows_cancels_of(queue) {
+                    self.set_undecided(id, entry, Undecided::CancelsNotRead, before);
+                    self.review_later();
+                    return;
                 }
+                self.pass_on(id, entry, &pool, phase);
             }
             Home::BoundTo(pool) => self.pass_on(id, entry, &pool, Phase::Copy),
-            Home::Undecided(reason) => {
-                if entry.spec.is_some() && before != Some(reason) {
-                    log::info!(
-                        "job id={id} step=undecided pool={} reason={reason:?}",
-                        self.log.pool
-                    );
-                }
-                self.intake.undecided.insert(id, reason);
-            }
+            Home::Undecided(reason) => self.set_undecided(id, entry, reason, before),
+        }
+    }
+
+    /// Returns whether this owner has read the cancellations that were written to its pool alone, by nodes that did not know the
+    /// assignment of the queue to another pool. They have to be passed on before the submissions of their jobs.
+    fn knows_cancels_of(&self, queue: &str) -> bool {
+        let noted_at = self.intake.assigned_at.get(queue);
+        noted_at.is_some_and(|at| self.log.has_read_submissions_since(at + ASSIGNMENT_DELAY_MS))
+    }
+
+    fn set_undecided(
+        &mut self,
+        id: JobId,
+        entry: &JobEntry,
+        reason: Undecided,
+        before: Option<Undecided>,
+    ) {
+        if entry.spec.is_some() && before != Some(reason) {
+            log::info!("job id={id} step=undecided pool={} reason={reason:?}", self.log.pool);
         }
+        self.intake.undecided.insert(id, reason);
     }
 
     /// Returns the phase of a job that is recorded or about to be.
--- a/crates/scheduler/src/owner/queues.rs
+++ b/crates/scheduler/src/owner/queues.rs
@@ -60,6 +60,7 @@
         let changed = |queue: &str| before.offset_of(queue) != assignments.offset_of(queue);
         self.intake.handing_over.retain(|queue, &mut at| assignments.offset_of(queue) == Some(at));
         for (queue, assignment) in assignments.iter().filter(|(queue, _)| changed(queue)) {
+            self.intake.assigned_at.insert(queue.clone(), steady_ms());
             if assignment.pool == self.log.pool && !assignment.earlier.is_empty() {
                 self.read_earlier(queue, assignment.earlier.iter().cloned().collect());
             }
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -179,6 +179,11 @@
         freshness::are_current(&read_at, node.cancel_within(), steady_ms())
     }
 
+    /// Returns whether all submissions and cancellations were read that the store had at `since`.
+    pub fn has_read_submissions_since(&self, since: Ms) -> bool {
+        self.read_at.iter().all(|read_at| read_at.get().is_some_and(|at| at >= since))
+    }
+
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
         match part {
             SUBMISSIONS => &self.cursors[0],
--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -10,7 +10,7 @@
 use googletest::prelude::*;
 use hyper::Method;
 use rerouting::{BARE, HUB, Rerouting, ids};
-use system::{job, send, submit, wait_until, wait_until_state};
+use system::{POOL, job, send, submit, wait_until, wait_until_state};
 use thistle_platform::standin::{Fault, RunEventKind, StoreEndpoint};
 
 const NODES: u8 = 3;
@@ -165,3 +165,31 @@
     wait_until("the cancellation is acknowledged", acknowledged).await;
     expect_no_late_start(&rerouting, NET, id, Instant::now()).await;
 }
+
+/// Guards against a submission that is passed on before the cancellation in the fallback partition was read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_that_is_passed_on_before_its_cancellation_is_read_is_not_started() {
+    const NET: u8 = 173;
+    let (mut rerouting, endpoints) = Rerouting::start_with_endpoints(NET, NODES).await;
+    let id = &ids(1)[0];
+    rerouting.route_to(Some(POOL)).await;
+    let owner = rerouting.owner_of(POOL).expect("the pool has an owner");
+    set_unresponsive(&endpoints[owner], POOL, true).await;
+    let topic = format!("jobs.{POOL}");
+    let node = (owner + 1) % usize::from(NODES);
+    let call = submit(&rerouting.system.nodes[node], id, &job(1, TASK_MS)).await;
+    expect_that!(call.status, eq(200));
+    // The cancellation goes to the fallback partition.
+    endpoints[node].set_part_fault(&topic, 0, Fault::Busy);
+    let acknowledged = cancel(&rerouting, node, id).await;
+    endpoints[node].set_part_fault(&topic, 0, Fault::None);
+    rerouting.route_to(Some(BARE)).await;
+    wait_until_assigned(&rerouting, BARE).await;
+    endpoints[owner].set_part_fault(&topic, 0, Fault::None);
+    let read = format!("job id={id} step=read pool={POOL}");
+    wait_until("the owner has read the job", async || rerouting.has_logged(&read)).await;
+    expect_no_late_start(&rerouting, NET, id, acknowledged).await;
+    set_unresponsive(&endpoints[owner], POOL, false).await;
+    wait_until_state(&rerouting.system.nodes[node], id, "cancelled").await;
+}
