Cancellations that another pool has are dropped from pools to which their jobs never come

What operators would see: since cancellations are written to all related pools, each one of a queued job of a queue that was ever moved leaves a record for good in every pool but one, and each takeover of such a pool passes all of them on again. Cancellations that owners had passed on stayed for good before, too.

What it does: an owner drops the `c` record of a job of which it has read nothing else once it has passed the cancellation on for as long as settled jobs are kept (and the slack of 30 s), by its steady clock. The pool to which the queue is assigned, or that has the job, keeps it. Only `c` is dropped: a submission that lands meanwhile stays.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -203,9 +203,11 @@
 
     /// Returns whether the job is bound to the pool: its owner has written progress of it, and it is not elsewhere.
     pub fn is_bound(&self) -> bool {
-        let has_progress =
-            self.version != Version::default() || self.progress != Progress::default();
-        has_progress && !self.is_elsewhere()
+        self.has_progress() && !self.is_elsewhere()
+    }
+
+    fn has_progress(&self) -> bool {
+        self.version != Version::default() || self.progress != Progress::default()
     }
 
     /// Returns the queue of the submission, or else of a cancellation that was read before it.
@@ -214,6 +216,15 @@
         self.spec.as_ref().map(|spec| spec.queue.as_str()).or_else(|| early().next())
     }
 
+    /// Returns whether nothing but cancellations was read of the job.
+    pub fn is_cancel_only(&self) -> bool {
+        !self.cancelled_by.is_empty()
+            && self.spec.is_none()
+            && !self.has_progress()
+            && self.origins.is_empty()
+            && !self.is_bound_elsewhere
+    }
+
     /// Returns the callers whose cancellations another pool needs.
     pub fn cancelling_callers(&self) -> Vec<Caller> {
         match &self.spec {
@@ -301,8 +312,10 @@
         let job = if kind == ORIGIN { job_of_origin_key(id) } else { id.parse().ok() };
         let id: JobId = job.ok_or_else(bad)?;
         let Some(value) = value else {
-            if kind == SUBMIT {
-                self.drop_submission(partition, id);
+            match kind {
+                SUBMIT => self.drop_submission(partition, id),
+                CANCEL => self.drop_early_cancels(id),
+                _ => (),
             }
             return Ok(None);
         };
@@ -347,6 +360,13 @@
         }
     }
 
+    /// Removes the entry of a job of which only cancellations were read.
+    fn drop_early_cancels(&mut self, id: JobId) {
+        if self.jobs.get(&id).is_some_and(JobEntry::is_cancel_only) {
+            self.jobs.remove(&id);
+        }
+    }
+
     /// Applies a submission. The first one of an ID is kept; later ones are copies.
     fn submit(&mut self, partition: u32, id: JobId, spec: JobSpec) -> Option<LogChange> {
         let entry = self.jobs.entry(id).or_default();
--- a/crates/schedule/tests/job_records.rs
+++ b/crates/schedule/tests/job_records.rs
@@ -324,3 +324,26 @@
     times.sort_unstable();
     expect_that!(times, eq(&vec![0, 2, 3, 4]));
 }
+
+/// Guards against a job that is lost with a cancellation of its ID that is dropped.
+#[gtest]
+fn only_the_cancellations_of_jobs_that_were_not_read_are_dropped() {
+    let dropped: Record = (cancel_key(JOB), None);
+    let mut reader = Reader::default();
+    [cancel(), dropped.clone()].iter().for_each(|record| reader.apply(record));
+    expect_that!(reader.log.is_empty(), eq(true));
+    let others = [
+        submission(),
+        progress(Version::default(), &open_progress(1)),
+        origin("desk"),
+        bound_elsewhere("desk"),
+    ];
+    for other in others {
+        let mut reader = Reader::default();
+        [cancel(), other, dropped.clone()].iter().for_each(|record| reader.apply(record));
+        expect_that!(reader.log.get(JOB).is_some(), eq(true));
+    }
+    // A submission that is read later is not cancelled any more.
+    reader.apply(&submission());
+    expect_that!(reader.entry().cancelled, eq(false));
+}
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -36,8 +36,8 @@
     pub undecided: BTreeMap<JobId, Undecided>,
     /// The jobs of which a record is being passed on.
     pub passing_on: HashSet<JobId>,
-    /// The number of cancellations of each job that were passed on.
-    pub cancels_passed_on: HashMap<JobId, usize>,
+    /// The number of cancellations of each job that were passed on, and when, by the steady clock.
+    pub cancels_passed_on: HashMap<JobId, (usize, Ms)>,
     /// Jobs that belong to other pools, with the phase to be recorded.
     pub elsewhere: BTreeMap<JobId, Phase>,
     /// Jobs that were passed on and belong to this pool again, to be bound.
@@ -177,7 +177,7 @@
         let known = self.phase_of(id, entry);
         let is_known = known == phase || known == Phase::Copy;
         let callers = entry.cancelling_callers();
-        let passed_on = self.intake.cancels_passed_on.get(&id).copied().unwrap_or_default();
+        let (passed_on, _) = self.intake.cancels_passed_on.get(&id).copied().unwrap_or_default();
         let cancels = if callers.len() > passed_on { &callers[..] } else { &[] };
         let new_phase = entry.spec.as_ref().filter(|_| !is_known).map(|_| phase);
         let spec = entry.spec.as_ref().filter(|_| !is_known && phase != Phase::Copy);
@@ -238,7 +238,7 @@
         };
         counter!("thistle_jobs_passed_on").increment(1);
         if cancels > 0 {
-            self.intake.cancels_passed_on.insert(id, cancels);
+            self.intake.cancels_passed_on.insert(id, (cancels, steady_ms()));
         }
         if let Some(phase) = phase {
             self.intake.elsewhere.insert(id, phase);
--- a/crates/scheduler/src/owner/purge.rs
+++ b/crates/scheduler/src/owner/purge.rs
@@ -1,4 +1,4 @@
-//! Drops the records of jobs that settled long ago.
+//! Drops the records of jobs that settled long ago, and cancellations that another pool has.
 
 use thistle_platform::{Guard, KeyedRecord};
 use thistle_schedule::job_log::{JobEntry, cancel_key, progress_key, submit_key};
@@ -25,7 +25,9 @@
         }
         self.purged_at = steady_ms();
         let keep = u64::try_from(self.node.settings.keep_settled.0.as_millis()).unwrap_or(Ms::MAX);
-        let before = now().wall.saturating_sub(keep.saturating_add(PURGE_SLACK_MS));
+        let keep = keep.saturating_add(PURGE_SLACK_MS);
+        self.drop_early_cancels(keep).await;
+        let before = now().wall.saturating_sub(keep);
         let old: Vec<JobId> = {
             let jobs = self.log.jobs();
             let is_old = |id: JobId, entry: &JobEntry| {
@@ -51,7 +53,27 @@
         Ok(())
     }
 
-    /// Drops submissions and what belongs to them from all partitions that may hold them; returns whether all were dropped.
+    /// Drops cancellations that were passed on longer ago than `keep`, of jobs that never came to this pool. Cancellations are
+    /// written to all pools that their jobs may be in.
+    async fn drop_early_cancels(&self, keep: Ms) {
+        let now = steady_ms();
+        let records: Vec<KeyedRecord> = {
+            let jobs = self.log.jobs();
+            let passed_on = self.intake.cancels_passed_on.iter();
+            let old = passed_on.filter(|(id, (count, at))| {
+                let is_only = |entry: &JobEntry| {
+                    entry.is_cancel_only() && entry.cancelling_callers().len() <= *count
+                };
+                now.saturating_sub(*at) > keep && jobs.get(**id).is_some_and(is_only)
+            });
+            old.take(PURGE_BATCH).map(|(&id, _)| KeyedRecord::deleting(cancel_key(id))).collect()
+        };
+        if !records.is_empty() && self.drop_records(&records).await {
+            log::info!("cancels step=dropped pool={} count={}", self.log.pool, records.len());
+        }
+    }
+
+    /// Drops submissions and what belongs to them; returns whether all were dropped.
     async fn drop_submissions(&self, old: &[JobId]) -> bool {
         let records: Vec<KeyedRecord> = {
             let jobs = self.log.jobs();
@@ -62,6 +84,11 @@
             };
             old.iter().flat_map(keys).map(KeyedRecord::deleting).collect()
         };
+        self.drop_records(&records).await
+    }
+
+    /// Drops records from all partitions of submissions that may hold them; returns whether all were dropped.
+    async fn drop_records(&self, records: &[KeyedRecord]) -> bool {
         // The first partition goes last: a node that reads the drop there may read the fallback partition later, and
         // must not find the job in it.
         for part in SUBMISSION_PARTITIONS.into_iter().rev() {
@@ -69,7 +96,7 @@
                 continue;
             }
             let guard = Guard::Always;
-            if let Err(e) = self.node.store.append(&self.log.topic, part, guard, &records).await {
+            if let Err(e) = self.node.store.append(&self.log.topic, part, guard, records).await {
                 log::warn!("jobs step=drop-failed pool={} error=\"{e}\"", self.log.pool);
                 return false;
             }
--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -12,6 +12,7 @@
 use rerouting::{BARE, HUB, Rerouting, ids};
 use system::{POOL, job, send, submit, wait_until, wait_until_state};
 use thistle_platform::standin::{Fault, RunEventKind, StoreEndpoint};
+use thistle_schedule::job_log::cancel_key;
 
 const NODES: u8 = 3;
 const TASK_MS: u32 = 100;
@@ -193,3 +194,34 @@
     set_unresponsive(&endpoints[owner], POOL, false).await;
     wait_until_state(&rerouting.system.nodes[node], id, "cancelled").await;
 }
+
+/// Guards against cancellations that stay for good in pools to which their jobs never come.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancellations_in_other_pools_of_a_queue_are_dropped() {
+    const NET: u8 = 174;
+    let mut rerouting = Rerouting::start_with_settings(NET, NODES, "keep_settled: 1s\n").await;
+    let ids = ids(2);
+    submit_and_reroute(&mut rerouting, &ids[0]).await;
+    wait_until_assigned(&rerouting, HUB).await;
+    for id in &ids {
+        cancel(&rerouting, 0, id).await;
+    }
+    let store = rerouting.system.platform.store.clone();
+    let is_kept = |pool: &str, id: &String| {
+        let key = cancel_key(id.parse().expect("a job ID"));
+        store.newest(&format!("jobs.{pool}"), 0, &key).is_some_and(|value| !value.is_empty())
+    };
+    expect_that!(is_kept(HUB, &ids[0]), eq(true));
+    expect_that!(is_kept(BARE, &ids[1]), eq(true));
+    let dropped = async || !is_kept(HUB, &ids[0]) && !is_kept(BARE, &ids[1]);
+    wait_until("the cancellations are dropped", dropped).await;
+    // The pool that has the queue keeps the cancellation of a job that may still come.
+    expect_that!(is_kept(HUB, &ids[1]), eq(true));
+    expect_that!(
+        submit(&rerouting.system.nodes[1], &ids[1], &job(1, TASK_MS)).await.status,
+        eq(200)
+    );
+    wait_until_state(&rerouting.system.nodes[2], &ids[1], "cancelled").await;
+    expect_that!(rerouting.system.starts_of(&ids[1]), is_empty());
+}
