Related pools include those of other names of the queue

What callers saw: a queue is renamed and routed to another pool, and a copy of a job that waits in its pool is sent under the new name. Until the new name is assigned (the outage of the partition of claims, an owner that is slow), a cancellation is acknowledged with its record in the new pool alone, and the job is started in the other pool afterwards.

Cause: related_pools looked for assignments by the queue's name. The first assignment of the new name takes over the pools of its address, but only once it is written.

Evidence: a_cancelled_job_with_a_copy_under_a_new_name_of_its_queue_is_not_started, real nodes: started 3.2 s after the acknowledgement, as soon as there was room. Now the pools of all assignments at the queue's address count, as they do once the name is assigned.

--- a/crates/schedule/src/assignment.rs
+++ b/crates/schedule/src/assignment.rs
@@ -132,6 +132,12 @@
         std::iter::once(&assignment.pool).chain(&assignment.earlier).cloned().collect()
     }
 
+    /// Returns all pools that may have jobs of queues with this address, under whatever name.
+    pub fn pools_at<'a>(&'a self, address: &'a str) -> impl Iterator<Item = &'a Arc<str>> {
+        let at_address = self.iter().filter(move |(_, a)| a.addresses.contains(address));
+        at_address.flat_map(|(_, a)| std::iter::once(&a.pool).chain(&a.earlier))
+    }
+
     /// Returns the changes that the owner of `pool` has to write: queues that are not assigned yet, among them `unassigned`
     /// ones of jobs that it has read, and queues that the configuration routes to another pool. `is_handing_over` states for
     /// which queues an earlier change may still be written.
--- a/crates/schedule/tests/assignment.rs
+++ b/crates/schedule/tests/assignment.rs
@@ -142,3 +142,18 @@
     expect_that!(&*changes[0].assignment.pool, eq("desk"));
     expect_that!(changes[0].assignment.version, eq(0));
 }
+
+#[gtest]
+fn the_pools_of_an_address_include_those_of_other_names() {
+    let mut assignments = Assignments::default();
+    write(&mut assignments, &catalog(1, &[("quotes", "/quotes/", "desk")]), "desk");
+    write(&mut assignments, &catalog(2, &[("quotes", "/quotes/", "hub")]), "desk");
+    let third = catalog(3, &[("new", "/quotes/", "bare"), ("orders", "/orders/", "bare")]);
+    write(&mut assignments, &third, "bare");
+    let pools = |name| {
+        let address = third.queue(name).map(Queue::address).unwrap_or_default();
+        assignments.pools_at(&address).map(ToString::to_string).collect::<Vec<_>>()
+    };
+    expect_that!(pools("new"), elements_are![eq("hub"), eq("desk")]);
+    expect_that!(pools("orders"), elements_are![eq("bare")]);
+}
--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -136,12 +136,18 @@
     SearchResult::NotFound
 }
 
-/// Returns the pools that may have jobs of a queue: the one that the configuration names, the one that it is assigned to, and
-/// those that it was assigned to before.
+/// Returns the pools that may have jobs of a queue: the one that the configuration names, the one that it is assigned to, those
+/// that it was assigned to before, and those of other names of the queue.
 pub fn related_pools(node: &Node, queue: &Queue) -> Vec<Arc<str>> {
+    let assignments = node.assignments.borrow().clone();
     let mut pools = vec![queue.pool.clone()];
-    let assigned = node.assignments.borrow().pools_of(&queue.name);
-    pools.extend(assigned.into_iter().filter(|pool| *pool != queue.pool));
+    for pool in
+        assignments.pools_of(&queue.name).iter().chain(assignments.pools_at(&queue.address()))
+    {
+        if !pools.contains(pool) {
+            pools.push(pool.clone());
+        }
+    }
     pools
 }
 
--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -225,3 +225,84 @@
     wait_until_state(&rerouting.system.nodes[2], &ids[1], "cancelled").await;
     expect_that!(rerouting.system.starts_of(&ids[1]), is_empty());
 }
+
+/// Guards against a cancellation that is written only to the pool of the new name of a queue, which is not assigned yet.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_with_a_copy_under_a_new_name_of_its_queue_is_not_started() {
+    const NET: u8 = 175;
+    let mut rerouting = Rerouting::start(NET, NODES).await;
+    let id = &ids(1)[0];
+    rerouting.route_to(Some(BARE)).await;
+    wait_until_assigned(&rerouting, BARE).await;
+    expect_that!(submit(&rerouting.system.nodes[0], id, &job(1, TASK_MS)).await.status, eq(200));
+    let read = format!("job id={id} step=read pool={BARE}");
+    wait_until("its owner has read the job", async || rerouting.has_logged(&read)).await;
+    let store = rerouting.system.platform.store.clone();
+    store.set_part_fault("control", 0, Fault::RejectsAppends);
+    rerouting.put_named_route("quotes-of-today", Some(HUB));
+    rerouting.wait_until_in_force().await;
+    rerouting.write_named_submission(HUB, id, TASK_MS, "quotes-of-today");
+    let undecided = format!("job id={id} step=undecided pool={HUB} ");
+    wait_until("the copy waits", async || rerouting.has_logged(&undecided)).await;
+    let acknowledged = cancel(&rerouting, 0, id).await;
+    expect_no_late_start(&rerouting, NET, id, acknowledged).await;
+    store.set_part_fault("control", 0, Fault::None);
+    wait_until_state(&rerouting.system.nodes[1], id, "cancelled").await;
+}
+
+/// Guards against a job that is adopted again without the cancellation that came while another pool had it.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancelled_job_that_was_passed_on_is_not_started_when_its_queue_comes_back() {
+    const NET: u8 = 176;
+    let mut rerouting = Rerouting::start(NET, NODES).await;
+    let id = &ids(1)[0];
+    let store = rerouting.system.platform.store.clone();
+    // The owner of the new pool cannot read which jobs are bound to the previous one.
+    store.set_part_fault("jobs.desk", 1, Fault::Busy);
+    rerouting.route_to(Some(HUB)).await;
+    wait_until_assigned(&rerouting, HUB).await;
+    rerouting.write_submission(POOL, id, TASK_MS);
+    let waits = format!("job id={id} step=undecided pool={HUB} reason=EarlierNotRead");
+    wait_until("it is passed on", async || rerouting.has_logged(&waits)).await;
+    cancel(&rerouting, 0, id).await;
+    rerouting.route_to(Some(POOL)).await;
+    store.set_part_fault("jobs.desk", 1, Fault::None);
+    for node in &rerouting.system.nodes {
+        wait_until_state(node, id, "cancelled").await;
+    }
+    expect_that!(rerouting.system.starts_of(id), is_empty());
+}
+
+/// Guards against a successor that does not pass on a cancellation which its predecessor has not read, or has passed on before.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancellation_in_a_pool_that_passed_its_job_on_is_passed_on_by_its_next_owner() {
+    const NET: u8 = 177;
+    let mut rerouting = Rerouting::start(NET, NODES).await;
+    let ids = ids(2);
+    rerouting.route_to(Some(BARE)).await;
+    wait_until_assigned(&rerouting, BARE).await;
+    for id in &ids {
+        rerouting.write_submission(POOL, id, TASK_MS);
+        let read = format!("job id={id} step=read pool={BARE}");
+        wait_until("it is passed on", async || rerouting.has_logged(&read)).await;
+    }
+    for id in &ids {
+        rerouting.system.nodes.iter_mut().for_each(system::Node::kill);
+        // As a node of an older build or configuration does.
+        rerouting.write_cancellation(POOL, id);
+        rerouting.system.nodes.iter_mut().for_each(system::Node::start);
+        for node in &rerouting.system.nodes {
+            wait_until("a node is ready", || node.is_ready()).await;
+        }
+        for node in &rerouting.system.nodes {
+            wait_until_state(node, id, "cancelled").await;
+        }
+    }
+    let added = rerouting.system.platform.machines.add("b-0", BARE, system::ip(NET, 170)).await;
+    assert_that!(added.is_ok(), eq(true));
+    tokio::time::sleep(SETTLE_TIME).await;
+    ids.iter().for_each(|id| expect_that!(rerouting.system.starts_of(id), is_empty(), "{id}"));
+}
--- a/crates/scheduler/tests/rerouting/mod.rs
+++ b/crates/scheduler/tests/rerouting/mod.rs
@@ -109,6 +109,11 @@
 
     /// Writes a submission to a pool, as an append that the store executes late or a node with another configuration does.
     pub fn write_submission(&self, pool: &str, id: &str, task_ms: u32) {
+        self.write_named_submission(pool, id, task_ms, QUEUE);
+    }
+
+    /// The same with another name of the queue.
+    pub fn write_named_submission(&self, pool: &str, id: &str, task_ms: u32, queue: &str) {
         let step = Step {
             count: 2,
             demand: Room { cpu: 500, mem_mb: 256, gpu: 0 },
@@ -118,7 +123,7 @@
         let spec = JobSpec {
             text: format!("ms={task_ms}"),
             steps: vec![step],
-            queue: QUEUE.to_owned(),
+            queue: queue.to_owned(),
             accepted_ms: thistle_model::clock::wall_ms(),
             ..JobSpec::default()
         };
