A cancellation is passed on after one of another workspace

What callers saw: an acknowledged cancellation did not stop its job, whose records were in another pool.

Cause: the owner of a pool that does not have the job counted the cancellations that it had passed on. A cancellation of another workspace, passed on before the submission was read, counted like the one of the job's own caller, which then was not passed on.

Evidence: a_cancellation_is_passed_on_after_one_of_another_workspace failed before the change: 'not within 60s: the job is stopped'. It passes with the change in 2 s.

Why it works: the owner keeps the callers whose cancellations it has passed on, instead of their number.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -215,10 +215,10 @@
     }
 
     /// Returns the callers whose cancellations another pool needs.
-    pub fn cancelling_callers(&self) -> Vec<Caller> {
+    pub fn cancelling_callers(&self) -> BTreeSet<Caller> {
         match &self.spec {
-            Some(spec) if self.cancelled => vec![Caller::of(spec)],
-            Some(_) => Vec::new(),
+            Some(spec) if self.cancelled => BTreeSet::from([Caller::of(spec)]),
+            Some(_) => BTreeSet::new(),
             None => self.cancelled_by.iter().flatten().cloned().collect(),
         }
     }
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -31,8 +31,8 @@
     pub undecided: BTreeMap<JobId, Undecided>,
     /// The jobs of which a record is being passed on.
     pub passing_on: HashSet<JobId>,
-    /// The number of cancellations of each job that were passed on.
-    pub cancels_passed_on: HashMap<JobId, usize>,
+    /// The callers whose cancellations of each job were passed on.
+    pub cancels_passed_on: HashMap<JobId, BTreeSet<Caller>>,
     /// Jobs that belong to other pools, with the phase to be recorded.
     pub elsewhere: BTreeMap<JobId, Phase>,
     /// Jobs that were passed on and belong to this pool again, to be bound.
@@ -153,12 +153,13 @@
         // What was passed on by an earlier assignment may have come back, or have been passed on in a circle.
         let known = self.phase_of(id, entry);
         let is_known = known == phase || known == Phase::Copy;
-        let callers = entry.cancelling_callers();
-        let passed_on = self.intake.cancels_passed_on.get(&id).copied().unwrap_or_default();
-        let cancels = if callers.len() > passed_on { &callers[..] } else { &[] };
+        let mut callers = entry.cancelling_callers();
+        if let Some(passed_on) = self.intake.cancels_passed_on.get(&id) {
+            callers.retain(|caller| !passed_on.contains(caller));
+        }
         let new_phase = entry.spec.as_ref().filter(|_| !is_known).map(|_| phase);
         let spec = entry.spec.as_ref().filter(|_| !is_known && phase != Phase::Copy);
-        if spec.is_none() && cancels.is_empty() {
+        if spec.is_none() && callers.is_empty() {
             if new_phase.is_some() {
                 self.record_copy(id, Some(pool));
             }
@@ -168,18 +169,17 @@
             "job id={id} step=passed-on from={} to={pool} submission={} cancels={}",
             self.log.pool,
             spec.is_some(),
-            cancels.len(),
+            callers.len(),
         );
         let submission =
             spec.map_or(Vec::new(), |spec| self.submission_records(id, entry, spec, pool));
-        let cancels = cancels.iter().map(|caller| cancel_record(id, caller)).collect();
+        let cancels = callers.iter().map(|caller| cancel_record(id, caller)).collect();
         self.intake.passing_on.insert(id);
         let (node, tx, pool) = (self.node.clone(), self.tx.clone(), pool.clone());
-        let count = callers.len();
         tokio::spawn(async move {
             let done = pass_on(&node, &pool, cancels, submission).await;
             // The owner may have ended, and its successor passes everything on again.
-            let _ = tx.send(Event::PassedOn(id, new_phase, done.then_some(count)));
+            let _ = tx.send(Event::PassedOn(id, new_phase, done.then_some(callers)));
         });
     }
 
@@ -199,23 +199,23 @@
         std::iter::once(submission).chain(origins.into_iter().map(record)).collect()
     }
 
-    /// Handles the end of an attempt to pass on a job's records. `phase` is the job's phase in this pool from now on, and `cancels`
-    /// the number of its cancellations, if all records were written.
+    /// Handles the end of an attempt to pass on a job's records. `phase` is the job's phase in this pool from now on, and `callers`
+    /// those whose cancellations were among them, if all records were written.
     pub(super) fn handle_passed_on(
         &mut self,
         id: JobId,
         phase: Option<Phase>,
-        cancels: Option<usize>,
+        callers: Option<BTreeSet<Caller>>,
     ) {
         self.intake.passing_on.remove(&id);
-        let Some(cancels) = cancels else {
+        let Some(callers) = callers else {
             self.intake.undecided.insert(id, Undecided::NotPassedOn);
             self.review_later();
             return;
         };
         counter!("thistle_jobs_passed_on").increment(1);
-        if cancels > 0 {
-            self.intake.cancels_passed_on.insert(id, cancels);
+        if !callers.is_empty() {
+            self.intake.cancels_passed_on.entry(id).or_default().extend(callers);
         }
         if let Some(phase) = phase {
             self.intake.elsewhere.insert(id, phase);
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -19,14 +19,16 @@
 mod tokens;
 mod vms;
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use metrics::counter;
 use thistle_schedule::assignment::EarlierJobs;
 use thistle_schedule::pool::{Order, StartResult, StepId};
-use thistle_schedule::{JobId, LogChange, Ms, Phase, Pool, RunId, VmIncarnation, VmLoss, VmReport};
+use thistle_schedule::{
+    Caller, JobId, LogChange, Ms, Phase, Pool, RunId, VmIncarnation, VmLoss, VmReport,
+};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
 use crate::clock::{now, steady_ms};
@@ -80,9 +82,9 @@
     LentRead,
     /// A report of cap use may not have been written.
     CapUseNotWritten,
-    /// The attempt to pass a job's records on has ended: the job's phase in this pool from now on, and the number of its
-    /// cancellations if all records were written.
-    PassedOn(JobId, Option<Phase>, Option<usize>),
+    /// The attempt to pass a job's records on has ended: the job's phase in this pool from now on, and the callers
+    /// whose cancellations were among them if all records were written.
+    PassedOn(JobId, Option<Phase>, Option<BTreeSet<Caller>>),
     /// The jobs that are bound to the earlier pools of a queue were read after its assignment at this offset.
     EarlierRead(Arc<str>, u64, EarlierJobs),
     /// The attempt to change assignments of queues has ended.
@@ -188,7 +190,7 @@
             Event::Log(LogChange::Cancelled(id)) => self.take_in_cancel(id),
             Event::Log(LogChange::PassedOn(id)) => self.intake.notices.add(id),
             Event::Log(LogChange::BoundElsewhere(id)) => self.take_in(id),
-            Event::PassedOn(id, phase, cancels) => self.handle_passed_on(id, phase, cancels),
+            Event::PassedOn(id, phase, callers) => self.handle_passed_on(id, phase, callers),
             Event::EarlierRead(queue, offset, jobs) => {
                 self.handle_earlier_read(queue, offset, jobs);
             }
--- a/crates/scheduler/tests/rerouted_callers.rs
+++ b/crates/scheduler/tests/rerouted_callers.rs
@@ -9,9 +9,10 @@
 
 use googletest::prelude::*;
 use hyper::Method;
-use rerouting::{BARE, HUB, Rerouting, ids};
+use rerouting::{BARE, HUB, QUEUE, Rerouting, ids};
 use system::{POOL, job, send, state, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
+use thistle_schedule::Caller;
 
 const NODES: u8 = 3;
 const JOBS: u64 = 6;
@@ -106,6 +107,25 @@
     expect_that!(rerouting.started_again(&ids), is_empty());
 }
 
+/// Guards against a cancellation that is not passed on because one of another workspace was, before the submission was read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancellation_is_passed_on_after_one_of_another_workspace() {
+    let mut rerouting = Rerouting::start(10, NODES).await;
+    rerouting.cap = Some(16_000);
+    rerouting.route_to(Some(HUB)).await;
+    let ids = ids(1);
+    let caller =
+        |workspace: &str| Caller { queue: QUEUE.to_owned(), workspace: Some(workspace.to_owned()) };
+    rerouting.write_cancellation_of(&caller("night"), POOL, &ids[0]);
+    let passed_on = format!("job id={} step=passed-on from=desk to=hub", ids[0]);
+    wait_until("it is passed on", async || rerouting.has_logged(&passed_on)).await;
+    rerouting.write_submission_of("lunch", POOL, &ids[0], 0);
+    wait_until("the job runs", async || running(&rerouting, &ids[0]) > 0).await;
+    rerouting.write_cancellation_of(&caller("lunch"), POOL, &ids[0]);
+    wait_until("the job is stopped", async || running(&rerouting, &ids[0]) == 0).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_count_of_pending_jobs_includes_those_accepted_before_a_route_change() {
--- a/crates/scheduler/tests/rerouting/mod.rs
+++ b/crates/scheduler/tests/rerouting/mod.rs
@@ -88,6 +88,11 @@
 
     /// Writes a submission to a pool, as an append that the store executes late or a node with another configuration does.
     pub fn write_submission(&self, pool: &str, id: &str, task_ms: u32) {
+        self.write_submission_of("", pool, id, task_ms);
+    }
+
+    /// The same with the workspace of the caller.
+    pub fn write_submission_of(&self, workspace: &str, pool: &str, id: &str, task_ms: u32) {
         let step = Step {
             count: 2,
             demand: Room { cpu: 500, mem_mb: 256, gpu: 0 },
@@ -98,6 +103,7 @@
             text: format!("ms={task_ms}"),
             steps: vec![step],
             queue: QUEUE.to_owned(),
+            workspace: workspace.to_owned(),
             accepted_ms: thistle_model::clock::wall_ms(),
             ..JobSpec::default()
         };
@@ -107,9 +113,13 @@
 
     /// Writes a cancellation to a pool.
     pub fn write_cancellation(&self, pool: &str, id: &str) {
-        let caller = Caller { queue: QUEUE.to_owned(), workspace: None };
+        self.write_cancellation_of(&Caller { queue: QUEUE.to_owned(), workspace: None }, pool, id);
+    }
+
+    /// The same with another caller.
+    pub fn write_cancellation_of(&self, caller: &Caller, pool: &str, id: &str) {
         let key = cancel_key(id.parse().expect("a job ID"));
-        self.system.platform.store.put(&format!("jobs.{pool}"), &key, encode_cancel(&caller));
+        self.system.platform.store.put(&format!("jobs.{pool}"), &key, encode_cancel(caller));
     }
 
     /// Returns the starts of all tasks of the jobs that were started more than once.
