Each cancellation is passed on by its own queue

What callers saw: an acknowledged cancellation did not bar its job, which was submitted to another pool afterwards.

Cause: cancellations that are read before their submission were passed on by the queue of one of them. If callers of several queues had cancelled the ID, the others went where that queue belongs, or nowhere if it is assigned to no pool.

It passes with the change.

Why it works: the owner decides on each queue by itself, also while a queue is handed over and when an assignment changes.

--- a/crates/schedule/src/job_log.rs
+++ b/crates/schedule/src/job_log.rs
@@ -208,18 +208,23 @@
         has_progress && !self.is_elsewhere()
     }
 
-    /// Returns the queue of the submission, or else of a cancellation that was read before it.
-    pub fn queue(&self) -> Option<&str> {
-        let early = || self.cancelled_by.iter().flatten().map(|caller| caller.queue.as_str());
-        self.spec.as_ref().map(|spec| spec.queue.as_str()).or_else(|| early().next())
+    /// Returns the queue of the submission, or else those of the cancellations that were read before it.
+    pub fn queues(&self) -> BTreeSet<&str> {
+        match &self.spec {
+            Some(spec) => BTreeSet::from([spec.queue.as_str()]),
+            None => self.cancelled_by.iter().flatten().map(|by| by.queue.as_str()).collect(),
+        }
     }
 
-    /// Returns the callers whose cancellations another pool needs.
-    pub fn cancelling_callers(&self) -> BTreeSet<Caller> {
+    /// Returns the callers whose cancellations another pool needs that has the job if it is one of this queue.
+    pub fn cancelling_callers(&self, queue: &str) -> BTreeSet<Caller> {
         match &self.spec {
             Some(spec) if self.cancelled => BTreeSet::from([Caller::of(spec)]),
             Some(_) => BTreeSet::new(),
-            None => self.cancelled_by.iter().flatten().cloned().collect(),
+            None => {
+                let early = self.cancelled_by.iter().flatten();
+                early.filter(|by| by.queue == queue).cloned().collect()
+            }
         }
     }
 }
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -91,13 +91,21 @@
             self.pool.adopt(id, entry, now());
             return;
         }
-        let Some(queue) = entry.queue().filter(|_| !self.intake.passing_on.contains(&id)) else {
+        let queues = entry.queues();
+        if queues.is_empty() || self.intake.passing_on.contains(&id) {
             return;
-        };
+        }
         if entry.is_bound_elsewhere && self.phase_of(id, entry) != Phase::Copy {
             self.record_copy(id, None);
         }
         let before = self.intake.undecided.remove(&id);
+        for queue in queues {
+            self.take_in_as(id, entry, queue, before);
+        }
+    }
+
+    /// Adopts a job, or passes on what was read of it, as one of a queue. `before` is why it was undecided.
+    fn take_in_as(&mut self, id: JobId, entry: &JobEntry, queue: &str, before: Option<Undecided>) {
         let facts = HomeFacts {
             pool: &self.log.pool,
             catalog: self.intake.catalog.as_deref(),
@@ -118,10 +126,10 @@
             },
             Home::AssignedTo(pool) => {
                 if let Some(offset) = self.intake.assignments.offset_of(queue) {
-                    self.pass_on(id, entry, &pool, Phase::Moved(offset));
+                    self.pass_on(id, entry, queue, &pool, Phase::Moved(offset));
                 }
             }
-            Home::BoundTo(pool) => self.pass_on(id, entry, &pool, Phase::Copy),
+            Home::BoundTo(pool) => self.pass_on(id, entry, queue, &pool, Phase::Copy),
             Home::Undecided(reason) => {
                 if entry.spec.is_some() && before != Some(reason) {
                     log::info!(
@@ -149,11 +157,15 @@
 
     /// Passes a job's cancellations on to another pool, and its submission too if that pool decides on the job. `phase` is the
     /// job's phase in this pool from then on.
-    fn pass_on(&mut self, id: JobId, entry: &JobEntry, pool: &Arc<str>, phase: Phase) {
+    fn pass_on(&mut self, id: JobId, entry: &JobEntry, queue: &str, pool: &Arc<str>, phase: Phase) {
+        if self.intake.passing_on.contains(&id) {
+            // The rest follows once this was passed on.
+            return;
+        }
         // What was passed on by an earlier assignment may have come back, or have been passed on in a circle.
         let known = self.phase_of(id, entry);
         let is_known = known == phase || known == Phase::Copy;
-        let mut callers = entry.cancelling_callers();
+        let mut callers = entry.cancelling_callers(queue);
         if let Some(passed_on) = self.intake.cancels_passed_on.get(&id) {
             callers.retain(|caller| !passed_on.contains(caller));
         }
--- a/crates/scheduler/src/owner/queues.rs
+++ b/crates/scheduler/src/owner/queues.rs
@@ -68,7 +68,7 @@
             let log = self.log.clone();
             let jobs = log.jobs();
             let open = jobs.iter().filter(|(id, e)| !e.is_bound() && !self.pool.contains(*id));
-            for (id, _) in open.filter(|(_, e)| e.queue().is_some_and(changed)) {
+            for (id, _) in open.filter(|(_, e)| e.queues().into_iter().any(changed)) {
                 self.intake.cancels_passed_on.remove(&id);
                 self.intake.undecided.entry(id).or_insert(Undecided::NotAssigned);
             }
@@ -113,14 +113,15 @@
         }
         let (mut unbound, mut cancels) = (Vec::new(), Vec::new());
         for (id, entry) in self.log.jobs().iter() {
-            let Some(queue) = entry.queue() else { continue };
-            let Some(change) = handed_over.iter().find(|c| *c.queue == *queue) else { continue };
-            if entry.spec.is_none() {
-                let callers = entry.cancelling_callers();
-                let records = callers.iter().map(|caller| cancel_record(id, caller));
-                cancels.extend(records.map(|record| (change.assignment.pool.clone(), record)));
-            } else if !entry.is_bound() && self.pool.contains(id) {
-                unbound.push(id);
+            let queues = entry.queues();
+            for change in handed_over.iter().filter(|change| queues.contains(&*change.queue)) {
+                if entry.spec.is_none() {
+                    let callers = entry.cancelling_callers(&change.queue);
+                    let records = callers.iter().map(|caller| cancel_record(id, caller));
+                    cancels.extend(records.map(|record| (change.assignment.pool.clone(), record)));
+                } else if !entry.is_bound() && self.pool.contains(id) {
+                    unbound.push(id);
+                }
             }
         }
         self.bind(unbound).await?;
--- a/crates/scheduler/tests/rerouted_callers.rs
+++ b/crates/scheduler/tests/rerouted_callers.rs
@@ -107,6 +107,24 @@
     expect_that!(rerouting.started_again(&ids), is_empty());
 }
 
+/// Guards against a cancellation that is not passed on because a caller of another queue, which no pool has, cancelled the ID too.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_cancellation_in_the_previous_pool_is_passed_on_by_its_own_queue() {
+    let mut rerouting = Rerouting::start(9, NODES).await;
+    rerouting.route_to(Some(HUB)).await;
+    let ids = ids(1);
+    let other = Caller { queue: "r/nowhere/".to_owned(), workspace: None };
+    rerouting.write_cancellation_of(&other, POOL, &ids[0]);
+    rerouting.write_cancellation(POOL, &ids[0]);
+    let passed_on = format!("job id={} step=passed-on from=desk to=hub", ids[0]);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    expect_that!(rerouting.has_logged(&passed_on), eq(true));
+    submit(&rerouting.system.nodes[0], &ids[0], &job(1, 0)).await;
+    wait_until_state(&rerouting.system.nodes[0], &ids[0], "cancelled").await;
+    expect_that!(running(&rerouting, &ids[0]), eq(0));
+}
+
 /// Guards against a cancellation that is not passed on because one of another workspace was, before the submission was read.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
