--- a/crates/scheduler/src/owner/purge.rs
+++ b/crates/scheduler/src/owner/purge.rs
@@ -60,9 +60,10 @@
         let records: Vec<KeyedRecord> = {
             let jobs = self.log.jobs();
             let passed_on = self.intake.cancels_passed_on.iter();
-            let old = passed_on.filter(|(id, (count, at))| {
+            let old = passed_on.filter(|(id, (callers, at))| {
                 let is_only = |entry: &JobEntry| {
-                    entry.is_cancel_only() && entry.cancelling_callers().len() <= *count
+                    let mut cancelled_by = entry.cancelled_by.iter().flatten();
+                    entry.is_cancel_only() && cancelled_by.all(|by| callers.contains(by))
                 };
                 now.saturating_sub(*at) > keep && jobs.get(**id).is_some_and(is_only)
             });
--- a/crates/scheduler/tests/rerouted_callers.rs
+++ b/crates/scheduler/tests/rerouted_callers.rs
@@ -9,9 +9,10 @@
 
 use googletest::prelude::*;
 use hyper::Method;
-use rerouting::{BARE, HUB, Rerouting, ids};
+use rerouting::{BARE, HUB, QUEUE, Rerouting, ids};
 use system::{POOL, job, send, state, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
+use thistle_schedule::Caller;
 
 const NODES: u8 = 3;
 const JOBS: u64 = 6;
@@ -104,6 +105,43 @@
     expect_that!(rerouting.started_again(&ids), is_empty());
 }
 
+/// Guards against a cancellation that is not passed on because a caller of another queue, which no pool has, cancelled the ID too.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn each_cancellation_in_the_previous_pool_is_passed_on_by_its_own_queue() {
+    let mut rerouting = Rerouting::start(9, NODES).await;
+    rerouting.route_to(Some(HUB)).await;
+    let ids = ids(1);
+    let other = Caller { queue: "r/nowhere/".to_owned(), workspace: None };
+    rerouting.write_cancellation_of(&other, POOL, &ids[0]);
+    rerouting.write_cancellation(POOL, &ids[0]);
+    let passed_on = format!("job id={} step=passed-on from=desk to=hub", ids[0]);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    expect_that!(rerouting.has_logged(&passed_on), eq(true));
+    submit(&rerouting.system.nodes[0], &ids[0], &job(1, 0)).await;
+    wait_until_state(&rerouting.system.nodes[0], &ids[0], "cancelled").await;
+    expect_that!(running(&rerouting, &ids[0]), eq(0));
+}
+
+/// Guards against a cancellation that is not passed on because one of another workspace was, before the submission was read.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancellation_is_passed_on_after_one_of_another_workspace() {
+    let mut rerouting = Rerouting::start(10, NODES).await;
+    rerouting.cap = Some(16_000);
+    rerouting.route_to(Some(HUB)).await;
+    let ids = ids(1);
+    let caller =
+        |workspace: &str| Caller { queue: QUEUE.to_owned(), workspace: Some(workspace.to_owned()) };
+    rerouting.write_cancellation_of(&caller("night"), POOL, &ids[0]);
+    let passed_on = format!("job id={} step=passed-on from=desk to=hub", ids[0]);
+    wait_until("it is passed on", async || rerouting.has_logged(&passed_on)).await;
+    rerouting.write_submission_of("lunch", POOL, &ids[0], 0);
+    wait_until("the job runs", async || running(&rerouting, &ids[0]) > 0).await;
+    rerouting.write_cancellation_of(&caller("lunch"), POOL, &ids[0]);
+    wait_until("the job is stopped", async || running(&rerouting, &ids[0]) == 0).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn the_count_of_pending_jobs_includes_those_accepted_before_a_route_change() {
