A repeated cancellation is written to all pools of its queue

What callers saw: a cancellation that one of two pools took was answered with 504, as it should be.

Cause: the state Cancelled was taken for final. It is, in the pool whose records tell it.

Change: only Completed and Failed need no record, and Cancelled if the queue has one pool.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -272,15 +272,17 @@
         }
         SearchResult::NotFound | SearchResult::NotRead => (&queue.pool, None),
     };
+    let mut pools = related_pools(node, queue);
+    if !pools.contains(pool) {
+        pools.push(pool.clone());
+    }
     let written = match state {
-        Some(state) if state.is_final() => WriteOutcome::Kept,
+        Some(JobState::Completed | JobState::Failed) => WriteOutcome::Kept,
+        // Another pool may start the job as long as it has no record of the cancellation.
+        Some(JobState::Cancelled) if pools.len() == 1 => WriteOutcome::Kept,
         // A job that has started is bound to its pool.
         Some(JobState::Running) => write_cancel(node, std::slice::from_ref(pool), caller, id).await,
-        _ => {
-            let mut pools = related_pools(node, queue);
-            if !pools.contains(pool) {
-                pools.push(pool.clone());
-            }
+        Some(JobState::Queued | JobState::Cancelled) | None => {
             write_cancel(node, &pools, caller, id).await
         }
     };
--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -306,3 +306,37 @@
     tokio::time::sleep(SETTLE_TIME).await;
     ids.iter().for_each(|id| expect_that!(rerouting.system.starts_of(id), is_empty(), "{id}"));
 }
+
+/// Guards against a cancellation that is acknowledged because one pool has it, while the pool that starts the job has not.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_repeated_cancellation_is_not_acknowledged_by_the_record_of_one_pool_alone() {
+    const NET: u8 = 179;
+    let (mut rerouting, endpoints) = Rerouting::start_with_endpoints(NET, NODES).await;
+    let id = &ids(1)[0];
+    submit_and_reroute(&mut rerouting, id).await;
+    wait_until_assigned(&rerouting, HUB).await;
+    let owner = rerouting.owner_of(HUB).expect("the pool has an owner");
+    set_unresponsive(&endpoints[owner], HUB, true).await;
+    rerouting.write_submission(HUB, id, TASK_MS);
+    let store = rerouting.system.platform.store.clone();
+    let set_bare = |fault| {
+        for part in SUBMISSION_PARTITIONS {
+            store.set_part_fault(&format!("jobs.{BARE}"), part, fault);
+        }
+    };
+    set_bare(Fault::RejectsAppends);
+    let node = &rerouting.system.nodes[(owner + 1) % usize::from(NODES)];
+    for _ in 0..4 {
+        let answer = send(node, Method::DELETE, &format!("/quotes/{id}")).await;
+        expect_that!(answer.status, any![eq(503), eq(504)]);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+    }
+    set_bare(Fault::None);
+    let acknowledged = async || {
+        let answer = send(node, Method::DELETE, &format!("/quotes/{id}")).await;
+        matches!(answer.status, 200 | 410)
+    };
+    wait_until("the cancellation is acknowledged", acknowledged).await;
+    expect_no_late_start(&rerouting, NET, id, Instant::now()).await;
+}
