--- a/crates/scheduler/tests/rerouted_callers.rs
+++ b/crates/scheduler/tests/rerouted_callers.rs
@@ -5,18 +5,23 @@
 mod rerouting;
 mod system;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use hyper::Method;
 use rerouting::{BARE, HUB, QUEUE, Rerouting, ids};
+use serde_json::json;
 use system::{POOL, job, send, state, submit, wait_until, wait_until_state};
-use thistle_platform::standin::Fault;
+use thistle_platform::standin::{Fault, RunEvent, RunEventKind, bodies};
 use thistle_schedule::Caller;
 
 const NODES: u8 = 3;
 const JOBS: u64 = 6;
 const BY_LOAD: &str = "policy:\n  admission:\n    by_load: true\n";
+/// The time after the acknowledgement of a cancellation from which no task of the job may be started.
+const CANCEL_WITHIN: Duration = Duration::from_secs(3);
+/// How long a job occupies the VMs of a pool, in milliseconds. A cancellation is acknowledged in the first half of it.
+const FILLER_MS: u64 = 8_000;
 /// How long the store must have been healthy before jobs are refused, and a margin.
 const HEALTHY: Duration = Duration::from_millis(3_500);
 /// More jobs of 64 tasks than any pool accepts at once.
@@ -269,3 +274,54 @@
     expect_that!(pools.len(), eq(ids.len()), "each job runs in one pool");
     expect_that!(pools.iter().any(|pool| pool == HUB), eq(true));
 }
+
+/// Guards against a cancellation that waits in the new pool of its queue while the previous pool, which nobody could ask, starts
+/// the job.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_cancellation_binds_the_previous_pool_though_its_records_cannot_be_read() {
+    let mut rerouting = Rerouting::start(11, NODES).await;
+    let ids = ids(2);
+    let step = json!({ "count": 3, "cpu": 16_000, "memMb": 256, "estimatedMs": 100 });
+    let filler = bodies::job_of(&format!("ms={FILLER_MS}"), &[step]);
+    submit(&rerouting.system.nodes[0], &ids[0], &filler).await;
+    wait_until("the VMs are full", async || running(&rerouting, &ids[0]) == 3).await;
+    submit(&rerouting.system.nodes[0], &ids[1], &job(1, 100)).await;
+    rerouting.route_to(Some(HUB)).await;
+    let bound = async || rerouting.has_logged("step=bound pool=desk");
+    wait_until("the job is bound to its pool", bound).await;
+    let assigned = async || rerouting.has_logged("step=read-earlier pool=desk");
+    wait_until("the queue is assigned to the new pool", assigned).await;
+    rerouting.system.nodes.iter_mut().for_each(system::Node::kill);
+    let store = rerouting.system.platform.store.clone();
+    let set_fault = |parts: [u32; 2], fault| {
+        parts.iter().for_each(|&part| store.set_part_fault("jobs.desk", part, fault));
+    };
+    // Without its progress the pool gets no owner.
+    set_fault([1, 3], Fault::Unresponsive);
+    rerouting.system.nodes.iter_mut().for_each(system::Node::start);
+    for node in &rerouting.system.nodes {
+        wait_until("a node is ready", || node.is_ready()).await;
+    }
+    let node = &rerouting.system.nodes[0];
+    let cancelled = async || {
+        let answer = send(node, Method::DELETE, &format!("/quotes/{}", ids[1])).await;
+        answer.status == 200
+    };
+    wait_until("the cancellation is acknowledged", cancelled).await;
+    let acknowledged = Instant::now();
+    // The owner of the new pool cannot pass the cancellation on.
+    set_fault([0, 2], Fault::RejectsAppends);
+    set_fault([1, 3], Fault::None);
+    tokio::time::sleep(Duration::from_millis(FILLER_MS)).await;
+    let histories = rerouting.system.platform.machines.histories();
+    let is_start = |e: &&RunEvent| e.kind == RunEventKind::Started && e.task.starts_with(&ids[1]);
+    let late: Vec<Duration> = histories
+        .iter()
+        .flatten()
+        .filter(is_start)
+        .map(|event| event.arrived_at.saturating_duration_since(acknowledged))
+        .filter(|after| *after > CANCEL_WITHIN)
+        .collect();
+    expect_that!(late, is_empty(), "starts, by the time since the acknowledgement");
+}
