--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -8,7 +8,9 @@
 use crate::clock::steady_ms;
 use crate::locks::lock;
 use crate::node::Node;
-use crate::pool_log::{FALLBACK_MAX_AGE_MS, FALLBACK_SUBMISSIONS, PROGRESS, PoolLog, SUBMISSIONS};
+use crate::pool_log::{
+    FALLBACK_MAX_AGE_MS, FALLBACK_SUBMISSIONS, PROGRESS, PoolLog, SUBMISSIONS, is_answered,
+};
 use crate::query::{Query, QueryReply};
 use crate::query_peers::query_peers;
 
@@ -72,7 +74,10 @@
     match reply {
         QueryReply::State(state) => state.is_final(),
         QueryReply::NotTheirs => true,
-        QueryReply::NoSuchJob | QueryReply::Pending(_) | QueryReply::NotRead => false,
+        QueryReply::NoSuchJob
+        | QueryReply::Pending(_)
+        | QueryReply::NotRead
+        | QueryReply::Answered(_) => false,
     }
 }
 
@@ -136,12 +141,18 @@
     SearchResult::NotFound
 }
 
-/// Returns the pools that may have jobs of a queue: the one that the configuration names, the one that it is assigned to, and
-/// those that it was assigned to before.
+/// Returns the pools that may have jobs of a queue: the one that the configuration names, the one that it is assigned to, those
+/// that it was assigned to before, and those of other names of the queue.
 pub fn related_pools(node: &Node, queue: &Queue) -> Vec<Arc<str>> {
+    let assignments = node.assignments.borrow().clone();
     let mut pools = vec![queue.pool.clone()];
-    let assigned = node.assignments.borrow().pools_of(&queue.name);
-    pools.extend(assigned.into_iter().filter(|pool| *pool != queue.pool));
+    for pool in
+        assignments.pools_of(&queue.name).iter().chain(assignments.pools_at(&queue.address()))
+    {
+        if !pools.contains(pool) {
+            pools.push(pool.clone());
+        }
+    }
     pools
 }
 
@@ -172,7 +183,9 @@
         QueryReply::State(state) => SearchResult::InPool(log.pool.clone(), state),
         QueryReply::NotTheirs => SearchResult::NotTheirs(log.pool.clone()),
         QueryReply::NoSuchJob => SearchResult::NotFound,
-        QueryReply::Pending(_) | QueryReply::NotRead => SearchResult::NotRead,
+        QueryReply::Pending(_) | QueryReply::NotRead | QueryReply::Answered(_) => {
+            SearchResult::NotRead
+        }
     }
 }
 
@@ -226,7 +239,8 @@
         QueryReply::State(_)
         | QueryReply::NotTheirs
         | QueryReply::NoSuchJob
-        | QueryReply::NotRead => None,
+        | QueryReply::NotRead
+        | QueryReply::Answered(_) => None,
     }
 }
 
@@ -259,12 +273,16 @@
 
 async fn local_reply(node: &Node, query: &Query) -> QueryReply {
     let Some(log) = node.pool_log_of(query.pool()) else { return QueryReply::NotRead };
+    if let Query::Partition { part, .. } = query {
+        return is_answered(node, &log.topic, *part).await;
+    }
     if !is_followed(node, &log).await {
         return QueryReply::NotRead;
     }
     match query {
         Query::State { id, caller, .. } => local_state(node, &log, *id, caller).await,
         Query::Pending { queue, .. } => local_pending(node, &log, queue).await,
+        Query::Partition { .. } => QueryReply::NotRead,
     }
 }
 
--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -20,19 +20,24 @@
 /// Pause before a failed attempt to pass something on or to change an assignment is repeated, in milliseconds.
 const RETRY_MS: Ms = 100;
 
+/// The longest time until all nodes in touch with the store have read a new assignment, in milliseconds.
+const ASSIGNMENT_DELAY_MS: Ms = 500;
+
 /// The jobs whose pool is not decided, what is being passed on, and the queues that are being handed over.
 #[derive(Default)]
 pub(super) struct Intake {
     /// The assignments by which jobs are decided.
     pub assignments: Arc<Assignments>,
+    /// When the current assignment of each queue was noted, by the steady clock.
+    pub assigned_at: HashMap<Arc<str>, Ms>,
     /// The configuration by which jobs are decided.
     pub catalog: Option<Arc<Catalog>>,
     /// The jobs that wait, and why.
     pub undecided: BTreeMap<JobId, Undecided>,
     /// The jobs of which a record is being passed on.
     pub passing_on: HashSet<JobId>,
-    /// The number of cancellations of each job that were passed on.
-    pub cancels_passed_on: HashMap<JobId, usize>,
+    /// The callers whose cancellations of each job were passed on, and when the last ones were, by the steady clock.
+    pub cancels_passed_on: HashMap<JobId, (BTreeSet<Caller>, Ms)>,
     /// Jobs that belong to other pools, with the phase to be recorded.
     pub elsewhere: BTreeMap<JobId, Phase>,
     /// Jobs that were passed on and belong to this pool again, to be bound.
@@ -70,8 +75,16 @@
     /// Handles a cancellation that was read.
     pub(super) fn take_in_cancel(&mut self, id: JobId) {
         log::info!("cancel step=handled id={id} pool={}", self.log.pool);
-        self.pool.cancel(id, now());
-        let is_bound = self.log.jobs().get(id).is_none_or(JobEntry::is_bound);
+        let (is_cancelled, is_bound) = {
+            let jobs = self.log.jobs();
+            let entry = jobs.get(id);
+            // The submission may have been read since, and other workspaces cannot cancel the job.
+            let is_cancelled = entry.is_none_or(|e| e.cancelled || e.spec.is_none());
+            (is_cancelled, entry.is_none_or(JobEntry::is_bound))
+        };
+        if is_cancelled {
+            self.pool.cancel(id, now());
+        }
         if !is_bound {
             self.take_in(id);
         }
@@ -83,13 +96,21 @@
             self.pool.adopt(id, entry, now());
             return;
         }
-        let Some(queue) = entry.queue().filter(|_| !self.intake.passing_on.contains(&id)) else {
+        let queues = entry.queues();
+        if queues.is_empty() || self.intake.passing_on.contains(&id) {
             return;
-        };
+        }
         if entry.is_bound_elsewhere && self.phase_of(id, entry) != Phase::Copy {
             self.record_copy(id, None);
         }
         let before = self.intake.undecided.remove(&id);
+        for queue in queues {
+            self.take_in_as(id, entry, queue, before);
+        }
+    }
+
+    /// Adopts a job, or passes on what was read of it, as one of a queue. `before` is why it was undecided.
+    fn take_in_as(&mut self, id: JobId, entry: &JobEntry, queue: &str, before: Option<Undecided>) {
         let facts = HomeFacts {
             pool: &self.log.pool,
             catalog: self.intake.catalog.as_deref(),
@@ -109,21 +130,39 @@
                 }
             },
             Home::AssignedTo(pool) => {
-                if let Some(offset) = self.intake.assignments.offset_of(queue) {
-                    self.pass_on(id, entry, &pool, Phase::Moved(offset));
+                let Some(offset) = self.intake.assignments.offset_of(queue) else { return };
+                let (known, phase) = (self.phase_of(id, entry), Phase::Moved(offset));
+                let is_passed_on = known == phase || known == Phase::Copy || entry.spec.is_none();
+                if !is_passed_on && !entry.cancelled && !self.knows_cancels_of(queue) {
+                    self.set_undecided(id, entry, Undecided::CancelsNotRead, before);
+                    self.review_later();
+                    return;
                 }
+                self.pass_on(id, entry, queue, &pool, phase);
             }
-            Home::BoundTo(pool) => self.pass_on(id, entry, &pool, Phase::Copy),
-            Home::Undecided(reason) => {
-                if entry.spec.is_some() && before != Some(reason) {
-                    log::info!(
-                        "job id={id} step=undecided pool={} reason={reason:?}",
-                        self.log.pool
-                    );
-                }
-                self.intake.undecided.insert(id, reason);
-            }
+            Home::BoundTo(pool) => self.pass_on(id, entry, queue, &pool, Phase::Copy),
+            Home::Undecided(reason) => self.set_undecided(id, entry, reason, before),
+        }
+    }
+
+    /// Returns whether this owner has read the cancellations that were written to its pool alone, by nodes that did not know the
+    /// assignment of the queue to another pool. They have to be passed on before the submissions of their jobs.
+    fn knows_cancels_of(&self, queue: &str) -> bool {
+        let noted_at = self.intake.assigned_at.get(queue);
+        noted_at.is_some_and(|at| self.log.has_read_submissions_since(at + ASSIGNMENT_DELAY_MS))
+    }
+
+    fn set_undecided(
+        &mut self,
+        id: JobId,
+        entry: &JobEntry,
+        reason: Undecided,
+        before: Option<Undecided>,
+    ) {
+        if entry.spec.is_some() && before != Some(reason) {
+            log::info!("job id={id} step=undecided pool={} reason={reason:?}", self.log.pool);
         }
+        self.intake.undecided.insert(id, reason);
     }
 
     /// Returns the phase of a job that is recorded or about to be.
@@ -141,16 +180,21 @@
 
     /// Passes a job's cancellations on to another pool, and its submission too if that pool decides on the job. `phase` is the
     /// job's phase in this pool from then on.
-    fn pass_on(&mut self, id: JobId, entry: &JobEntry, pool: &Arc<str>, phase: Phase) {
+    fn pass_on(&mut self, id: JobId, entry: &JobEntry, queue: &str, pool: &Arc<str>, phase: Phase) {
+        if self.intake.passing_on.contains(&id) {
+            // The rest follows once this was passed on.
+            return;
+        }
         // What was passed on by an earlier assignment may have come back, or have been passed on in a circle.
         let known = self.phase_of(id, entry);
         let is_known = known == phase || known == Phase::Copy;
-        let callers = entry.cancelling_callers();
-        let passed_on = self.intake.cancels_passed_on.get(&id).copied().unwrap_or_default();
-        let cancels = if callers.len() > passed_on { &callers[..] } else { &[] };
+        let mut callers = entry.cancelling_callers(queue);
+        if let Some((passed_on, _)) = self.intake.cancels_passed_on.get(&id) {
+            callers.retain(|caller| !passed_on.contains(caller));
+        }
         let new_phase = entry.spec.as_ref().filter(|_| !is_known).map(|_| phase);
         let spec = entry.spec.as_ref().filter(|_| !is_known && phase != Phase::Copy);
-        if spec.is_none() && cancels.is_empty() {
+        if spec.is_none() && callers.is_empty() {
             if new_phase.is_some() {
                 self.record_copy(id, Some(pool));
             }
@@ -160,18 +204,17 @@
             "job id={id} step=passed-on from={} to={pool} submission={} cancels={}",
             self.log.pool,
             spec.is_some(),
-            cancels.len(),
+            callers.len(),
         );
         let submission =
             spec.map_or(Vec::new(), |spec| self.submission_records(id, entry, spec, pool));
-        let cancels = cancels.iter().map(|caller| cancel_record(id, caller)).collect();
+        let cancels = callers.iter().map(|caller| cancel_record(id, caller)).collect();
         self.intake.passing_on.insert(id);
         let (node, tx, pool) = (self.node.clone(), self.tx.clone(), pool.clone());
-        let count = callers.len();
         tokio::spawn(async move {
             let done = pass_on(&node, &pool, cancels, submission).await;
             // The owner may have ended, and its successor passes everything on again.
-            let _ = tx.send(Event::PassedOn(id, new_phase, done.then_some(count)));
+            let _ = tx.send(Event::PassedOn(id, new_phase, done.then_some(callers)));
         });
     }
 
@@ -191,23 +234,25 @@
         std::iter::once(submission).chain(origins.into_iter().map(record)).collect()
     }
 
-    /// Handles the end of an attempt to pass on a job's records. `phase` is the job's phase in this pool from now on, and `cancels`
-    /// the number of its cancellations, if all records were written.
+    /// Handles the end of an attempt to pass on a job's records. `phase` is the job's phase in this pool from now on, and `callers`
+    /// those whose cancellations were among them, if all records were written.
     pub(super) fn handle_passed_on(
         &mut self,
         id: JobId,
         phase: Option<Phase>,
-        cancels: Option<usize>,
+        callers: Option<BTreeSet<Caller>>,
     ) {
         self.intake.passing_on.remove(&id);
-        let Some(cancels) = cancels else {
+        let Some(callers) = callers else {
             self.intake.undecided.insert(id, Undecided::NotPassedOn);
             self.review_later();
             return;
         };
         counter!("thistle_jobs_passed_on").increment(1);
-        if cancels > 0 {
-            self.intake.cancels_passed_on.insert(id, cancels);
+        if !callers.is_empty() {
+            let (known, at) = self.intake.cancels_passed_on.entry(id).or_default();
+            known.extend(callers);
+            *at = steady_ms();
         }
         if let Some(phase) = phase {
             self.intake.elsewhere.insert(id, phase);
--- a/crates/scheduler/src/owner/queues.rs
+++ b/crates/scheduler/src/owner/queues.rs
@@ -60,6 +60,7 @@
         let changed = |queue: &str| before.offset_of(queue) != assignments.offset_of(queue);
         self.intake.handing_over.retain(|queue, &mut at| assignments.offset_of(queue) == Some(at));
         for (queue, assignment) in assignments.iter().filter(|(queue, _)| changed(queue)) {
+            self.intake.assigned_at.insert(queue.clone(), steady_ms());
             if assignment.pool == self.log.pool && !assignment.earlier.is_empty() {
                 self.read_earlier(queue, assignment.earlier.iter().cloned().collect());
             }
@@ -68,7 +69,7 @@
             let log = self.log.clone();
             let jobs = log.jobs();
             let open = jobs.iter().filter(|(id, e)| !e.is_bound() && !self.pool.contains(*id));
-            for (id, _) in open.filter(|(_, e)| e.queue().is_some_and(changed)) {
+            for (id, _) in open.filter(|(_, e)| e.queues().into_iter().any(changed)) {
                 self.intake.cancels_passed_on.remove(&id);
                 self.intake.undecided.entry(id).or_insert(Undecided::NotAssigned);
             }
@@ -113,14 +114,15 @@
         }
         let (mut unbound, mut cancels) = (Vec::new(), Vec::new());
         for (id, entry) in self.log.jobs().iter() {
-            let Some(queue) = entry.queue() else { continue };
-            let Some(change) = handed_over.iter().find(|c| *c.queue == *queue) else { continue };
-            if entry.spec.is_none() {
-                let callers = entry.cancelling_callers();
-                let records = callers.iter().map(|caller| cancel_record(id, caller));
-                cancels.extend(records.map(|record| (change.assignment.pool.clone(), record)));
-            } else if !entry.is_bound() && self.pool.contains(id) {
-                unbound.push(id);
+            let queues = entry.queues();
+            for change in handed_over.iter().filter(|change| queues.contains(&*change.queue)) {
+                if entry.spec.is_none() {
+                    let callers = entry.cancelling_callers(&change.queue);
+                    let records = callers.iter().map(|caller| cancel_record(id, caller));
+                    cancels.extend(records.map(|record| (change.assignment.pool.clone(), record)));
+                } else if !entry.is_bound() && self.pool.contains(id) {
+                    unbound.push(id);
+                }
             }
         }
         self.bind(unbound).await?;
