Submissions are passed on although a partition of cancellations is down for all nodes

Cause: an owner passes submissions on once both partitions were read, and did not count one that is down for other nodes too, which starts have counted as known since. Both now ask the same.

Evidence: a_job_in_the_previous_pool_runs_while_the_fallback_partition_of_that_pool_is_down: not completed within 60 s before, passes now, beside a_job_that_is_passed_on_before_its_cancellation_is_read_is_not_started (a partition that fails for the owner alone).

--- a/crates/scheduler/src/owner/intake.rs
+++ b/crates/scheduler/src/owner/intake.rs
@@ -149,7 +149,7 @@
     /// assignment of the queue to another pool. They have to be passed on before the submissions of their jobs.
     fn knows_cancels_of(&self, queue: &str) -> bool {
         let noted_at = self.intake.assigned_at.get(queue);
-        noted_at.is_some_and(|at| self.log.has_read_submissions_since(at + ASSIGNMENT_DELAY_MS))
+        noted_at.is_some_and(|at| self.log.has_known_cancels_since(at + ASSIGNMENT_DELAY_MS))
     }
 
     fn set_undecided(
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -185,14 +185,19 @@
     /// Returns whether all cancellations are known that have to be in force. A partition that is down for other nodes too has got
     /// none.
     pub fn knows_cancels(&self, node: &Node) -> bool {
-        let times = self.read_at.iter().zip(&self.down_at);
-        let known_until: Vec<_> = times.map(|(read, down)| read.get().max(down.get())).collect();
+        let known_until: Vec<_> = self.cancels_known_until().collect();
         freshness::are_current(&known_until, node.cancel_within(), steady_ms())
     }
 
-    /// Returns whether all submissions and cancellations were read that the store had at `since`.
-    pub fn has_read_submissions_since(&self, since: Ms) -> bool {
-        self.read_at.iter().all(|read_at| read_at.get().is_some_and(|at| at >= since))
+    /// Returns whether all cancellations are known that the store had at `since`.
+    pub fn has_known_cancels_since(&self, since: Ms) -> bool {
+        self.cancels_known_until().all(|until| until.is_some_and(|at| at >= since))
+    }
+
+    /// Returns the time up to which all cancellations in each partition are known.
+    fn cancels_known_until(&self) -> impl Iterator<Item = Option<Ms>> {
+        let times = self.read_at.iter().zip(&self.down_at);
+        times.map(|(read, down)| read.get().max(down.get()))
     }
 
     fn cursor(&self, part: u32) -> &tokio::sync::Mutex<Cursor> {
--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -306,3 +306,19 @@
     tokio::time::sleep(SETTLE_TIME).await;
     ids.iter().for_each(|id| expect_that!(rerouting.system.starts_of(id), is_empty(), "{id}"));
 }
+
+/// Guards against a job that waits in the previous pool for as long as a partition is down that nobody can write to.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_in_the_previous_pool_runs_while_the_fallback_partition_of_that_pool_is_down() {
+    const NET: u8 = 178;
+    let mut rerouting = Rerouting::start(NET, NODES).await;
+    let id = &ids(1)[0];
+    let store = rerouting.system.platform.store.clone();
+    store.set_part_fault("jobs.desk", SUBMISSION_PARTITIONS[1], Fault::Busy);
+    rerouting.route_to(Some(HUB)).await;
+    wait_until_assigned(&rerouting, HUB).await;
+    rerouting.write_submission(POOL, id, TASK_MS);
+    wait_until_state(&rerouting.system.nodes[0], id, "completed").await;
+    expect_that!(rerouting.pools_of(id), elements_are![eq(HUB)]);
+}
