--- a/crates/scheduler/tests/rerouted_cancels.rs
+++ b/crates/scheduler/tests/rerouted_cancels.rs
@@ -340,3 +340,18 @@
     wait_until("the cancellation is acknowledged", acknowledged).await;
     expect_no_late_start(&rerouting, NET, id, Instant::now()).await;
 }
+/// Guards against a job that waits in the previous pool for as long as a partition is down that nobody can write to.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_job_in_the_previous_pool_runs_while_the_fallback_partition_of_that_pool_is_down() {
+    const NET: u8 = 178;
+    let mut rerouting = Rerouting::start(NET, NODES).await;
+    let id = &ids(1)[0];
+    let store = rerouting.system.platform.store.clone();
+    store.set_part_fault("jobs.desk", SUBMISSION_PARTITIONS[1], Fault::Busy);
+    rerouting.route_to(Some(HUB)).await;
+    wait_until_assigned(&rerouting, HUB).await;
+    rerouting.write_submission(POOL, id, TASK_MS);
+    wait_until_state(&rerouting.system.nodes[0], id, "completed").await;
+    expect_that!(rerouting.pools_of(id), elements_are![eq(HUB)]);
+}
