--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -34,6 +34,8 @@
     OnDrainingVm { run: String, after: Duration },
     /// A task was started too long after the cancellation of its job was acknowledged.
     StartedAfterCancellation { task: String, after: Duration },
+    /// A task ran for too long after the cancellation of its job was acknowledged.
+    RunningAfterCancellation { task: String, after: Duration },
     /// A node accepted a request and did not answer it, although there was only planned work.
     Unanswered { job: String, node: usize },
 }
@@ -196,6 +198,7 @@
             // The expiry of a lease belongs to no run.
             task: if *kind == RunEventKind::LeaseExpired { String::new() } else { TASK.to_owned() },
             attempt: if *kind == RunEventKind::LeaseExpired { 0 } else { attempt },
+            fencing_token: None,
             kind: kind.clone(),
         };
         let first = first.iter().map(|event| event_at(event, 1)).collect();
--- a/crates/scheduler/tests/soak/draining.rs
+++ b/crates/scheduler/tests/soak/draining.rs
@@ -1,6 +1,6 @@
 //! VMs that announce that they will leave, with long or short notice or not at all, and fall silent around that, during bursts.
 //!
-//! The store and its links stay sound and no node is paused, so every running owner knows of an announcement in time.
+//! The store and its links stay sound and no node is paused, so every running owner knows of announcements and cancellations in time.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -124,6 +124,7 @@
             arrived_at: base + Duration::from_millis(arrived),
             task: "00000001.0.0.0".to_owned(),
             attempt: 1,
+            fencing_token: None,
             kind,
         };
         let draining = event(0, 0, RunEventKind::Draining);
