--- a/crates/scheduler/src/pool_log/outage.rs
+++ b/crates/scheduler/src/pool_log/outage.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures::future::join_all;
+use metrics::counter;
 
 use super::{PoolLog, SUBMISSION_PARTITIONS};
 use crate::clock::steady_ms;
@@ -44,8 +45,10 @@
     let asked = peers.iter().cycle().skip(start).take(ASKED_NODES.min(peers.len()));
     let query = Query::Partition { pool: log.pool.to_string(), part };
     let replies = join_all(asked.map(|&addr| query_node(node, &query, addr))).await;
-    let is_down = |reply: &QueryReply| *reply == QueryReply::Answered(false);
-    if !replies.is_empty() && replies.iter().all(is_down) {
+    let lacks_answers = |reply: &QueryReply| *reply == QueryReply::Answered(false);
+    let is_down = !replies.is_empty() && replies.iter().all(lacks_answers);
+    counter!("thistle_partition_checks", "down" => is_down.to_string()).increment(1);
+    if is_down {
         log.down_at[index].record(Some(began));
         log::debug!("jobs step=down-for-all pool={} part={part}", log.pool);
     }
