--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -141,7 +141,7 @@
             // Another copy could start a finished task again in the VM's next incarnation.
             Some(StartState::Listed) => return Some(StartResult::StartedWithCopies),
         }
-        // Asked before the facts are checked, which then include what this reads.
+        // Asked before the facts are checked: a read in between would hide that the facts checked are too old.
         let may_start = link.may_start();
         if let Some(reason) = link.withheld(order) {
             let result = if *maybe_arrived { StartResult::Unclear } else { StartResult::Withheld };
