Logs and metrics of the bytes that a node sends and receives

No log line or metric could tell a full link from a silent VM. The bytes of each connection are now counted by peer and message (thistle_link_bytes, thistle_link_bandwidth_bytes), and each second in which the link was busy or VMs left calls unanswered gets a line with the largest kinds, the answers of all VMs and the fastest of them. No decision changes.

--- a/crates/scheduler/src/callers.rs
+++ b/crates/scheduler/src/callers.rs
@@ -12,6 +12,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use metrics::{counter, histogram};
 use thistle_model::clock::wall_ms;
+use thistle_platform::http::traffic::{CountedStream, Message};
 use thistle_platform::{KeyedRecord, body};
 use thistle_schedule::job_log::{cancel_key, encode_received_cancel, encode_spec, submit_key};
 use thistle_schedule::quota::within;
@@ -61,7 +62,7 @@
         .header_read_timeout(idle)
         .max_buf_size(header_bytes.max(MIN_BUFFER))
         .keep_alive(!is_closing)
-        .serve_connection(TokioIo::new(stream), respond);
+        .serve_connection(TokioIo::new(CountedStream::new(stream, Message::FromCaller)), respond);
     tokio::pin!(conn);
     if is_closing {
         // A disconnect by the caller is not an error.
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -42,6 +42,7 @@
 mod stats;
 mod store_health;
 mod submit;
+mod traffic;
 pub mod write_outcome;
 
 pub use overview::{Overview, overview};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 
 use thistle_platform::Store;
+use thistle_platform::worker::VmAnswers;
 use thistle_schedule::fleet::{FleetRecord, WaveRequest};
 use thistle_schedule::ownership::{NodeIncarnation, OWNER_LEASE_MS, Ownership};
 use thistle_schedule::{Assignments, Catalog, Halls, KeySecret, Ms, VmFacts, halls};
@@ -42,6 +43,8 @@
     pub store: Store,
     /// The secret with which API keys of workspaces are hashed.
     pub secret: KeySecret,
+    /// The answers of all VMs to this node's calls.
+    pub vm_answers: Arc<VmAnswers>,
     /// The health of the store as seen by this node.
     pub store_health: StoreHealth,
     /// The outlooks of the pools.
@@ -97,6 +100,7 @@
             speed: crate::speed::measure(),
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
+            vm_answers: Arc::default(),
             store_health: StoreHealth::default(),
             outlooks: Outlooks::default(),
             peers: Peers::default(),
@@ -167,6 +171,12 @@
         Ms::try_from(self.settings.cancel_within.0.as_millis()).unwrap_or(Ms::MAX)
     }
 
+    /// Returns the bandwidth of the node's link in bytes per second, if the settings state it.
+    pub fn link_bytes_per_s(&self) -> Option<u64> {
+        // A thousandth of a Mbit is 125 bytes.
+        self.settings.link_mbps.map(|mbps| u64::from(mbps.thousandths()) * 125)
+    }
+
     /// Returns whether this node may currently act as owner.
     pub fn lease_valid(&self) -> bool {
         steady_ms() < self.lease_until.load(Ordering::Relaxed)
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -100,7 +100,8 @@
             log: log.clone(),
             vm: facts.id.clone(),
             token,
-            client: WorkerClient::new(facts.addr, facts.id.clone()),
+            client: WorkerClient::new(facts.addr, facts.id.clone())
+                .with_answers(node.vm_answers.clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -12,6 +12,7 @@
 use hyper::{Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use metrics::counter;
+use thistle_platform::http::traffic::{CountedStream, Message};
 use thistle_platform::{CallError, ForwardedCall, NOT_ANSWERED, NOT_FORWARDED};
 use thistle_wire::serve::HEADER_TIMEOUT;
 use tokio::net::TcpListener;
@@ -36,8 +37,12 @@
                 async move { Ok::<_, Infallible>(handle_request(&node, req).await) }
             });
             // If the connection fails, the other node uses another relay.
-            let _ =
-                thistle_wire::serve::http().serve_connection(TokioIo::new(stream), respond).await;
+            let _ = thistle_wire::serve::http()
+                .serve_connection(
+                    TokioIo::new(CountedStream::new(stream, Message::FromNode)),
+                    respond,
+                )
+                .await;
         });
     })
     .await;
--- a/crates/scheduler/src/run.rs
+++ b/crates/scheduler/src/run.rs
@@ -12,7 +12,7 @@
 
 use crate::clock::steady_ms;
 use crate::node::Node;
-use crate::{callers, control, listing, readiness, relay, stats};
+use crate::{callers, control, listing, readiness, relay, stats, traffic};
 
 /// The bucket bounds of the response time histograms, in seconds.
 const RESPONSE_TIME_BUCKETS: [f64; 9] = [0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 3.0];
@@ -61,6 +61,7 @@
     tokio::spawn(readiness::run(node.clone(), readiness_listener));
     tokio::spawn(callers::run(node.clone(), listener));
     tokio::spawn(relay::watch_route(node.clone()));
+    tokio::spawn(traffic::log_traffic(node.clone()));
     if let Some(listener) = relay_listener {
         tokio::spawn(relay::run(node.clone(), listener));
     }
--- a/crates/scheduler/src/stats.rs
+++ b/crates/scheduler/src/stats.rs
@@ -8,6 +8,7 @@
 use thistle_schedule::Ms;
 
 use crate::node::Node;
+use crate::traffic;
 
 /// Updates the gauges and returns all metrics in the Prometheus text format.
 pub fn render(node: &Arc<Node>, handle: &PrometheusHandle) -> String {
@@ -28,5 +29,6 @@
         gauge!("thistle_jobs_read", "pool" => pool.clone()).set(submitted as f64);
         gauge!("thistle_pool_owned", "pool" => pool).set(f64::from(u8::from(log.is_owned())));
     }
+    traffic::update_metrics(node);
     handle.render()
 }
--- a/crates/settings/src/scheduler.rs
+++ b/crates/settings/src/scheduler.rs
@@ -8,6 +8,7 @@
 use crate::error::SettingsError;
 use crate::load::{Checked, in_range};
 use crate::logs::LogSettings;
+use crate::quantity::Quantity;
 use crate::span::Span;
 
 /// Settings of a node of the job scheduler.
@@ -35,6 +36,12 @@
     /// The service that advises on the policies of queues, if there is one.
     #[serde(default)]
     pub advice: Option<SocketAddr>,
+    /// The bandwidth of the node's link, in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: Option<Quantity>,
+    /// The share of a core that the node gets.
+    #[serde(default)]
+    pub cpu_share: Option<Quantity>,
     /// The largest append to the store, in bytes.
     #[serde(default = "default_append")]
     pub max_append_bytes: usize,
