Owners are chosen by their links as well as their processors

The only thing compared was a millisecond of hashing at each node's start, which says nothing of links, and of a shared processor only who was undisturbed.

Heartbeats now state the link's bandwidth and the share of a core from the settings. A node's strength is its share of the resource of which it has least, relative to the most that any member has; below half of the strongest it counts as weak wherever slow nodes did: claims, successors, spreading, standbys and relays. Without a stated share of a core the speed is compared, as before. A claim logs why its node was chosen (owner step=chosen).

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -6,6 +6,7 @@
 //! its own lease lasts. The store alone decides who is the owner, not this module.
 
 mod heartbeats;
+mod means;
 mod records;
 mod spread;
 mod standbys;
@@ -13,6 +14,7 @@
 
 use heartbeats::HeartbeatReads;
 pub use heartbeats::{HEARTBEAT_MS, HeartbeatPartition};
+pub use means::{Means, Standing};
 pub use records::{Claim, Heartbeat, NodeIncarnation};
 pub use spread::Handover;
 pub use standbys::STANDBYS;
@@ -45,6 +47,7 @@
 #[derive(Clone, Debug)]
 struct Member {
     speed: u32,
+    means: Means,
     relay: Option<SocketAddr>,
     incarnation: u64,
     sequence: u64,
@@ -113,14 +116,22 @@
 
     /// Records a heartbeat that was read.
     pub fn record_heartbeat(&mut self, name: &str, heartbeat: &Heartbeat, now: Ms) {
-        let Heartbeat { incarnation, sequence, leaving, relay, speed, reads_owner_heartbeats } =
-            *heartbeat;
+        let Heartbeat {
+            incarnation,
+            sequence,
+            leaving,
+            relay,
+            speed,
+            means,
+            reads_owner_heartbeats,
+        } = *heartbeat;
         if self.is_earlier_incarnation(name, incarnation) {
             return;
         }
         let last_contact = now;
         let update = Member {
             speed,
+            means,
             relay,
             incarnation,
             sequence,
@@ -264,15 +275,16 @@
         self.claims.values().any(|o| o.claim.owner == self.me && !o.claim.released)
     }
 
-    /// Returns the relay addresses of other live members, in the order in which this node tries them. An owner tries fast
-    /// members first, because it writes more than the link of a slow node can carry.
+    /// Returns the relay addresses of other live members, in the order in which this node tries them. An owner tries strong
+    /// members first, because it writes more than the link of a weak node can carry.
     pub fn relays(&self, now: Ms) -> Vec<SocketAddr> {
         let is_alive = |m: &Member| !m.leaving && now.saturating_sub(m.last_contact) < ALIVE_MS;
         let others = self.members.iter().filter(|(name, m)| **name != self.me.name && is_alive(m));
-        let slow_below = if self.owns_any() { self.slow_below() } else { 0 };
+        let strongest = self.owns_any().then(|| self.strongest());
+        let is_weak = |m: &Member| strongest.is_some_and(|strongest| strongest.is_weak(m));
         // The order differs from node to node, which spreads the load.
         let hash_rank = |addr| weight(format!("{}/{addr}", self.me.name).as_bytes(), 0);
-        let ranked = |m: &Member| m.relay.map(|addr| (m.speed < slow_below, hash_rank(addr), addr));
+        let ranked = |m: &Member| m.relay.map(|addr| (is_weak(m), hash_rank(addr), addr));
         let mut relays: Vec<(bool, u64, SocketAddr)> =
             others.filter_map(|(_, m)| ranked(m)).collect();
         relays.sort_unstable();
--- a/crates/schedule/src/ownership/records.rs
+++ b/crates/schedule/src/ownership/records.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::Means;
+
 /// One incarnation of a node.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct NodeIncarnation {
@@ -42,6 +44,9 @@
     /// Its computing speed, determined at its start in an arbitrary unit; 0 if it is not known.
     #[serde(default)]
     pub speed: u32,
+    /// What its settings state that it has to do the work of an owner.
+    #[serde(default)]
+    pub means: Means,
     /// Whether the node reads the owners' partition of heartbeats. Older nodes read only the common one.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub reads_owner_heartbeats: bool,
--- a/crates/schedule/src/ownership/spread.rs
+++ b/crates/schedule/src/ownership/spread.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use super::standbys::standby_rank;
-use super::vacancy::{RANK_STEP_MS, SLOW_NODE_PENALTY};
+use super::vacancy::{RANK_STEP_MS, WEAK_NODE_PENALTY};
 use super::{Member, Ownership};
 use crate::Ms;
 
@@ -60,11 +60,12 @@
             })
         };
         let shard = shards.iter().filter(is_mine).min_by_key(|s| self.claims[*s].seen_at)?;
-        let slow_below = self.slow_below();
+        let strongest = self.strongest();
         let may_receive = |(name, m): &(&str, &Member)| {
             let has = owned.get(name).copied().unwrap_or(0);
             let is_new = now.saturating_sub(m.joined_at) < MIN_MEMBER_MS;
-            *name != me && has == 0 && mine >= MIN_DIFFERENCE && m.speed >= slow_below && !is_new
+            let is_weak = strongest.is_weak(m);
+            *name != me && has == 0 && mine >= MIN_DIFFERENCE && !is_weak && !is_new
         };
         let receivers = self.live_members(now).filter(may_receive);
         let (successor, _) = receivers.min_by_key(|(name, _)| standby_rank(shard, name, false))?;
@@ -79,14 +80,14 @@
         }
         let all: Vec<Arc<str>> = self.claims.keys().cloned().collect();
         let mut owned = self.owned_counts(&all);
-        let slow_below = self.slow_below();
+        let strongest = self.strongest();
         let mut chosen = Vec::with_capacity(shards.len());
         for shard in shards {
             let others = self.live_members(now).filter(|(name, _)| *name != self.me.name);
             let best = others.min_by_key(|(name, m)| {
-                let slow = m.speed < slow_below;
-                let counted = usize::from(slow) * SLOW_NODE_PENALTY;
-                (owned.get(name).copied().unwrap_or(0) + counted, standby_rank(shard, name, slow))
+                let weak = strongest.is_weak(m);
+                let counted = usize::from(weak) * WEAK_NODE_PENALTY;
+                (owned.get(name).copied().unwrap_or(0) + counted, standby_rank(shard, name, weak))
             });
             if let Some((name, _)) = best {
                 *owned.entry(name).or_default() += 1;
--- a/crates/schedule/src/ownership/standbys.rs
+++ b/crates/schedule/src/ownership/standbys.rs
@@ -32,23 +32,23 @@
             return None;
         }
         let me = &self.me.name;
-        let slow_below = self.slow_below();
-        let my_speed = self.members.get(me).map_or(0, |m| m.speed);
-        let mine = standby_rank(pool, me, my_speed < slow_below);
+        let strongest = self.strongest();
+        let am_weak = self.members.get(me).is_some_and(|m| strongest.is_weak(m));
+        let mine = standby_rank(pool, me, am_weak);
         let others = self.live_members(now).filter(|(name, _)| name != me);
-        let ranks = others.map(|(name, m)| standby_rank(pool, name, m.speed < slow_below));
+        let ranks = others.map(|(name, m)| standby_rank(pool, name, strongest.is_weak(m)));
         Some(ranks.filter(|rank| *rank < mine).count() < STANDBYS)
     }
 
     /// Returns the addresses of the standbys to query about a pool's jobs if its owner does not answer.
     pub fn standbys_to_query(&self, pool: &str, now: Ms) -> Vec<SocketAddr> {
         let owner = self.relay_of_owner(pool);
-        let slow_below = self.slow_below();
+        let strongest = self.strongest();
         let mut others: Vec<_> = self
             .live_members(now)
             .filter(|(name, m)| *name != self.me.name && m.relay != owner)
             .filter_map(|(name, m)| {
-                Some((standby_rank(pool, name, m.speed < slow_below), m.relay?))
+                Some((standby_rank(pool, name, strongest.is_weak(m)), m.relay?))
             })
             .collect();
         others.sort_unstable();
@@ -65,6 +65,6 @@
 
 /// Returns a node's rank among the standbys of a pool. It is the same on all nodes and matches the order in which nodes claim
 /// the pool.
-pub(super) fn standby_rank(pool: &str, name: &str, slow: bool) -> (bool, u64) {
-    (slow, weight(format!("{pool}/{name}").as_bytes(), 0))
+pub(super) fn standby_rank(pool: &str, name: &str, weak: bool) -> (bool, u64) {
+    (weak, weight(format!("{pool}/{name}").as_bytes(), 0))
 }
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -11,10 +11,9 @@
 /// How long the second-best node waits for the best one to claim a shard, in milliseconds. Each further node waits this much
 /// longer.
 pub(super) const RANK_STEP_MS: Ms = 400;
-/// The number of shards that a node with less than half the speed of the fastest one is counted as owning in addition. An
-/// owner of 100 VMs or more uses an eighth of a core, which is all that some nodes have. With 350 VMs this lowers the median
+/// The number of shards that a weak node is counted as owning in addition. An owner of 100 VMs or more uses an eighth of a core, which is all that some nodes have. With 350 VMs this lowers the median
 /// time from submission to the first start from 788 ms to 55 ms.
-pub(super) const SLOW_NODE_PENALTY: usize = 3;
+pub(super) const WEAK_NODE_PENALTY: usize = 3;
 /// How long a new node reads heartbeats before it claims shards that never had an owner, in milliseconds: two reads, as the
 /// first may come before the nodes that start with it have sent their heartbeats. With hundreds of nodes the wait is longer.
 const INITIAL_WAIT_MS: Ms = 1_000;
@@ -155,30 +154,25 @@
             + APPEND_MS * Ms::try_from(more).unwrap_or(Ms::MAX / APPEND_MS - INITIAL_WAIT_MS)
     }
 
-    /// Returns the speed below which a node counts as slow: half of that of the fastest member.
-    pub(super) fn slow_below(&self) -> u32 {
-        self.members.values().map(|m| m.speed).max().unwrap_or(0) / 2
-    }
-
     /// Returns how long this node leaves a vacant shard to nodes that own fewer shards.
     pub(super) fn claim_delay(&self, shard: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
         let owned = |name: &str| {
             self.claims.values().filter(|o| !o.claim.released && o.claim.owner.name == name).count()
         };
         let weight = |name: &str| weight(format!("{shard}/{name}").as_bytes(), 0);
-        let slow_below = self.slow_below();
-        let slow = |name: &str| {
-            let speed = self.members.get(name).map_or(0, |m| m.speed);
-            usize::from(speed > 0 && speed < slow_below) * SLOW_NODE_PENALTY
+        let strongest = self.strongest();
+        let penalty = |name: &str| {
+            let is_weak = self.members.get(name).is_some_and(|m| strongest.is_weak(m));
+            usize::from(is_weak) * WEAK_NODE_PENALTY
         };
         let me = &self.me.name;
-        let mine = (owned(me) + wanted.len() + slow(me), weight(me));
+        let mine = (owned(me) + wanted.len() + penalty(me), weight(me));
         let is_alive = |m: &&Member| !m.leaving && now.saturating_sub(m.last_contact) < ALIVE_MS;
         let before = self
             .members
             .iter()
             .filter(|(name, m)| **name != self.me.name && is_alive(m))
-            .filter(|(name, _)| (owned(name) + slow(name), weight(name)) < mine)
+            .filter(|(name, _)| (owned(name) + penalty(name), weight(name)) < mine)
             .count();
         RANK_STEP_MS * u64::try_from(before).unwrap_or(u64::MAX)
     }
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -3,8 +3,8 @@
 use googletest::prelude::*;
 use thistle_schedule::Ms;
 use thistle_schedule::ownership::{
-    Claim, HEARTBEAT_MS, Heartbeat, HeartbeatPartition, NodeIncarnation, OWNER_LEASE_MS, Ownership,
-    UNRESPONSIVE_MS,
+    Claim, HEARTBEAT_MS, Heartbeat, HeartbeatPartition, Means, NodeIncarnation, OWNER_LEASE_MS,
+    Ownership, UNRESPONSIVE_MS,
 };
 use thistle_schedule::policy::OwnershipPolicy;
 
@@ -21,6 +21,7 @@
         leaving: false,
         relay: None,
         speed: 0,
+        means: Means::default(),
         reads_owner_heartbeats: true,
     }
 }
--- a/crates/schedule/tests/ownership.rs
+++ b/crates/schedule/tests/ownership.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use thistle_schedule::ownership::{
-    Claim, Heartbeat, NodeIncarnation, OWNER_LEASE_MS, Ownership, UNRESPONSIVE_MS,
+    Claim, Heartbeat, Means, NodeIncarnation, OWNER_LEASE_MS, Ownership, UNRESPONSIVE_MS,
 };
 use thistle_schedule::{Ms, TaskLease};
 
@@ -20,6 +20,7 @@
         leaving: false,
         relay: None,
         speed: 0,
+        means: Means::default(),
         reads_owner_heartbeats: false,
     }
 }
--- a/crates/schedule/tests/spread.rs
+++ b/crates/schedule/tests/spread.rs
@@ -5,7 +5,7 @@
 
 use googletest::prelude::*;
 use thistle_schedule::Ms;
-use thistle_schedule::ownership::{Claim, Handover, Heartbeat, NodeIncarnation, Ownership};
+use thistle_schedule::ownership::{Claim, Handover, Heartbeat, Means, NodeIncarnation, Ownership};
 use thistle_schedule::policy::OwnershipPolicy;
 
 const STEP_MS: Ms = 100;
@@ -84,6 +84,7 @@
                     leaving: false,
                     relay: None,
                     speed: self.speeds.get(name).copied().unwrap_or(100),
+                    means: Means::default(),
                     reads_owner_heartbeats: true,
                 };
                 for (_, view) in self.views.values_mut() {
@@ -190,6 +191,7 @@
         leaving: true,
         relay: None,
         speed: 100,
+        means: Means::default(),
         reads_owner_heartbeats: true,
     };
     view.record_heartbeat("n1", &leaving, 30_200);
--- a/crates/schedule/tests/standbys.rs
+++ b/crates/schedule/tests/standbys.rs
@@ -3,7 +3,7 @@
 use googletest::prelude::*;
 use thistle_schedule::Ms;
 use thistle_schedule::ownership::{
-    Claim, Heartbeat, NodeIncarnation, Ownership, STANDBYS, token_of,
+    Claim, Heartbeat, Means, NodeIncarnation, Ownership, STANDBYS, token_of,
 };
 
 const POOLS: [&str; 5] = ["desk", "routes", "hub", "zones", "portal"];
@@ -20,6 +20,7 @@
         leaving: false,
         relay,
         speed,
+        means: Means::default(),
         reads_owner_heartbeats: false,
     }
 }
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -160,7 +160,18 @@
     records.extend(more);
     match node.store.append(TOPIC, CLAIMS, Guard::EndsAt(end), &records).await {
         Ok(Appended::Done { offset, end }) => {
-            lock(&node.ownership).record_claim(shard, claim, offset, steady_ms());
+            let standing = {
+                let mut ownership = lock(&node.ownership);
+                ownership.record_claim(shard, claim, offset, steady_ms());
+                ownership.standing()
+            };
+            log::info!(
+                "owner pool={shard} step=chosen strength={} weak={} strong_members={} means={:?}",
+                standing.strength,
+                standing.is_weak,
+                standing.strong_members,
+                node.means(),
+            );
             record_own(node, &assignments, offset + 1);
             // Comes last: whoever appends at this end relies on all records before it.
             node.claims_end.advance_to(end);
--- a/crates/scheduler/src/control/send_heartbeats.rs
+++ b/crates/scheduler/src/control/send_heartbeats.rs
@@ -111,6 +111,7 @@
         leaving,
         relay,
         speed: node.speed,
+        means: node.means(),
         reads_owner_heartbeats: node.settings.policy.ownership.owner_heartbeats,
     };
     let key = format!("{MEMBER_PREFIX}{}", node.me.name);
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -7,9 +7,9 @@
 use thistle_platform::Store;
 use thistle_platform::worker::VmAnswers;
 use thistle_schedule::fleet::{FleetRecord, WaveRequest};
-use thistle_schedule::ownership::{NodeIncarnation, OWNER_LEASE_MS, Ownership};
+use thistle_schedule::ownership::{Means, NodeIncarnation, OWNER_LEASE_MS, Ownership};
 use thistle_schedule::{Assignments, Catalog, Halls, KeySecret, Ms, VmFacts, halls};
-use thistle_settings::SchedulerSettings;
+use thistle_settings::{Quantity, SchedulerSettings};
 use tokio::sync::watch;
 
 use crate::caps::LentTable;
@@ -171,6 +171,13 @@
         Ms::try_from(self.settings.cancel_within.0.as_millis()).unwrap_or(Ms::MAX)
     }
 
+    /// Returns what the settings state that the node has to do the work of an owner.
+    pub fn means(&self) -> Means {
+        let stated = |quantity: Option<Quantity>| quantity.map_or(0, Quantity::thousandths);
+        let SchedulerSettings { cpu_share, link_mbps, .. } = self.settings;
+        Means { cpu_share: stated(cpu_share), link_kbps: stated(link_mbps) }
+    }
+
     /// Returns the bandwidth of the node's link in bytes per second, if the settings state it.
     pub fn link_bytes_per_s(&self) -> Option<u64> {
         // A thousandth of a Mbit is 125 bytes.
--- a/crates/scheduler/src/speed.rs
+++ b/crates/scheduler/src/speed.rs
@@ -1,7 +1,6 @@
 //! Measures the computing speed of this node, so that owners run on nodes with enough CPU.
 //!
-//! The settings contain the CPU share that a node should get. The speed that it actually gets is determined once, when the
-//! node starts.
+//! It is used for nodes whose settings state no CPU share. The speed is determined once, when the node starts.
 
 use std::time::Instant;
 
