An owner gives its link only as many starts as it carries, and sends the rest through standbys

All starts of a step were given to the link at once. Behind a full link every VM seemed silent: calls timed out after 0.6 s at most, starts were sent again over the same link, leases were not renewed, and tasks were bound to VMs seconds before their starts left.

A step places no more than it takes in 0.12 s, so that tasks wait in the pool by rank; timeouts of calls to VMs allow for the wait in the link; no copy of a start is sent while the link is full. Standbys have the texts, so starts beyond 0.06 s of the link are sent by them (schedule::start_relays, relayed_start): the owner decides and checks as before and sends 0.2 KB. A standby refuses if it does not have the same text, has read a cancellation or its own link is full; nothing was sent then. An answer that is lost on the way counts as a start that may have been executed.

--- a/crates/schedule/src/ownership/standbys.rs
+++ b/crates/schedule/src/ownership/standbys.rs
@@ -40,19 +40,32 @@
         Some(ranks.filter(|rank| *rank < mine).count() < STANDBYS)
     }
 
+    /// Returns the addresses of the other nodes that follow a pool's records, each with the stated bandwidth of its link in
+    /// kbit/s. Nodes that state none are left out.
+    pub fn standby_links(&self, pool: &str, now: Ms) -> Vec<(SocketAddr, u32)> {
+        let links = self.ranked(pool, now).into_iter().take(STANDBYS);
+        let links = links.map(|(_, addr, m)| (addr, m.means.link_kbps));
+        links.filter(|(_, kbps)| *kbps > 0).collect()
+    }
+
     /// Returns the addresses of the standbys to query about a pool's jobs if its owner does not answer.
     pub fn standbys_to_query(&self, pool: &str, now: Ms) -> Vec<SocketAddr> {
+        let queried = self.ranked(pool, now).into_iter().take(QUERIED_STANDBYS);
+        queried.map(|(_, addr, _)| addr).collect()
+    }
+
+    /// Returns all live members but this node and the pool's owner, with their addresses, by their ranks as standbys.
+    fn ranked(&self, pool: &str, now: Ms) -> Vec<((bool, u64), SocketAddr, &Member)> {
         let owner = self.relay_of_owner(pool);
         let strongest = self.strongest();
+        let rank = |(name, m): (&str, &'_ Member)| standby_rank(pool, name, strongest.is_weak(m));
         let mut others: Vec<_> = self
             .live_members(now)
             .filter(|(name, m)| *name != self.me.name && m.relay != owner)
-            .filter_map(|(name, m)| {
-                Some((standby_rank(pool, name, strongest.is_weak(m)), m.relay?))
-            })
+            .filter_map(|(name, m)| Some((rank((name, m)), m.relay?, m)))
             .collect();
-        others.sort_unstable();
-        others.into_iter().map(|(_, relay)| relay).take(QUERIED_STANDBYS).collect()
+        others.sort_unstable_by_key(|&(rank, addr, _)| (rank, addr));
+        others
     }
 
     /// Returns the members that are alive and not about to stop.
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -26,6 +26,7 @@
 mod remaining;
 mod report;
 mod run;
+mod start_budget;
 mod suspects;
 mod takeover;
 mod throttle;
@@ -57,6 +58,7 @@
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 pub use report::ReportChanges;
+pub use start_budget::StartBudget;
 pub use suspects::AbandonedTask;
 pub use throttle::PollReason;
 pub use vms::VmSummary;
@@ -121,6 +123,10 @@
     halls_unknown: bool,
     /// Whether jobs may have been cancelled whose cancellations this owner has not read.
     cancels_unknown: bool,
+    /// The bytes of starts that the owner's link can take, if it is limited.
+    start_budget: Option<StartBudget>,
+    /// Whether the last step left tasks waiting because of `start_budget`.
+    bound_by_link: bool,
     /// The earliest time at which a lasting task may be stopped to be moved.
     moves_allowed_from: Ms,
     /// Whether the VM listing is believed complete. After an outage of the store, entries that expired during the
@@ -182,6 +188,7 @@
         self.expire_unclear_losses(now);
         self.cancel_starts_beyond_room(now);
         self.move_tasks_off_leaving_vms(now);
+        self.bound_by_link = false;
         if !self.halls_unknown && !self.cancels_unknown {
             self.place_waiting(now);
         }
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -62,6 +62,9 @@
         ranked.sort_unstable();
         let mut most_free = self.most_free(now.steady);
         for (.., key) in ranked {
+            if !self.link_has_room() {
+                return;
+            }
             self.place_job(key, &mut most_free, now);
         }
     }
@@ -100,6 +103,9 @@
     /// Places the waiting tasks of a step. Returns `false` if no VM was found for a task that is not a suspect.
     fn place_step(&mut self, ready: ReadyStep, step_spec: &Step, now: Now) -> bool {
         for index in self.waiting_tasks(ready) {
+            if !self.link_has_room() {
+                return true;
+            }
             if self.is_deferred(ready, index, now.steady) {
                 continue;
             }
@@ -271,6 +277,7 @@
             placed_at: now,
             cap,
         };
+        self.spend_start_budget(&order);
         self.orders.push(Order::Start(order));
         self.mark_changed(ready.job_key);
     }
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -35,6 +35,7 @@
 mod read_time;
 mod readiness;
 mod relay;
+mod relayed_start;
 mod reply;
 mod request_body;
 mod run;
@@ -43,6 +44,7 @@
 mod store_health;
 mod submit;
 mod traffic;
+mod uplink;
 pub mod write_outcome;
 
 pub use overview::{Overview, overview};
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -22,7 +22,9 @@
 use crate::peers::Peers;
 use crate::pool_log::PoolLog;
 use crate::read_time::ReadTime;
+use crate::relayed_start::StartClients;
 use crate::store_health::StoreHealth;
+use crate::uplink::Uplink;
 
 /// The longest lease of a job's task, in milliseconds: long enough for a pool to change its owner without losing work, and short
 /// enough that the tasks of a disconnected VM soon start elsewhere.
@@ -43,6 +45,10 @@
     pub store: Store,
     /// The secret with which API keys of workspaces are hashed.
     pub secret: KeySecret,
+    /// The budget of the node's link.
+    pub uplink: Arc<Uplink>,
+    /// The clients with which this node sends starts for the owners of pools.
+    pub start_clients: StartClients,
     /// The answers of all VMs to this node's calls.
     pub vm_answers: Arc<VmAnswers>,
     /// The health of the store as seen by this node.
@@ -100,6 +106,8 @@
             speed: crate::speed::measure(),
             store: Store::new(settings.store),
             secret: KeySecret::new(rand::random()),
+            uplink: Arc::new(Uplink::new(bandwidth(&settings))),
+            start_clients: StartClients::default(),
             vm_answers: Arc::default(),
             store_health: StoreHealth::default(),
             outlooks: Outlooks::default(),
@@ -180,8 +188,7 @@
 
     /// Returns the bandwidth of the node's link in bytes per second, if the settings state it.
     pub fn link_bytes_per_s(&self) -> Option<u64> {
-        // A thousandth of a Mbit is 125 bytes.
-        self.settings.link_mbps.map(|mbps| u64::from(mbps.thousandths()) * 125)
+        bandwidth(&self.settings)
     }
 
     /// Returns whether this node may currently act as owner.
@@ -212,3 +219,9 @@
         u64::try_from(max).map_or(TASK_LEASE_MS, |max| max.min(TASK_LEASE_MS))
     }
 }
+
+/// Returns the stated bandwidth of the link, in bytes per second.
+fn bandwidth(settings: &SchedulerSettings) -> Option<u64> {
+    // A thousandth of a Mbit is 125 bytes.
+    settings.link_mbps.map(|mbps| u64::from(mbps.thousandths()) * 125)
+}
--- a/crates/scheduler/src/owner/link/mod.rs
+++ b/crates/scheduler/src/owner/link/mod.rs
@@ -24,6 +24,7 @@
 use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::PoolLog;
+pub use orders::FirstCopy;
 use pending_starts::PendingStarts;
 
 /// Pause before a VM that does not answer is called again.
@@ -101,7 +102,8 @@
             vm: facts.id.clone(),
             token,
             client: WorkerClient::new(facts.addr, facts.id.clone())
-                .with_answers(node.vm_answers.clone()),
+                .with_answers(node.vm_answers.clone())
+                .with_link_delay(node.uplink.delay().clone()),
             lease: Mutex::new(TaskLease::new(node.task_lease(), steady_ms())),
             acked: watch::Sender::new(0),
             closed: AtomicBool::new(false),
@@ -207,13 +209,13 @@
     }
 
     /// Sends a start order.
-    pub fn start(&self, order: StartOrder) {
+    pub fn start(&self, order: StartOrder, first: FirstCopy) {
         let shared = self.shared.clone();
         let order = Arc::new(order);
         shared.pending_starts.add(order.clone());
         let handled_loss = self.handled_loss;
         tokio::spawn(async move {
-            if let Some(result) = orders::start(&shared, &order, handled_loss).await {
+            if let Some(result) = orders::start(&shared, &order, handled_loss, first).await {
                 shared.send_event(Event::Started(shared.vm.clone(), order.run, result));
             }
         });
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -1,12 +1,14 @@
 //! Sends orders to a VM until their outcome is known.
 
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use metrics::{counter, histogram};
 use thistle_platform::worker::Start;
 use thistle_platform::{OrderError, StartAnswer};
 use thistle_schedule::pool::{StartOrder, StartResult};
-use thistle_schedule::{Ms, RunId, Withheld};
+use thistle_schedule::{Ms, RunId, StartRelays, Withheld};
 
 use super::super::losses::LossNumber;
 use super::pending_starts::StartState;
@@ -14,6 +16,8 @@
 use crate::clock::steady_ms;
 use crate::locks::lock;
 use crate::pool_log::SUBMISSION_PARTITIONS;
+use crate::relayed_start::{Relayed, send_through};
+use crate::uplink::Reservation;
 
 /// An order that failed sooner than this is sent again after a pause; one that waited longer for its answer is sent
 /// again immediately.
@@ -67,14 +71,26 @@
     }
 }
 
+/// How the first copy of a start is sent.
+#[derive(Debug)]
+pub struct FirstCopy {
+    /// The bytes that are reserved for it on the node's link.
+    pub reservation: Reservation,
+    /// The node that sends it, if it is not this one.
+    pub through: Option<SocketAddr>,
+    /// The nodes that can send starts.
+    pub relays: Arc<Mutex<StartRelays>>,
+}
+
 /// Sends a start until its outcome is known, and records the outcome. Returns `None` if the start was dropped.
 pub(super) async fn start(
     link: &Shared,
     order: &StartOrder,
     handled_loss: LossNumber,
+    first: FirstCopy,
 ) -> Option<StartResult> {
     let mut maybe_arrived = false;
-    let result = send_start(link, order, handled_loss, &mut maybe_arrived).await;
+    let result = send_start(link, order, handled_loss, first, &mut maybe_arrived).await;
     match result {
         Some(result) => link.pending_starts.record_result(order.run, result),
         // The run counts until the owner handles the loss of the VM.
@@ -94,8 +110,11 @@
     link: &Shared,
     order: &StartOrder,
     handled_loss: LossNumber,
+    first: FirstCopy,
     maybe_arrived: &mut bool,
 ) -> Option<StartResult> {
+    let FirstCopy { reservation, mut through, relays } = first;
+    let mut reservation = Some(reservation);
     let mut wait = StartWait::new(order.placed_at);
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
@@ -153,6 +172,12 @@
             tokio::time::sleep(RETRY_PAUSE).await;
             continue;
         }
+        if *maybe_arrived && link.node.uplink.is_full() {
+            // The answer may be late because of this node's own link, and a copy would delay all others.
+            counter!("thistle_copies_withheld").increment(1);
+            tokio::time::sleep(RETRY_PAUSE).await;
+            continue;
+        }
         if !may_start {
             if !*maybe_arrived {
                 deadline_ms = None;
@@ -168,15 +193,27 @@
         }
         wait.log_send(link, order.run);
         let sent_at = Instant::now();
-        let start = Start {
-            run: order.run,
-            text: &order.spec.text,
-            deadline_ms: until,
-            token: link.token.on_the_wire,
-            checkpoint: &order.checkpoint,
-            ticket: order.ticket.as_deref(),
+        // From here on the bytes are counted as they are written.
+        reservation.take();
+        let result = match through.take() {
+            None => send_directly(link, order, until).await,
+            Some(standby) => {
+                let (pool, addr) = (&link.log.pool, link.client.addr());
+                let sent_under = (until, link.token.on_the_wire);
+                match send_through(&link.node, standby, pool, addr, order, sent_under).await {
+                    Relayed::Sent(result) => result,
+                    Relayed::Refused => {
+                        lock(&relays).record_refused(standby, steady_ms());
+                        link.pending_starts.record_not_executed(order.run);
+                        // The text does not fit the link now, so the task is placed again when it does.
+                        if link.node.uplink.is_full() {
+                            return Some(StartResult::NotTaken);
+                        }
+                        continue;
+                    }
+                }
+            }
         };
-        let result = link.client.start(start).await;
         if result == Err(OrderError::Gone) && !*maybe_arrived {
             // Recorded before the loss is reported, as the owner may handle that at once.
             link.pending_starts.record_not_executed(order.run);
@@ -208,6 +245,22 @@
     }
 }
 
+async fn send_directly(
+    link: &Shared,
+    order: &StartOrder,
+    deadline_ms: u64,
+) -> Result<StartAnswer, OrderError> {
+    let start = Start {
+        run: order.run,
+        text: &order.spec.text,
+        deadline_ms,
+        token: link.token.on_the_wire,
+        checkpoint: &order.checkpoint,
+        ticket: order.ticket.as_deref(),
+    };
+    link.client.start(start).await
+}
+
 /// Sends a stop until it is answered or its VM is lost. The stop of a run that only moves is checked again before each copy.
 pub(super) async fn stop(
     link: &Shared,
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -15,19 +15,20 @@
 mod quota;
 mod report;
 mod start;
+mod start_budget;
 mod telemetry;
 mod tokens;
 mod vms;
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use metrics::counter;
 use thistle_schedule::assignment::EarlierJobs;
 use thistle_schedule::pool::{Order, StartResult, StepId};
 use thistle_schedule::{
-    Caller, JobId, LogChange, Ms, Phase, Pool, RunId, VmIncarnation, VmLoss, VmReport,
+    Caller, JobId, LogChange, Ms, Phase, Pool, RunId, StartRelays, VmIncarnation, VmLoss, VmReport,
 };
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 
@@ -51,6 +52,8 @@
 
 /// The longest time between two steps of the schedule when no event arrives.
 const TICK: Duration = Duration::from_millis(100);
+/// The same while tasks wait for the link, which is idle if starts are not placed in time.
+const LINK_BOUND_TICK: Duration = Duration::from_millis(30);
 /// How often all VMs are checked, in milliseconds. Checking them at each step is most of the cost of a step in a
 /// large pool.
 const VM_CHECK_EVERY_MS: Ms = 100;
@@ -118,6 +121,8 @@
     outlook_publisher: OutlookPublisher,
     advisor: Advisor,
     quota: Quota,
+    /// The pool's standbys, which can send starts for this owner.
+    start_relays: Arc<Mutex<StartRelays>>,
     /// When all VMs were last checked.
     vms_checked_at: Ms,
     /// Whether the forecast was held at the last step.
@@ -180,7 +185,8 @@
     fn pause(&self) -> Duration {
         let now = now();
         let due = self.pool.next_due(now).unwrap_or(Ms::MAX).saturating_sub(now.steady);
-        TICK.min(Duration::from_millis(due.max(1)))
+        let tick = if self.pool.is_bound_by_link() { LINK_BOUND_TICK } else { TICK };
+        tick.min(Duration::from_millis(due.max(1)))
     }
 
     fn handle_event(&mut self, event: Event) -> Result<(), Fenced> {
@@ -264,6 +270,7 @@
         self.notify_origins();
         self.update_forecast();
         self.withdraw_withheld_starts();
+        self.update_start_budget();
         let orders = self.pool.plan(now());
         self.withhold_moves();
         let records = self.pool.take_records();
@@ -306,6 +313,7 @@
             return;
         }
         self.vms_checked_at = now;
+        self.update_start_relays();
         self.end_superseded_links();
         self.close_unused_links();
         for link in self.links.values() {
@@ -344,7 +352,8 @@
                     start.free_cpu,
                 );
                 counter!("thistle_starts").increment(1);
-                link.start(start);
+                let first = self.first_copy(&start);
+                link.start(start, first);
             }
             Order::Stop { vm, run, for_move } => {
                 log::info!(
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -61,6 +61,7 @@
         outlook_publisher: OutlookPublisher::default(),
         advisor,
         quota: Quota::default(),
+        start_relays: Arc::default(),
         vms_checked_at: 0,
         forecast_held: false,
         cancels_known: true,
--- a/crates/scheduler/src/relay.rs
+++ b/crates/scheduler/src/relay.rs
@@ -1,5 +1,5 @@
 //! The HTTP server for other nodes: forwards store calls for nodes that cannot reach the store directly, accepts forwarded
-//! submissions, notices of cancellations and the reports of pools, and answers queries. Also watches whether this node reaches the store directly.
+//! submissions, notices of cancellations and the reports of pools, sends starts for owners, and answers queries. Also watches whether this node reaches the store directly.
 
 use std::convert::Infallible;
 use std::sync::Arc;
@@ -20,7 +20,7 @@
 use crate::fleet_owner::{REPORT_PATH, Rejection, accept_report};
 use crate::node::Node;
 use crate::request_body;
-use crate::{cancel_notice, find_job, forward, query};
+use crate::{cancel_notice, find_job, forward, query, relayed_start};
 
 /// How often the direct route to the store is probed while calls go through another node.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
@@ -87,6 +87,12 @@
             Some(encoded) => reply(StatusCode::OK.as_u16(), Either::Left(encoded.into())),
             None => not_forwarded(),
         },
+        Ok(body) if path == relayed_start::PATH => {
+            match relayed_start::send_for(node, &body).await {
+                Some(outcome) => reply(StatusCode::OK.as_u16(), Either::Left(outcome.into())),
+                None => not_forwarded(),
+            }
+        }
         Ok(body) => {
             let call = ForwardedCall { method, path: path.clone(), body };
             match node.store.forward(call).await {
--- a/crates/scheduler/tests/narrow_links.rs
+++ b/crates/scheduler/tests/narrow_links.rs
@@ -2,12 +2,83 @@
 
 mod system;
 
+use std::time::Duration;
+
 use googletest::prelude::*;
-use system::{System, ip, wait_until};
+use serde_json::json;
+use system::{Node, System, ip, submit, wait_until, wait_until_state};
+use thistle_platform::standin::bodies::job_of;
 
 /// The last part of the addresses of the nodes.
 const HOSTS: [u8; 3] = [10, 11, 12];
 
+/// The length of the text of a job, which goes out with each start, in bytes.
+const TEXT_BYTES: usize = 3_900;
+/// The settings of nodes with links of 1 Mbit/s, and the throughput of such a link in bytes per second.
+const NARROW: &str = "link_mbps: 1\n";
+const NARROW_BYTES_PER_S: u32 = 125_000;
+
+/// Submits jobs with long texts and waits until they are completed. Returns their IDs.
+async fn run_jobs(system: &System, jobs: u32, tasks: u32) -> Vec<String> {
+    let step = json!({ "count": tasks, "cpu": 4_000, "memMb": 256, "estimatedMs": 200 });
+    let job = job_of(&format!("ms=200 {}", "x".repeat(TEXT_BYTES)), &[step]);
+    let ids: Vec<String> = (0..jobs).map(|i| format!("{i:016x}")).collect();
+    for id in &ids {
+        expect_that!(submit(&system.nodes[0], id, &job).await.status, eq(200));
+    }
+    for id in &ids {
+        wait_until_state(&system.nodes[0], id, "completed").await;
+    }
+    ids
+}
+
+fn expect_each_task_started_once(system: &System, ids: &[String], tasks: u32) {
+    for id in ids {
+        let starts = system.starts_of(id);
+        expect_that!(starts.len(), eq(tasks as usize), "tasks of {id}");
+        expect_that!(starts.values().all(|&count| count == 1), eq(true), "{starts:?}");
+    }
+}
+
+/// Returns the bytes of start orders that a node has sent to VMs.
+async fn sent_start_bytes(node: &Node) -> u64 {
+    let metrics = node.metrics().await;
+    let is_start = |line: &&str| {
+        let labels = ["direction=\"sent\"", "peer=\"vm\"", "message=\"start\""];
+        line.starts_with("thistle_link_bytes") && labels.iter().all(|label| line.contains(label))
+    };
+    let line = metrics.lines().find(is_start).expect("the metric is there");
+    line.rsplit(' ').next().and_then(|value| value.parse().ok()).expect("a number")
+}
+
+/// An owner that takes its own full link for silent VMs repeats each start over it, so that few tasks start.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_are_not_repeated_over_a_full_link() {
+    let system = System::start_with_settings(148, 24, 1, NARROW).await;
+    system.platform.machines.limit_requests(NARROW_BYTES_PER_S);
+    let ids = run_jobs(&system, 20, 15).await;
+    expect_each_task_started_once(&system, &ids, 15);
+    let orders: usize = system.platform.machines.vms().iter().map(|vm| vm.start_orders()).sum();
+    // A machine that runs other tests may be late with a few answers.
+    expect_that!(orders, le(300 + 300 / 10));
+}
+
+/// The text of a job fills the link of its pool's owner with each task, while the standbys have the text and idle links.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn starts_that_exceed_the_link_of_an_owner_are_sent_by_standbys() {
+    let system = System::start_with_settings(149, 8, 6, NARROW).await;
+    // Nodes begin to follow pools that they do not own 2 s after their start.
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let owner = system.owner().expect("the pool has an owner");
+    let ids = run_jobs(&system, 10, 12).await;
+    expect_each_task_started_once(&system, &ids, 12);
+    let sent = sent_start_bytes(&system.nodes[owner]).await;
+    let all = 10 * 12 * TEXT_BYTES as u64;
+    expect_that!(sent, lt(all / 2), "of {all} bytes of text");
+}
+
 /// Too little is served if a pool is owned by a node whose link cannot carry its starts, beside a node with a wide link.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
