Timeouts of VM calls by the usual answer; relays, machine lists and weak owners spare narrow links

The same cause elsewhere, each a choice that ignored the link. - Calls to VMs timed out by each VM's own last answers, so that a full link in either direction, also one narrower than the settings state, made VMs seem silent. The usual response time of all VMs counts as well; a single silent VM does not change it. - Nodes that the store turns away sent their calls through owners: 0.2 to 0.4 MB/s of the 1.1 that the owner of quick-book-c's pool sent. Members that own a shard come last now. - The fleet's owner listed all VMs each 0.4 s, 0.6 to 0.7 MB/s of a link of 1.25. Lists take at most a quarter of the time now. - A weak node kept its pools after strong ones had come back. It hands them over now, in calm, one at a time (a_weak_node_hands_its_shards_over_to_a_strong_one, 0 handovers before). - Starts are relayed after 15 ms of the owner's link, and 60 ms are given to it at once, as records of placements wait behind starts.

--- a/crates/schedule/src/link_budget.rs
+++ b/crates/schedule/src/link_budget.rs
@@ -11,9 +11,9 @@
 const USED_PERCENT: u64 = 90;
 /// How long the link may need for what was given to it before no more starts are placed, in milliseconds: about the time
 /// between two steps of an owner, so that the link is not idle between them.
-const MAX_QUEUE_MS: Ms = 120;
-/// The same before starts are sent through other nodes, which costs a further hop.
-const DIRECT_QUEUE_MS: Ms = 60;
+const MAX_QUEUE_MS: Ms = 60;
+/// The same before starts are sent through other nodes, which costs a further hop and fewer bytes.
+const DIRECT_QUEUE_MS: Ms = 15;
 /// The size of a start without the text of its job, in bytes: the request line, the headers, and the other fields.
 const START_BYTES: u64 = 330;
 /// The size of a request to another node to send a start, in bytes.
--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -16,7 +16,7 @@
 pub use heartbeats::{HEARTBEAT_MS, HeartbeatPartition};
 pub use means::{Means, Standing};
 pub use records::{Claim, Heartbeat, NodeIncarnation};
-pub use spread::Handover;
+pub use spread::{Handover, HandoverReason};
 pub use standbys::STANDBYS;
 use vacancy::EndedOwner;
 
@@ -276,17 +276,26 @@
     }
 
     /// Returns the relay addresses of other live members, in the order in which this node tries them. An owner tries strong
-    /// members first, because it writes more than the link of a weak node can carry.
+    /// members first, because it writes more than the link of a weak node can carry. Members that own a shard come last, as
+    /// their links carry the starts of their pools.
     pub fn relays(&self, now: Ms) -> Vec<SocketAddr> {
         let is_alive = |m: &Member| !m.leaving && now.saturating_sub(m.last_contact) < ALIVE_MS;
         let others = self.members.iter().filter(|(name, m)| **name != self.me.name && is_alive(m));
         let strongest = self.owns_any().then(|| self.strongest());
         let is_weak = |m: &Member| strongest.is_some_and(|strongest| strongest.is_weak(m));
         // The order differs from node to node, which spreads the load.
+        let owners: HashSet<&str> = self
+            .claims
+            .values()
+            .filter(|o| !o.claim.released)
+            .map(|o| o.claim.owner.name.as_str())
+            .collect();
         let hash_rank = |addr| weight(format!("{}/{addr}", self.me.name).as_bytes(), 0);
-        let ranked = |m: &Member| m.relay.map(|addr| (is_weak(m), hash_rank(addr), addr));
-        let mut relays: Vec<(bool, u64, SocketAddr)> =
-            others.filter_map(|(_, m)| ranked(m)).collect();
+        let ranked = |(name, m): (&String, &Member)| {
+            let owns = owners.contains(name.as_str());
+            m.relay.map(|addr| (is_weak(m), owns, hash_rank(addr), addr))
+        };
+        let mut relays: Vec<(bool, bool, u64, SocketAddr)> = others.filter_map(ranked).collect();
         relays.sort_unstable();
         relays.into_iter().map(|(.., addr)| addr).collect()
     }
--- a/crates/schedule/src/ownership/spread.rs
+++ b/crates/schedule/src/ownership/spread.rs
@@ -1,9 +1,10 @@
-//! Spreading shards over nodes: a node that owns several hands one over to a node that owns none, and a node that stops names
-//! the next owners of its shards.
+//! Spreading shards over nodes: a weak node hands its shards over to strong ones, a node that owns several hands one over to a
+//! node that owns none, and a node that stops names the next owners of its shards.
 //!
 //! Load pattern: all nodes are restarted in turn. Each releases its shards to the nodes that own the fewest, and the one that
 //! is restarted last, or first, ends up with all pools and the fleet. It then does the work of six owners on an eighth of a core
-//! until it is restarted itself.
+//! until it is restarted itself. Or all strong nodes of a site are gone for a while, and when they are back, weak ones own the
+//! pools and would keep them.
 
 use std::collections::HashMap;
 use std::sync::Arc;
@@ -24,6 +25,25 @@
 /// of one the handover would only swap their roles.
 const MIN_DIFFERENCE: usize = 2;
 
+/// Why a shard is handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HandoverReason {
+    /// Its owner owns several shards.
+    Spread,
+    /// Its owner is weak.
+    Weak,
+}
+
+impl HandoverReason {
+    /// Returns the name for log lines and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Spread => "spread",
+            Self::Weak => "weak",
+        }
+    }
+}
+
 /// A shard that this node hands over to another one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Handover {
@@ -33,24 +53,19 @@
     pub successor: String,
     /// The number of shards that this node owns, of those that are spread.
     pub owned: usize,
+    /// Why it is handed over.
+    pub reason: HandoverReason,
 }
 
 impl Ownership {
     /// Returns the shard that this node hands over now, if any. `shards` are those to be spread, and `is_healthy` whether the
-    /// store answers promptly. All nodes read the same claims, by which only the one that owns the most hands one over.
+    /// store answers promptly.
     pub fn to_hand_over(&self, shards: &[Arc<str>], is_healthy: bool, now: Ms) -> Option<Handover> {
         let is_calm = is_healthy
             && !self.cannot_receive(now)
             && now >= self.started_at + MIN_MEMBER_MS
             && shards.iter().all(|shard| self.is_settled(shard, now));
-        if !self.policy.spread || !is_calm {
-            return None;
-        }
-        let owned = self.owned_counts(shards);
-        let me = &self.me.name;
-        let mine = owned.get(me.as_str()).copied().unwrap_or(0);
-        let most = owned.iter().map(|(name, count)| (*count, *name)).max()?;
-        if most != (mine, me) {
+        if !is_calm {
             return None;
         }
         let is_mine = |shard: &&Arc<str>| {
@@ -60,16 +75,34 @@
             })
         };
         let shard = shards.iter().filter(is_mine).min_by_key(|s| self.claims[*s].seen_at)?;
+        let owned = self.owned_counts(shards);
+        let mine = owned.get(self.me.name.as_str()).copied().unwrap_or(0);
         let strongest = self.strongest();
+        let am_weak = self.members.get(&self.me.name).is_some_and(|m| strongest.is_weak(m));
+        let most = if am_weak {
+            // The same as for claims: a weak node counts as owning more shards.
+            WEAK_NODE_PENALTY - 1
+        } else if self.policy.spread && mine >= MIN_DIFFERENCE {
+            // All nodes read the same claims, by which only the one that owns the most hands one over.
+            let (count, name) = owned.iter().map(|(name, count)| (*count, *name)).max()?;
+            if (count, name) != (mine, self.me.name.as_str()) {
+                return None;
+            }
+            0
+        } else {
+            return None;
+        };
+        let has = |name: &str| owned.get(name).copied().unwrap_or(0);
         let may_receive = |(name, m): &(&str, &Member)| {
-            let has = owned.get(name).copied().unwrap_or(0);
             let is_new = now.saturating_sub(m.joined_at) < MIN_MEMBER_MS;
-            let is_weak = strongest.is_weak(m);
-            *name != me && has == 0 && mine >= MIN_DIFFERENCE && !is_weak && !is_new
+            *name != self.me.name && has(name) <= most && !strongest.is_weak(m) && !is_new
         };
         let receivers = self.live_members(now).filter(may_receive);
-        let (successor, _) = receivers.min_by_key(|(name, _)| standby_rank(shard, name, false))?;
-        Some(Handover { shard: shard.clone(), successor: successor.to_owned(), owned: mine })
+        let rank = |name: &str| (has(name), standby_rank(shard, name, false));
+        let (successor, _) = receivers.min_by_key(|(name, _)| rank(name))?;
+        let reason = if am_weak { HandoverReason::Weak } else { HandoverReason::Spread };
+        let (shard, successor) = (shard.clone(), successor.to_owned());
+        Some(Handover { shard, successor, owned: mine, reason })
     }
 
     /// Returns the shards with the nodes that are to own them next when this node stops, a different one for each shard as
--- a/crates/schedule/tests/spread.rs
+++ b/crates/schedule/tests/spread.rs
@@ -5,7 +5,9 @@
 
 use googletest::prelude::*;
 use thistle_schedule::Ms;
-use thistle_schedule::ownership::{Claim, Handover, Heartbeat, Means, NodeIncarnation, Ownership};
+use thistle_schedule::ownership::{
+    Claim, Handover, HandoverReason, Heartbeat, Means, NodeIncarnation, Ownership,
+};
 use thistle_schedule::policy::OwnershipPolicy;
 
 const STEP_MS: Ms = 100;
@@ -198,6 +200,21 @@
     expect_that!(view.to_hand_over(&new.shards, true, 30_200), none(), "leaving receiver");
 }
 
+/// While the only strong node is gone, a weak one owns all shards. Once it is back, pools would stay where their starts do not fit
+/// the link until that node ends.
+#[gtest]
+fn a_weak_node_hands_its_shards_over_to_a_strong_one() {
+    let mut site = Site::new(1, &["p", "q", "r"], false);
+    site.speeds.insert("n0".to_owned(), 40);
+    site.run(20_000);
+    site.start_node("n1", 1);
+    site.run(120_000);
+    expect_that!(site.owned(), eq(&vec![0, 3]));
+    let reasons = site.handovers.iter().map(|(_, handover)| handover.reason);
+    expect_that!(reasons.collect::<Vec<_>>(), each(eq(&HandoverReason::Weak)));
+    expect_that!(site.handovers, len(eq(3)));
+}
+
 /// A node that stops and owns several shards must not leave them all to the one that claims first.
 #[gtest]
 fn a_node_that_stops_names_different_successors() {
--- a/crates/scheduler/src/control/release.rs
+++ b/crates/scheduler/src/control/release.rs
@@ -1,4 +1,4 @@
-//! Releases shards: all of them when the node stops, and one at a time to a node that owns none.
+//! Releases shards: all of them when the node stops, and one at a time to a node that owns none or is stronger.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -22,9 +22,6 @@
 
 /// Returns the shard that this node hands over now, if any, and the end of the claims by which it does.
 pub(super) fn handover_due(node: &Node) -> Option<(Handover, u64)> {
-    if !node.settings.policy.ownership.spread {
-        return None;
-    }
     // All claims before this end are applied already.
     let end = node.claims_end.get()?;
     let fleet = node.settings.machine_service.map(|_| Arc::from(FLEET));
@@ -43,13 +40,14 @@
     running: &mut Running,
     (handover, end): &(Handover, u64),
 ) {
-    let Handover { shard, successor, owned } = handover;
+    let Handover { shard, successor, owned, reason } = handover;
+    let reason = reason.name();
     let Some(&(token, _)) = running.get(shard) else {
         log::info!("owner pool={shard} step=not-handed-over to={successor} reason=not-running");
         return;
     };
     log::info!(
-        "owner pool={shard} step=handing-over to={successor} reason=spread owned={owned} token={token}"
+        "owner pool={shard} step=handing-over to={successor} reason={reason} owned={owned} token={token}"
     );
     lock(&node.ownership).record_owner_end(shard, token, steady_ms());
     reconcile_owners(node, running);
@@ -62,9 +60,9 @@
         Ok(Appended::Done { offset, end }) => {
             node.claims_end.advance_to(end);
             log::info!(
-                "owner pool={shard} step=handed-over to={successor} reason=spread owned={owned} token={token}"
+                "owner pool={shard} step=handed-over to={successor} reason={reason} owned={owned} token={token}"
             );
-            counter!("thistle_handovers", "reason" => "spread").increment(1);
+            counter!("thistle_handovers", "reason" => reason).increment(1);
             lock(&node.ownership).record_claim(shard, claim, offset, steady_ms());
         }
         Ok(other) => log::info!("owner pool={shard} step=not-released answer={other:?}"),
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -48,6 +48,10 @@
 /// How often the VMs are listed otherwise, in milliseconds.
 const LIST_IDLE_MS: Ms = 3_000;
 
+/// The shortest time between two requests for the list of VMs as a multiple of what the last one took, so that lists leave most
+/// of a narrow link to reports and orders.
+const LIST_PAUSE_FACTOR: u64 = 4;
+
 /// Returns the key of a pool's report.
 pub fn pool_key(pool: &str) -> String {
     format!("{POOL_PREFIX}{pool}")
@@ -79,6 +83,8 @@
     tx: UnboundedSender<Event>,
     listed_at: Ms,
     list_in_flight: bool,
+    /// How long the last request for the list took, in milliseconds.
+    list_took_ms: Ms,
     /// The pools that lack VMs.
     short_pools: HashSet<Arc<str>>,
 }
@@ -119,6 +125,7 @@
         tx: tx.clone(),
         listed_at: 0,
         list_in_flight: false,
+        list_took_ms: 0,
         short_pools: HashSet::new(),
     };
     let work = async {
@@ -184,6 +191,7 @@
             }
             Event::Vms(requested_at, result) => {
                 self.list_in_flight = false;
+                self.list_took_ms = steady_ms().saturating_sub(requested_at);
                 match result {
                     Ok(machines) => {
                         let table = self.node.vms.borrow().clone();
@@ -203,7 +211,8 @@
 
     /// Requests the list of VMs if it is due.
     fn list_vms(&mut self) {
-        let every = if self.fleet.is_busy() { LIST_BUSY_MS } else { LIST_IDLE_MS };
+        let usual = if self.fleet.is_busy() { LIST_BUSY_MS } else { LIST_IDLE_MS };
+        let every = usual.max(self.list_took_ms * LIST_PAUSE_FACTOR);
         if self.list_in_flight || steady_ms().saturating_sub(self.listed_at) < every {
             return;
         }
--- a/crates/scheduler/src/relayed_start.rs
+++ b/crates/scheduler/src/relayed_start.rs
@@ -96,8 +96,11 @@
         if clients.len() >= MAX_CLIENTS && !clients.contains_key(&key) {
             clients.clear();
         }
-        let new =
-            || WorkerClient::new(addr, vm.clone()).with_link_delay(node.uplink.delay().clone());
+        let new = || {
+            WorkerClient::new(addr, vm.clone())
+                .with_answers(node.vm_answers.clone())
+                .with_link_delay(node.uplink.delay().clone())
+        };
         clients.entry(key).or_insert_with(|| Arc::new(new())).clone()
     }
 }
