Starts that wait for a silent VM do not keep the link; soak of owners with narrow links

The budget now records a start when it is ordered and drains by time, whatever becomes of it; counted bytes leave starts out.

--- a/crates/schedule/src/link_budget.rs
+++ b/crates/schedule/src/link_budget.rs
@@ -46,9 +46,7 @@
     bytes_per_s: u64,
     /// The bytes that were given to the link and are not sent yet.
     queued: u64,
-    /// The bytes of starts that are ordered and not given to the link yet.
-    reserved: u64,
-    /// The count of bytes that were given to the link at the last update.
+    /// The count of bytes besides starts that were given to the link at the last update.
     counted: u64,
     updated_at: Ms,
 }
@@ -57,10 +55,10 @@
     /// Creates the budget of an idle link.
     pub const fn new(bandwidth_bytes_per_s: u64, counted: u64, now: Ms) -> Self {
         let bytes_per_s = bandwidth_bytes_per_s * USED_PERCENT / 100;
-        Self { bytes_per_s, queued: 0, reserved: 0, counted, updated_at: now }
+        Self { bytes_per_s, queued: 0, counted, updated_at: now }
     }
 
-    /// Updates the budget by the count of all bytes that the node has given to its link so far.
+    /// Updates the budget by the count of all bytes besides starts that the node has given to its link so far.
     pub fn update(&mut self, counted: u64, now: Ms) {
         let sent = self.bytes_in(now.saturating_sub(self.updated_at));
         let given = counted.saturating_sub(self.counted);
@@ -68,19 +66,15 @@
         (self.counted, self.updated_at) = (counted, now);
     }
 
-    /// Reserves the bytes of a start until it is given to the link.
-    pub const fn reserve(&mut self, bytes: u64) {
-        self.reserved += bytes;
-    }
-
-    /// Ends the reservation of a start that was given to the link or is not sent.
-    pub const fn release(&mut self, bytes: u64) {
-        self.reserved = self.reserved.saturating_sub(bytes);
+    /// Records a start that is given to the link, when it is ordered. It may have to wait for its VM, and the link is free for others
+    /// meanwhile.
+    pub const fn give(&mut self, bytes: u64) {
+        self.queued += bytes;
     }
 
     /// Returns the bytes of starts that may be placed now.
     pub const fn available(&self) -> u64 {
-        self.bytes_in(MAX_QUEUE_MS).saturating_sub(self.queued + self.reserved)
+        self.bytes_in(MAX_QUEUE_MS).saturating_sub(self.queued)
     }
 
     /// Returns whether nothing more should be given to the link now.
@@ -91,7 +85,7 @@
     /// Returns whether a start should go through another node, if one can send it.
     pub const fn prefers_relay(&self, size: StartSize) -> bool {
         let is_smaller = size.relayed < size.direct;
-        is_smaller && self.queued + self.reserved + size.direct > self.bytes_in(DIRECT_QUEUE_MS)
+        is_smaller && self.queued + size.direct > self.bytes_in(DIRECT_QUEUE_MS)
     }
 
     /// Returns how long the link needs for what was given to it, in milliseconds.
--- a/crates/schedule/src/start_relays.rs
+++ b/crates/schedule/src/start_relays.rs
@@ -20,8 +20,6 @@
 struct Relay {
     addr: SocketAddr,
     budget: LinkBudget,
-    /// The bytes of all starts that were given to it.
-    given: u64,
     paused_until: Ms,
 }
 
@@ -37,7 +35,6 @@
             known.iter().find(|r| r.addr == addr).copied().unwrap_or_else(|| Relay {
                 addr,
                 budget: LinkBudget::new(bandwidth * SHARE_PERCENT / 100, 0, now),
-                given: 0,
                 paused_until: 0,
             })
         };
@@ -55,8 +52,7 @@
         let rank = |r: &&mut Relay| weight(format!("{}/{}", r.addr, vm.id()).as_bytes(), 0);
         let has_room = |r: &&mut Relay| r.budget.available() >= size.direct;
         let relay = self.usable(now).filter(has_room).max_by_key(rank)?;
-        relay.given += size.direct;
-        relay.budget.update(relay.given, now);
+        relay.budget.give(size.direct);
         Some(relay.addr)
     }
 
@@ -69,7 +65,7 @@
 
     fn usable(&mut self, now: Ms) -> impl Iterator<Item = &mut Relay> {
         let update = move |r: &mut Relay| {
-            r.budget.update(r.given, now);
+            r.budget.update(0, now);
             now >= r.paused_until
         };
         self.0.iter_mut().filter_map(move |r| update(r).then_some(r))
--- /dev/null
+++ b/crates/schedule/tests/link_budget.rs
@@ -0,0 +1,95 @@
+//! How many starts an owner gives to a narrow link, and which it has its standbys send.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+
+use googletest::prelude::*;
+use thistle_schedule::{LinkBudget, Ms, StartRelays, StartSize, VmIncarnation};
+
+/// 10 Mbit/s, in bytes per second.
+const BANDWIDTH: u64 = 1_250_000;
+const SIZE: StartSize = StartSize::new(2_400, 0);
+
+/// Places what the budget allows each `step` milliseconds for a second, and returns the bytes.
+fn placed_in_a_second(other_bytes_per_s: u64, step: Ms) -> u64 {
+    let mut budget = LinkBudget::new(BANDWIDTH, 0, 0);
+    let mut placed = 0;
+    for now in (0..1_000).step_by(usize::try_from(step).expect("small")) {
+        budget.update(other_bytes_per_s * now / 1_000, now);
+        while !budget.is_full() {
+            budget.give(SIZE.direct);
+            placed += SIZE.direct;
+        }
+    }
+    placed
+}
+
+/// Five times the mean demand must not wait in the link for longer than calls take to time out, nor leave the link idle.
+#[gtest]
+fn starts_fill_the_link_and_do_not_wait_in_it() {
+    let placed = placed_in_a_second(0, 20);
+    expect_that!(placed, le(BANDWIDTH));
+    expect_that!(placed, ge(BANDWIDTH * 3 / 4));
+    let beside_others = placed_in_a_second(BANDWIDTH / 2, 20);
+    expect_that!(beside_others + BANDWIDTH / 2, le(BANDWIDTH));
+}
+
+/// A start that waits for a silent VM must not keep the link from others. With bytes reserved until each start was sent, a few
+/// silent VMs stopped the whole pool.
+#[gtest]
+fn the_link_is_free_again_whatever_becomes_of_the_starts() {
+    let mut budget = LinkBudget::new(BANDWIDTH, 0, 0);
+    while !budget.is_full() {
+        budget.give(SIZE.direct);
+    }
+    budget.update(0, 200);
+    expect_that!(budget.is_full(), eq(false));
+    expect_that!(budget.delay_ms(), eq(0));
+}
+
+#[gtest]
+fn only_starts_that_are_shorter_by_it_are_relayed_and_only_over_a_busy_link() {
+    let mut budget = LinkBudget::new(BANDWIDTH, 0, 0);
+    expect_that!(budget.prefers_relay(SIZE), eq(false));
+    for _ in 0..8 {
+        budget.give(SIZE.direct);
+    }
+    expect_that!(budget.prefers_relay(SIZE), eq(true));
+    let checkpointed = StartSize { relayed: 3_000, direct: 3_000 };
+    expect_that!(budget.prefers_relay(checkpointed), eq(false));
+}
+
+fn standbys(number: u16) -> Vec<(SocketAddr, u64)> {
+    (0..number).map(|i| (SocketAddr::from(([10, 0, 0, 1], 7_000 + i)), BANDWIDTH)).collect()
+}
+
+/// Standbys with links as narrow as the owner's must not get more than they can send.
+#[gtest]
+fn standbys_get_no_more_starts_than_their_links_carry() {
+    let mut relays = StartRelays::default();
+    relays.set(&standbys(8), 0);
+    let mut relayed = 0;
+    for now in (0..1_000).step_by(20) {
+        for vm in 0..100 {
+            let vm = VmIncarnation::from(format!("i-{vm}").as_str());
+            if relays.choose(&vm, SIZE, now).is_some() {
+                relayed += SIZE.direct;
+            }
+        }
+    }
+    expect_that!(relayed, le(8 * BANDWIDTH / 2));
+    expect_that!(relayed, ge(2 * BANDWIDTH));
+}
+
+/// New connections to VMs are dear, so the starts to one VM go through one standby.
+#[gtest]
+fn the_starts_to_one_vm_go_through_one_standby_while_it_has_room() {
+    let mut relays = StartRelays::default();
+    relays.set(&standbys(8), 0);
+    let vm = VmIncarnation::from("i-1");
+    let chosen: BTreeSet<_> = (0..10).map(|i| relays.choose(&vm, SIZE, i * 100)).collect();
+    expect_that!(chosen, len(eq(1)));
+    let first = chosen.into_iter().flatten().next().expect("one has room");
+    relays.record_refused(first, 1_000);
+    expect_that!(relays.choose(&vm, SIZE, 1_000), not(some(eq(first))));
+}
--- a/crates/scheduler/src/owner/link/orders.rs
+++ b/crates/scheduler/src/owner/link/orders.rs
@@ -17,7 +17,6 @@
 use crate::locks::lock;
 use crate::pool_log::SUBMISSION_PARTITIONS;
 use crate::relayed_start::{Relayed, send_through};
-use crate::uplink::Reservation;
 
 /// An order that failed sooner than this is sent again after a pause; one that waited longer for its answer is sent
 /// again immediately.
@@ -74,8 +73,6 @@
 /// How the first copy of a start is sent.
 #[derive(Debug)]
 pub struct FirstCopy {
-    /// The bytes that are reserved for it on the node's link.
-    pub reservation: Reservation,
     /// The node that sends it, if it is not this one.
     pub through: Option<SocketAddr>,
     /// The nodes that can send starts.
@@ -113,8 +110,9 @@
     first: FirstCopy,
     maybe_arrived: &mut bool,
 ) -> Option<StartResult> {
-    let FirstCopy { reservation, mut through, relays } = first;
-    let mut reservation = Some(reservation);
+    let FirstCopy { mut through, relays } = first;
+    // The bytes of the first copy were recorded when it was ordered.
+    let mut is_recorded = true;
     let mut wait = StartWait::new(order.placed_at);
     let ordered_at = Instant::now();
     let _permit = link.starts.acquire().await.ok()?;
@@ -193,8 +191,9 @@
         }
         wait.log_send(link, order.run);
         let sent_at = Instant::now();
-        // From here on the bytes are counted as they are written.
-        reservation.take();
+        if !std::mem::take(&mut is_recorded) {
+            link.node.uplink.give(order.size().direct);
+        }
         let result = match through.take() {
             None => send_directly(link, order, until).await,
             Some(standby) => {
--- a/crates/scheduler/src/owner/start_budget.rs
+++ b/crates/scheduler/src/owner/start_budget.rs
@@ -27,7 +27,7 @@
         self.pool.set_start_budget(budget);
     }
 
-    /// Chooses how the first copy of a start is sent, and reserves its bytes.
+    /// Chooses how the first copy of a start is sent, and records its bytes.
     pub(super) fn first_copy(&self, start: &StartOrder) -> FirstCopy {
         let (uplink, size) = (&self.node.uplink, start.size());
         let mut relays = lock(&self.start_relays);
@@ -38,6 +38,7 @@
         drop(relays);
         let bytes = if through.is_some() { size.relayed } else { size.direct };
         let relays = self.start_relays.clone();
-        FirstCopy { reservation: uplink.reserve(bytes), through, relays }
+        uplink.give(bytes);
+        FirstCopy { through, relays }
     }
 }
--- a/crates/scheduler/src/relayed_start.rs
+++ b/crates/scheduler/src/relayed_start.rs
@@ -14,10 +14,11 @@
 use serde::{Deserialize, Serialize};
 use thistle_model::rendezvous::weight;
 use thistle_platform::http::Call;
+use thistle_platform::http::traffic::Message;
 use thistle_platform::worker::Start;
 use thistle_platform::{CallError, OrderError, StartAnswer, WorkerClient};
 use thistle_schedule::pool::StartOrder;
-use thistle_schedule::{RunId, TaskId, VmIncarnation};
+use thistle_schedule::{RunId, StartSize, TaskId, VmIncarnation};
 
 use crate::locks::lock;
 use crate::node::Node;
@@ -143,7 +144,9 @@
             return Relayed::Refused;
         }
     };
-    let call = Call::new(Method::POST, PATH, TIMEOUT).with_bytes(body.into());
+    let call = Call::new(Method::POST, PATH, TIMEOUT)
+        .with_bytes(body.into())
+        .counted_as(Message::RelayedStart);
     let result = match node.peers.client(standby).call(call).await {
         Ok(answer) if answer.status == StatusCode::OK.as_u16() => {
             let outcome = postcard::from_bytes(&answer.body);
@@ -205,6 +208,7 @@
         return None;
     };
     counter!("thistle_starts_for_others", "sent" => "true").increment(1);
+    node.uplink.give(StartSize::new(spec.text.len(), request.checkpoint.len()).direct);
     let start = Start {
         run,
         text: &spec.text,
--- a/crates/scheduler/src/uplink.rs
+++ b/crates/scheduler/src/uplink.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex};
 
-use thistle_platform::http::traffic::total_bytes;
+use thistle_platform::http::traffic::bytes_besides_starts;
 use thistle_platform::worker::LinkDelay;
 use thistle_schedule::{LinkBudget, StartSize};
 
@@ -19,13 +19,13 @@
 impl Uplink {
     /// Creates the budget of a link with this bandwidth.
     pub fn new(bytes_per_s: Option<u64>) -> Self {
-        let new = |bandwidth| LinkBudget::new(bandwidth, total_bytes().sent, steady_ms());
+        let new = |bandwidth| LinkBudget::new(bandwidth, bytes_besides_starts().sent, steady_ms());
         Self { budget: bytes_per_s.map(new).map(Mutex::new), delay: Arc::default() }
     }
 
     fn with_budget<T>(&self, f: impl FnOnce(&mut LinkBudget) -> T) -> Option<T> {
         let mut budget = lock(self.budget.as_ref()?);
-        budget.update(total_bytes().sent, steady_ms());
+        budget.update(bytes_besides_starts().sent, steady_ms());
         self.delay.set_ms(budget.delay_ms());
         Some(f(&mut budget))
     }
@@ -50,22 +50,8 @@
         self.with_budget(|budget| budget.prefers_relay(size)).unwrap_or(false)
     }
 
-    /// Reserves the bytes of an order.
-    pub fn reserve(self: &Arc<Self>, bytes: u64) -> Reservation {
-        self.with_budget(|budget| budget.reserve(bytes));
-        Reservation { uplink: self.clone(), bytes }
-    }
-}
-
-/// Bytes of a start that is ordered and not given to the link yet. They are released when this is dropped.
-#[derive(Debug)]
-pub struct Reservation {
-    uplink: Arc<Uplink>,
-    bytes: u64,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.uplink.with_budget(|budget| budget.release(self.bytes));
+    /// Records a start that is given to the link.
+    pub fn give(&self, bytes: u64) {
+        self.with_budget(|budget| budget.give(bytes));
     }
 }
--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -27,6 +27,8 @@
 mod faults;
 #[path = "soak/load_pattern.rs"]
 mod load_pattern;
+#[path = "soak/narrow_links.rs"]
+mod narrow_links;
 #[path = "soak/repairs.rs"]
 mod repairs;
 #[path = "soak/rerouting.rs"]
@@ -102,6 +104,8 @@
 ///
 /// 8002, 8003: an owner behind a narrow link started and kept running what had been cancelled at other nodes seconds before.
 const CANCELLATION_SEEDS: [u64; 2] = [8_002, 8_003];
+/// Seeds of a short run of owners with narrow links.
+const NARROW_LINK_SEEDS: [u64; 2] = [9_000, 9_001];
 /// Seeds of a run with many processes.
 const MANY_PROCESSES_SEEDS: [u64; 1] = [3_000];
 
@@ -204,6 +208,13 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_on_narrow_links_and_a_floor_is_served() {
+    for seed in seeds_or_default(NARROW_LINK_SEEDS) {
+        run_seed(seed, Kind::NarrowLinks).await;
+    }
+}
+
 /// Run by hand: `cargo test --release -p thistle-scheduler --test soak many_processes -- --ignored --nocapture`.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 #[ignore = "starts as many processes as a machine can run with nothing else on it"]
@@ -238,6 +249,8 @@
     Rerouting,
     /// Jobs that wait for room and are cancelled at other nodes, narrow links, and phases of faults of the store and of nodes.
     Cancellations,
+    /// Demand by turns on owners with narrow links, beside faults of nodes and VMs.
+    NarrowLinks,
     /// Nodes that are stopped and started, reloads of settings, and new configurations.
     PlannedWork,
 }
@@ -259,6 +272,8 @@
             Self::Draining => (192, 30),
             Self::Rerouting => (210, 20),
             Self::ManyProcesses => (90, 10),
+            // The other kind on these networks is run by hand, with nothing else.
+            Self::NarrowLinks => (90, 10),
         }
     }
 
@@ -273,7 +288,7 @@
             | Self::Evacuations => 3,
             Self::FaultsOfMany => 14,
             // One node is down at first and replaces another one later.
-            Self::Bursts | Self::Draining | Self::Cancellations => 4,
+            Self::Bursts | Self::Draining | Self::Cancellations | Self::NarrowLinks => 4,
             Self::ManyProcesses => MANY_PROCESSES,
         }
     }
@@ -282,6 +297,7 @@
     const fn settings(self) -> &'static str {
         match self {
             Self::Evacuations => evacuations::SETTINGS,
+            Self::NarrowLinks => narrow_links::SETTINGS,
             _ => "",
         }
     }
@@ -290,6 +306,7 @@
         match self {
             Self::Bursts | Self::ManyProcesses | Self::Draining => LoadPattern::Bursts,
             Self::Cancellations => LoadPattern::Turns,
+            Self::NarrowLinks => LoadPattern::TurnsToServe,
             _ => LoadPattern::Even,
         }
     }
@@ -310,6 +327,9 @@
     if kind == Kind::Cancellations {
         soak.limit_links();
     }
+    if kind == Kind::NarrowLinks {
+        soak.narrow_links_to_vms();
+    }
     if kind == Kind::Restarts {
         soak.system.platform.machines.restart_with_same_ids();
     }
@@ -333,6 +353,7 @@
             Kind::Draining => soak.drain_or_fault().await,
             Kind::Rerouting => soak.reroute_or_fault().await,
             Kind::Cancellations => soak.store_fault_or_calm().await,
+            Kind::NarrowLinks => soak.fault_beside_narrow_links().await,
             Kind::Bursts | Kind::ManyProcesses => soak.inject_burst_fault().await,
         }
         soak.check_newest_config().await;
@@ -346,6 +367,7 @@
     if kind == Kind::Rerouting {
         soak.route(Some(system::SECOND_POOL));
     }
+    let ended_at = Instant::now();
     soak.return_all_halls_to_service();
     soak.repair_all().await;
     let mut jobs = callers.stop().await;
@@ -356,13 +378,18 @@
     broken.extend(soak.starts_over_cap());
     broken.extend(soak.starts_in_evacuated_halls());
     broken.extend(soak.starts_on_draining_vms());
-    if matches!(kind, Kind::Draining | Kind::Rerouting | Kind::Cancellations) {
+    if matches!(kind, Kind::Draining | Kind::Rerouting | Kind::Cancellations | Kind::NarrowLinks) {
         broken.extend(soak.starts_after_cancellation(&jobs));
     }
     if kind == Kind::Cancellations {
         broken.extend(soak.runs_after_cancellation(&jobs));
         println!("{}", soak.cancellation_figures(&jobs));
     }
+    if kind == Kind::NarrowLinks {
+        let accepted = jobs.iter().filter(|job| job.accepted_at.is_some() && !job.cancelled);
+        let offered = accepted.map(|job| job.tasks as u64).sum();
+        broken.extend(soak.served_too_little(offered, ended_at));
+    }
     if kind == Kind::PlannedWork {
         broken.extend(checks::unanswered_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -38,6 +38,8 @@
     RunningAfterCancellation { task: String, after: Duration },
     /// A node accepted a request and did not answer it, although there was only planned work.
     Unanswered { job: String, node: usize },
+    /// Fewer tasks were done than the links of the nodes carry.
+    ServedTooLittle { done: u64, floor: u64 },
 }
 
 /// When the end of a run was acknowledged, relative to a later start of its task.
--- a/crates/scheduler/tests/soak/load_pattern.rs
+++ b/crates/scheduler/tests/soak/load_pattern.rs
@@ -17,7 +17,7 @@
 const BETWEEN_TURNS: Duration = Duration::from_millis(6_000);
 /// The CPU of a task of [`LoadPattern::Turns`], in thousandths of a core, and the length of the text of its job, in bytes.
 const TURN_TASK_CPU: u32 = 2_000;
-const TURN_TEXT_BYTES: usize = 3_900;
+pub const TURN_TEXT_BYTES: usize = 3_900;
 
 /// The load that each caller generates at a given time.
 pub struct Load {
@@ -39,6 +39,8 @@
     /// As [`Self::Bursts`], but longer, so that tasks wait for several seconds. Half of the jobs are cancelled soon, at another node
     /// than the one that accepted them.
     Turns,
+    /// As [`Self::Turns`], but few jobs are cancelled, so that what is served shows what the links carry.
+    TurnsToServe,
 }
 
 impl LoadPattern {
@@ -49,6 +51,7 @@
             // A burst continues while some callers wait for nodes that do not answer.
             Self::Bursts => 12,
             Self::Turns => 32,
+            Self::TurnsToServe => 16,
         }
     }
 
@@ -57,6 +60,7 @@
         match self {
             Self::Even | Self::Bursts => 0.15,
             Self::Turns => 0.5,
+            Self::TurnsToServe => 0.1,
         }
     }
 
@@ -69,7 +73,7 @@
     pub fn job(self, tasks: u32, ms: u32) -> Value {
         match self {
             Self::Even | Self::Bursts => job(tasks, ms),
-            Self::Turns => {
+            Self::Turns | Self::TurnsToServe => {
                 let step = json!({
                     "count": tasks, "cpu": TURN_TASK_CPU, "memMb": 256, "estimatedMs": ms,
                 });
@@ -82,7 +86,7 @@
     const fn cycle(self) -> (Duration, Duration) {
         match self {
             Self::Even | Self::Bursts => (BURST_LENGTH, QUIET_LENGTH),
-            Self::Turns => (TURN_LENGTH, BETWEEN_TURNS),
+            Self::Turns | Self::TurnsToServe => (TURN_LENGTH, BETWEEN_TURNS),
         }
     }
 
@@ -102,8 +106,10 @@
         match (self, self.is_burst(started_at)) {
             (Self::Even, _) => Load { tasks: 1..4, long_share: 0.2, pause_ms: 10..120 },
             (Self::Bursts, true) => Load { tasks: 3..9, long_share: 0.15, pause_ms: 60..200 },
-            (Self::Turns, true) => Load { tasks: 1..4, long_share: 0.1, pause_ms: 100..250 },
-            (Self::Bursts | Self::Turns, false) => {
+            (Self::Turns | Self::TurnsToServe, true) => {
+                Load { tasks: 1..4, long_share: 0.1, pause_ms: 100..250 }
+            }
+            (Self::Bursts | Self::Turns | Self::TurnsToServe, false) => {
                 // No caller is still pausing when the next burst begins.
                 let left = (self.cycle().0 + self.cycle().1)
                     .saturating_sub(self.time_in_cycle(started_at))
