Jobs that the links cannot carry are refused at once

While a step leaves tasks waiting for the link for half a second, the owner publishes an outlook whose capacity is the work that it started over the full link; all nodes refuse by it what can no longer be of use, whatever policy.admission.by_load says, as more VMs would not help. The records have keys of their own (link-outlook/POOL), which older nodes ignore.

--- a/crates/schedule/src/admission/gate.rs
+++ b/crates/schedule/src/admission/gate.rs
@@ -70,7 +70,8 @@
         self.forget_refused(now);
         let Some((outlook, made_at)) = &self.newest else { return Decision::Accept };
         let age = now.saturating_sub(*made_at);
-        if !policy.by_load || age >= MAX_AGE_MS {
+        let applies = policy.by_load || outlook.is_link_bound;
+        if !applies || age >= MAX_AGE_MS {
             return Decision::Accept;
         }
         let refused_at = self.refused.iter().find(|(refused, _)| *refused == id).map(|r| r.1);
--- a/crates/schedule/src/admission/outlook.rs
+++ b/crates/schedule/src/admission/outlook.rs
@@ -98,6 +98,9 @@
     pub classes: Vec<ClassOutlook>,
     /// The hashes of the names of workspaces with jobs beyond their shares.
     pub beyond_share: Vec<u32>,
+    /// Whether the links that carry the pool's starts are full. It is known by the key of the outlook's record.
+    #[serde(skip)]
+    pub is_link_bound: bool,
 }
 
 impl Outlook {
--- a/crates/schedule/src/policy.rs
+++ b/crates/schedule/src/policy.rs
@@ -152,7 +152,8 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct AdmissionPolicy {
-    /// Whether a job is refused if it can no longer be of use with all VMs that its pool may get.
+    /// Whether a job is refused if it can no longer be of use with all VMs that its pool may get. While the links of a pool's
+    /// owner and standbys can't carry its starts, such jobs are refused in any case, as no VM helps.
     pub by_load: bool,
 }
 
--- a/crates/schedule/src/pool/mod.rs
+++ b/crates/schedule/src/pool/mod.rs
@@ -58,6 +58,7 @@
 pub use need::Demand;
 pub use order::{Order, StartOrder, StartResult};
 pub use report::ReportChanges;
+use start_budget::LinkBoundWork;
 pub use start_budget::StartBudget;
 pub use suspects::AbandonedTask;
 pub use throttle::PollReason;
@@ -125,8 +126,8 @@
     cancels_unknown: bool,
     /// The bytes of starts that the owner's link can take, if it is limited.
     start_budget: Option<StartBudget>,
-    /// Whether the last step left tasks waiting because of `start_budget`.
-    bound_by_link: bool,
+    /// What was placed while tasks waited for the owner's link.
+    link_bound: LinkBoundWork,
     /// The earliest time at which a lasting task may be stopped to be moved.
     moves_allowed_from: Ms,
     /// Whether the VM listing is believed complete. After an outage of the store, entries that expired during the
@@ -188,10 +189,11 @@
         self.expire_unclear_losses(now);
         self.cancel_starts_beyond_room(now);
         self.move_tasks_off_leaving_vms(now);
-        self.bound_by_link = false;
+        self.begin_link_step();
         if !self.halls_unknown && !self.cancels_unknown {
             self.place_waiting(now);
         }
+        self.finish_link_step(now.steady);
         std::mem::take(&mut self.orders)
     }
 
--- a/crates/schedule/src/pool/place.rs
+++ b/crates/schedule/src/pool/place.rs
@@ -277,7 +277,7 @@
             placed_at: now,
             cap,
         };
-        self.spend_start_budget(&order);
+        self.spend_start_budget(ready, &order);
         self.orders.push(Order::Start(order));
         self.mark_changed(ready.job_key);
     }
--- a/crates/schedule/src/pool/start_budget.rs
+++ b/crates/schedule/src/pool/start_budget.rs
@@ -1,8 +1,52 @@
 //! The limit on what is placed by the bytes that the owner's link can carry.
 
+use std::collections::VecDeque;
+
+use super::place::ReadyStep;
+use super::rank::scale;
 use super::{Pool, StartOrder};
+use crate::Ms;
 use crate::link_budget::StartSize;
 
+/// The time over which the work started over a full link is added up, in milliseconds.
+const RATE_WINDOW_MS: Ms = 1_000;
+/// How long the link must have been full for the rate to be known, in milliseconds.
+const MIN_WINDOW_MS: Ms = 500;
+
+/// The work that was started while tasks waited for the link.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LinkBoundWork {
+    /// Whether the last step left tasks waiting because of the start budget.
+    is_bound: bool,
+    /// The work placed in this step, in thousandths of a core times milliseconds.
+    placed: u64,
+    /// The work placed in each step since the link is full, oldest first.
+    steps: VecDeque<(Ms, u64)>,
+}
+
+impl LinkBoundWork {
+    fn finish_step(&mut self, now: Ms) {
+        let placed = std::mem::take(&mut self.placed);
+        if !self.is_bound {
+            self.steps.clear();
+            return;
+        }
+        self.steps.push_back((now, placed));
+        while self.steps.front().is_some_and(|&(at, _)| now.saturating_sub(at) > RATE_WINDOW_MS) {
+            self.steps.pop_front();
+        }
+    }
+
+    /// Returns the CPU that the work started over the full link keeps busy, in thousandths of a core.
+    fn cpu(&self) -> Option<u64> {
+        let (&(first, _), &(last, _)) = (self.steps.front()?, self.steps.back()?);
+        let elapsed = last.saturating_sub(first);
+        // The first step only marks the beginning of the span.
+        let work: u64 = self.steps.iter().skip(1).map(|&(_, work)| work).sum();
+        (elapsed >= MIN_WINDOW_MS).then(|| work / elapsed)
+    }
+}
+
 /// The bytes of starts that may still be placed in this step.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StartBudget {
@@ -20,23 +64,43 @@
 
     /// Returns whether the last step left tasks waiting because the owner's link could not take their starts.
     pub const fn is_bound_by_link(&self) -> bool {
-        self.bound_by_link
+        self.link_bound.is_bound
+    }
+
+    /// Returns the CPU that can be kept busy with the starts that the links carry, in thousandths of a core, while tasks wait for
+    /// the link.
+    pub fn link_bound_cpu(&self) -> Option<u64> {
+        self.link_bound.cpu()
+    }
+
+    pub(super) const fn begin_link_step(&mut self) {
+        self.link_bound.is_bound = false;
+    }
+
+    pub(super) fn finish_link_step(&mut self, now: Ms) {
+        self.link_bound.finish_step(now);
     }
 
     /// Returns whether the link can take a further start, and remembers if it can't.
     pub(super) fn link_has_room(&mut self) -> bool {
         let has_room = self.start_budget.is_none_or(|budget| budget.bytes > 0);
-        self.bound_by_link |= !has_room;
+        self.link_bound.is_bound |= !has_room;
         has_room
     }
 
     /// Takes the bytes of a start from the budget.
-    pub(super) fn spend_start_budget(&mut self, order: &StartOrder) {
+    pub(super) fn spend_start_budget(&mut self, ready: ReadyStep, order: &StartOrder) {
         let Some(budget) = &mut self.start_budget else { return };
+        let step = &order.spec.steps[ready.step];
+        if !step.lasting {
+            let factor = self.estimates.factor(&order.spec.queue);
+            let ms = scale(step.estimated_ms.into(), factor);
+            self.link_bound.placed += u64::from(step.room().cpu) * ms;
+        }
         let size = order.size();
-        let is_relayed = size.relayed < size.direct && budget.relayed_bytes >= size.direct;
+        let is_relayed = size.relayed < size.direct && budget.relayed_bytes > 0;
         if is_relayed {
-            budget.relayed_bytes -= size.direct;
+            budget.relayed_bytes = budget.relayed_bytes.saturating_sub(size.direct);
         }
         let bytes = if is_relayed { size.relayed } else { size.direct };
         budget.bytes = budget.bytes.saturating_sub(bytes);
--- a/crates/schedule/src/start_relays.rs
+++ b/crates/schedule/src/start_relays.rs
@@ -50,7 +50,7 @@
     /// room, so that few connections are opened.
     pub fn choose(&mut self, vm: &VmIncarnation, size: StartSize, now: Ms) -> Option<SocketAddr> {
         let rank = |r: &&mut Relay| weight(format!("{}/{}", r.addr, vm.id()).as_bytes(), 0);
-        let has_room = |r: &&mut Relay| r.budget.available() >= size.direct;
+        let has_room = |r: &&mut Relay| !r.budget.is_full();
         let relay = self.usable(now).filter(has_room).max_by_key(rank)?;
         relay.budget.give(size.direct);
         Some(relay.addr)
--- a/crates/schedule/tests/link_budget.rs
+++ b/crates/schedule/tests/link_budget.rs
@@ -93,3 +93,13 @@
     relays.record_refused(first, 1_000);
     expect_that!(relays.choose(&vm, SIZE, 1_000), not(some(eq(first))));
 }
+
+/// On links of 1 Mbit/s a start with a long text is larger than what a link takes at once, and must be sent all the same.
+#[gtest]
+fn a_start_that_is_larger_than_the_budget_is_relayed_to_an_idle_standby() {
+    let mut relays = StartRelays::default();
+    relays.set(&[(SocketAddr::from(([10, 0, 0, 1], 7_000)), 125_000)], 0);
+    let large = StartSize::new(3_900, 0);
+    expect_that!(relays.choose(&VmIncarnation::from("i-1"), large, 0), some(anything()));
+    expect_that!(relays.choose(&VmIncarnation::from("i-1"), large, 0), none());
+}
--- a/crates/scheduler/src/admission.rs
+++ b/crates/scheduler/src/admission.rs
@@ -28,9 +28,6 @@
     spec: &JobSpec,
 ) -> Option<Reply> {
     let policy = node.settings.policy.admission;
-    if !policy.by_load {
-        return None;
-    }
     let healthy = node.store_health.view().is_healthy_for(HEALTHY_MS, steady_ms());
     if !healthy || node.store.is_slow() {
         return None;
--- a/crates/scheduler/src/outlook.rs
+++ b/crates/scheduler/src/outlook.rs
@@ -20,6 +20,8 @@
 
 /// The prefix of the keys of outlooks; the pool's name follows.
 const OUTLOOK_PREFIX: &str = "outlook/";
+/// The same for outlooks of pools whose starts the links can't carry.
+const LINK_OUTLOOK_PREFIX: &str = "link-outlook/";
 /// The first byte of an encoded outlook. Records with another one are ignored.
 const FORMAT: u8 = 1;
 
@@ -55,18 +57,23 @@
 /// Returns the record of a pool's outlook.
 pub fn to_record(pool: &str, outlook: &Outlook) -> Result<KeyedRecord, postcard::Error> {
     let value = postcard::to_extend(outlook, vec![FORMAT])?;
-    Ok(KeyedRecord::new(format!("{OUTLOOK_PREFIX}{pool}"), value))
+    let prefix = if outlook.is_link_bound { LINK_OUTLOOK_PREFIX } else { OUTLOOK_PREFIX };
+    Ok(KeyedRecord::new(format!("{prefix}{pool}"), value))
 }
 
 /// Applies the outlooks among the records of the partition of heartbeats. The store wrote them after the previous read that
 /// reached the end of the partition. Records of unknown age are ignored.
 pub fn apply_records(node: &Node, update: &Update, previous_read_at: Option<Ms>) {
-    if !node.settings.policy.admission.by_load {
-        return;
-    }
     let (Update::Records(records), Some(made_at)) = (update, previous_read_at) else { return };
     for stored in records {
-        let Some(pool) = stored.record.key.strip_prefix(OUTLOOK_PREFIX) else { continue };
+        let key = &stored.record.key;
+        let (pool, is_link_bound) = match key.strip_prefix(LINK_OUTLOOK_PREFIX) {
+            Some(pool) => (pool, true),
+            None => match key.strip_prefix(OUTLOOK_PREFIX) {
+                Some(pool) if node.settings.policy.admission.by_load => (pool, false),
+                _ => continue,
+            },
+        };
         let Some((&FORMAT, value)) = stored.record.value().and_then(|v| v.split_first()) else {
             continue;
         };
@@ -74,7 +81,7 @@
             Ok(outlook) => {
                 let nodes = lock(&node.ownership).relays(steady_ms()).len() + 1;
                 node.outlooks.nodes.store(nodes, Ordering::Relaxed);
-                node.outlooks.record(pool, outlook, made_at);
+                node.outlooks.record(pool, Outlook { is_link_bound, ..outlook }, made_at);
             }
             Err(e) => {
                 log::error!("outlook step=unreadable offset={} error=\"{e}\"", stored.offset);
--- a/crates/scheduler/src/owner/outlook.rs
+++ b/crates/scheduler/src/owner/outlook.rs
@@ -43,13 +43,22 @@
     /// Publishes the outlook if jobs may be refused by it before the next one.
     pub(super) fn publish_outlook(&mut self) {
         let at = steady_ms();
-        if !self.node.settings.policy.admission.by_load
+        let by_load = self.node.settings.policy.admission.by_load;
+        let link_cpu = self.pool.link_bound_cpu();
+        if !by_load && link_cpu.is_none()
             || at.saturating_sub(self.outlook_publisher.made_at) < INTERVAL_MS
         {
             return;
         }
         self.outlook_publisher.made_at = at;
         let cpu = self.pool.cpu_for_jobs();
+        if let Some(link_cpu) = link_cpu {
+            // More VMs would not help.
+            let cpu = cpu.min(link_cpu);
+            let capacity = Capacity { cpu, reachable_cpu: cpu, reachable_in: 0 };
+            self.publish_if_filling(&capacity, true, at);
+            return;
+        }
         let alone = Capacity { cpu, reachable_cpu: cpu, reachable_in: 0 };
         if !self.pool.outlook(&alone, now()).is_filling() {
             return;
@@ -65,13 +74,17 @@
         let reserved = self.pool.load(now()).cpu.saturating_sub(cpu);
         let reachable_cpu = reachable_cpu.saturating_sub(reserved).max(cpu);
         let capacity = Capacity { cpu, reachable_cpu, reachable_in: self.lead_time_ms() };
-        let outlook = self.pool.outlook(&capacity, now());
+        self.publish_if_filling(&capacity, false, at);
+    }
+
+    fn publish_if_filling(&mut self, capacity: &Capacity, is_link_bound: bool, at: Ms) {
+        let outlook = self.pool.outlook(capacity, now());
         if !outlook.is_filling() {
             return;
         }
         self.outlook_publisher.number += 1;
         let (token, number) = (self.token, self.outlook_publisher.number);
-        self.send_outlook(Outlook { token, number, ..outlook }, &capacity, at);
+        self.send_outlook(Outlook { token, number, is_link_bound, ..outlook }, capacity, at);
     }
 
     fn send_outlook(&self, outlook: Outlook, capacity: &Capacity, at: Ms) {
@@ -80,8 +93,9 @@
         let published =
             !self.node.store.is_slow() && !self.outlook_publisher.in_flight.load(Ordering::Relaxed);
         log::info!(
-            "outlook pool={pool} step=full number={} cpu={} reachable_cpu={} classes={} beyond_share={} \
+            "outlook pool={pool} step=full link_bound={} number={} cpu={} reachable_cpu={} classes={} beyond_share={} \
              published={published}",
+            outlook.is_link_bound,
             outlook.number,
             capacity.cpu,
             capacity.reachable_cpu,
--- a/crates/scheduler/tests/narrow_links.rs
+++ b/crates/scheduler/tests/narrow_links.rs
@@ -2,10 +2,10 @@
 
 mod system;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
-use serde_json::json;
+use serde_json::{Value, json};
 use system::{Node, System, ip, submit, wait_until, wait_until_state};
 use thistle_platform::standin::bodies::job_of;
 
@@ -18,10 +18,15 @@
 const NARROW: &str = "link_mbps: 1\n";
 const NARROW_BYTES_PER_S: u32 = 125_000;
 
+/// Returns a job with a long text whose tasks use this CPU, in thousandths of a core, for 0.2 s.
+fn job_with_text(tasks: u32, cpu: u32) -> Value {
+    let step = json!({ "count": tasks, "cpu": cpu, "memMb": 256, "estimatedMs": 200 });
+    job_of(&format!("ms=200 {}", "x".repeat(TEXT_BYTES)), &[step])
+}
+
 /// Submits jobs with long texts and waits until they are completed. Returns their IDs.
 async fn run_jobs(system: &System, jobs: u32, tasks: u32) -> Vec<String> {
-    let step = json!({ "count": tasks, "cpu": 4_000, "memMb": 256, "estimatedMs": 200 });
-    let job = job_of(&format!("ms=200 {}", "x".repeat(TEXT_BYTES)), &[step]);
+    let job = job_with_text(tasks, 4_000);
     let ids: Vec<String> = (0..jobs).map(|i| format!("{i:016x}")).collect();
     for id in &ids {
         expect_that!(submit(&system.nodes[0], id, &job).await.status, eq(200));
@@ -79,6 +84,40 @@
     expect_that!(sent, lt(all / 2), "of {all} bytes of text");
 }
 
+/// More starts than the link carries are accepted, and all of their jobs end too late to be of use.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_a_link_cannot_carry_is_refused_at_once() {
+    let system = System::start_with_settings(150, 24, 1, NARROW).await;
+    system.platform.machines.limit_requests(NARROW_BYTES_PER_S);
+    // Jobs are refused only by a store that has been healthy for a while.
+    tokio::time::sleep(Duration::from_millis(3_500)).await;
+    let (tasks, jobs) = (10, 80);
+    let job = job_with_text(tasks, 500);
+    let (mut accepted, mut refused) = (Vec::new(), Vec::new());
+    for i in 0..jobs {
+        let id = format!("{i:016x}");
+        let sent_at = Instant::now();
+        match submit(&system.nodes[0], &id, &job).await.status {
+            200 => accepted.push(id),
+            503 => refused.push(id),
+            status => panic!("status {status}"),
+        }
+        expect_that!(sent_at.elapsed(), lt(Duration::from_secs(1)));
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    // The link carries 27 starts a second, and 100 are offered.
+    expect_that!(refused.len(), ge(jobs / 4));
+    expect_that!(accepted.len(), ge(jobs / 4));
+    for id in &accepted {
+        wait_until_state(&system.nodes[0], id, "completed").await;
+    }
+    expect_each_task_started_once(&system, &accepted, tasks);
+    for id in &refused {
+        expect_that!(system.starts_of(id).len(), eq(0), "{id} was refused");
+    }
+}
+
 /// Too little is served if a pool is owned by a node whose link cannot carry its starts, beside a node with a wide link.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
