--- a/crates/scheduler/src/relayed_start.rs
+++ b/crates/scheduler/src/relayed_start.rs
@@ -27,6 +27,8 @@
 pub const PATH: &str = "/starts";
 /// The timeout of a request: the longest timeout of an order to a VM, and the network time.
 const TIMEOUT: Duration = Duration::from_millis(800);
+/// How long a node waits before it sends another node's start, to notice that the request was given up.
+const CLOSE_NOTICE: Duration = Duration::from_millis(1);
 /// The most VMs to which a node keeps clients for other nodes' starts.
 const MAX_CLIENTS: usize = 2_048;
 
@@ -208,6 +210,9 @@
         return None;
     };
     counter!("thistle_starts_for_others", "sent" => "true").increment(1);
+    // A node that was paused has requests whose owners have given up and closed their connections. The server notices that while
+    // this waits, and drops the request; sent seconds late, the start could reach the VM's next incarnation.
+    tokio::time::sleep(CLOSE_NOTICE).await;
     node.uplink.give(StartSize::new(spec.text.len(), request.checkpoint.len()).direct);
     let start = Start {
         run,
