--- /dev/null
+++ b/crates/scheduler/tests/soak/kind.rs
@@ -0,0 +1,95 @@
+//! The kinds of runs, with their nodes, networks and loads.
+
+use super::load_pattern::LoadPattern;
+use super::{evacuations, narrow_links};
+
+/// The number of nodes in a run of [`Kind::ManyProcesses`].
+const MANY_PROCESSES: u8 = 48;
+
+/// What happens in a run while callers submit jobs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// Any fault.
+    Faults,
+    /// Any fault, with so many nodes that most of them follow no pool's records.
+    FaultsOfMany,
+    /// Any fault, jobs that crash their VMs, and entries of another writer.
+    CrashingJobs,
+    /// Any fault, and changes of the cap of the callers' workspace.
+    Cap,
+    /// Any fault, and bursts of work, VMs that are cut off together, entries that vanish, and nodes that are replaced.
+    Bursts,
+    /// As [`Self::Bursts`], with [`MANY_PROCESSES`] nodes.
+    ManyProcesses,
+    /// Any fault, and VMs that crash and restart under the same IDs, one or all at once.
+    Restarts,
+    /// Any fault, and data halls that are evacuated and returned to service, one or all, some only for a moment.
+    Evacuations,
+    /// Faults of VMs and restarts of nodes, and VMs that announce that they will leave, during bursts of work.
+    Draining,
+    /// Changes of the route of the callers' queue, jobs that are sent again, and phases of faults.
+    Rerouting,
+    /// Jobs that wait for room and are cancelled at other nodes, narrow links, and phases of faults of the store and of nodes.
+    Cancellations,
+    /// Demand by turns on owners with narrow links, beside faults of nodes and VMs.
+    NarrowLinks,
+    /// Nodes that are stopped and started, reloads of settings, and new configurations.
+    PlannedWork,
+}
+
+impl Kind {
+    /// Returns the first of the networks of this kind and their number. The seeds of one process cycle through them, so
+    /// this is also the number of seeds that one process may run.
+    pub const fn nets(self) -> (u8, u64) {
+        match self {
+            Self::Faults => (100, 60),
+            Self::FaultsOfMany => (160, 20),
+            Self::PlannedWork => (180, 50),
+            Self::Evacuations => (230, 10),
+            Self::CrashingJobs => (240, 15),
+            Self::Cap => (10, 40),
+            Self::Cancellations => (50, 20),
+            Self::Bursts => (70, 20),
+            Self::Restarts => (1, 9),
+            Self::Draining => (192, 30),
+            Self::Rerouting => (210, 20),
+            Self::ManyProcesses => (90, 10),
+            // The other kind on these networks is run by hand, with nothing else.
+            Self::NarrowLinks => (90, 10),
+        }
+    }
+
+    pub const fn nodes(self) -> u8 {
+        match self {
+            Self::Faults
+            | Self::PlannedWork
+            | Self::CrashingJobs
+            | Self::Cap
+            | Self::Restarts
+            | Self::Rerouting
+            | Self::Evacuations => 3,
+            Self::FaultsOfMany => 14,
+            // One node is down at first and replaces another one later.
+            Self::Bursts | Self::Draining | Self::Cancellations | Self::NarrowLinks => 4,
+            Self::ManyProcesses => MANY_PROCESSES,
+        }
+    }
+
+    /// Returns additional lines of the nodes' settings.
+    pub const fn settings(self) -> &'static str {
+        match self {
+            Self::Evacuations => evacuations::SETTINGS,
+            Self::NarrowLinks => narrow_links::SETTINGS,
+            _ => "",
+        }
+    }
+
+    pub const fn load_pattern(self) -> LoadPattern {
+        match self {
+            Self::Bursts | Self::ManyProcesses | Self::Draining => LoadPattern::Bursts,
+            Self::Cancellations => LoadPattern::Turns,
+            Self::NarrowLinks => LoadPattern::TurnsToServe,
+            _ => LoadPattern::Even,
+        }
+    }
+}
