--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -21,8 +21,8 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 CONTRACTS = ["base", "drain", "config", "cost", "recover", "sched", "platform", "advice", "upkeep", "sharing"]
 HOST = "pule25.example"
-# The bound gang_ms.
-GANG_S = 3.0
+# The bounds gang_ms and save_s.
+GANG_S, SAVE_S = 3.0, 0.5
 START = time.monotonic()
 
 
@@ -379,14 +379,25 @@
         if advice and task.split(".")[0] in advice.jobs and body.get("ticket") != f"{task.rsplit('.', 1)[0]}/{self.id}":
             return self.refuse("ticket")
         words = dict(word.split("=", 1) for word in body.get("spec", "").split() if "=" in word)
-        run = self.running[task] = {"attempt": attempt, "timer": None, "since": time.monotonic()}
+        # The work of which a checkpoint tells.
+        before = int(body["checkpoint"].split("/")[1]) if body.get("checkpoint") else 0
+        run = self.running[task] = {"attempt": attempt, "timer": None, "since": time.monotonic(), "before": before,
+                                    "saves": int(words.get("saves", 0))}
         self.platform.ran(self, task, attempt, "begins", body.get("fencingToken"))
         if "gang" in words:
             self.platform.join_gang(self, task, attempt, int(words["gang"]), int(words["ms"]))
         elif "ms" in words:
-            run["timer"] = asyncio.get_running_loop().call_later(int(words["ms"]) / 1000, self.end, task, "done")
+            run["timer"] = asyncio.get_running_loop().call_later((int(words["ms"]) - before) / 1000, self.end, task, "done")
         return 200, {"clockMs": self.clock()}
 
+    @staticmethod
+    def checkpoint(task, run, at):
+        """The text that a run has saved: its task, and of how many milliseconds of work it tells, filled up to its length."""
+        done = int((at - run["since"]) / SAVE_S)
+        if not run["saves"] or not done:
+            return ""
+        return f"{task}/{run['before'] + int(done * SAVE_S * 1000)}/".ljust(run["saves"], ".")
+
     async def hold(self, body):
         if body.get("fencingToken", 0) < self.fence:
             return self.refuse("fence")
@@ -402,7 +413,10 @@
                 pass
         await asyncio.sleep(0.001)
         age = time.monotonic()
-        rows = [[t, r["attempt"], "", 100 if age - r["since"] > 1 else 50] for t, r in self.running.items()]
+        rows = [
+            [t, r["attempt"], self.checkpoint(t, r, age), 100 if age - r["since"] > 1 else 50]
+            for t, r in self.running.items()
+        ]
         return 200, {"clockMs": self.clock(), "running": rows, "finished": self.ended[:500]}
 
 
