--- a/review/lib-2/standin.py
+++ b/review/lib-2/standin.py
@@ -542,7 +542,11 @@
         except OSError:
             writer.close()
             return
-        await asyncio.gather(self.copy(reader, there_writer), self.copy(there_reader, writer))
+        try:
+            await asyncio.gather(self.copy(reader, there_writer), self.copy(there_reader, writer))
+        except asyncio.CancelledError:
+            # The script ends.
+            return
 
     async def copy(self, reader, writer):
         try:
