--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -22,6 +22,7 @@
 use crate::control::TOPIC;
 use crate::journal::{Fenced, Journal};
 use crate::node::Node;
+use crate::waits::{Wait, Waits};
 use machines::{fleet_vm, log_changes, outcome};
 use records::{follow_reports, hold_off, read_record};
 use writer::{Writer, report_wave_state};
@@ -87,6 +88,7 @@
     list_took_ms: Ms,
     /// The pools that lack VMs.
     short_pools: HashSet<Arc<str>>,
+    waits: Waits,
 }
 
 /// Owns the fleet until another node takes it over or the task is aborted.
@@ -127,6 +129,7 @@
         list_in_flight: false,
         list_took_ms: 0,
         short_pools: HashSet::new(),
+        waits: Waits::new(FLEET.into()),
     };
     let work = async {
         loop {
@@ -141,7 +144,10 @@
                 owner.handle_event(event);
             }
             owner.list_vms();
-            if owner.node.may_act(FLEET, token) && owner.step().await == Err(Fenced) {
+            let may_act = owner.node.may_act(FLEET, token);
+            if owner.waits.may_act(may_act, owner.node.lease_valid())
+                && owner.step().await == Err(Fenced)
+            {
                 return Fenced;
             }
         }
@@ -234,7 +240,10 @@
             self.begin_append().await?;
             self.send_written_orders();
         } else {
-            if self.begin_append().await? {
+            let began = steady_ms();
+            let is_written = self.begin_append().await?;
+            self.waits.record(Wait::Record, began);
+            if is_written {
                 self.finish_append();
             }
             for order in orders {
--- a/crates/scheduler/src/lib.rs
+++ b/crates/scheduler/src/lib.rs
@@ -49,6 +49,7 @@
 mod traffic;
 pub mod turns;
 mod uplink;
+mod waits;
 pub mod write_outcome;
 
 pub use overview::{Overview, overview};
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -42,6 +42,7 @@
 use crate::journal::{Fenced, Journal};
 use crate::node::Node;
 use crate::pool_log::PoolLog;
+use crate::waits::{Wait, Waits};
 use advisor::Advisor;
 use incarnation_order::IncarnationOrder;
 use intake::Intake;
@@ -145,6 +146,7 @@
     vms_checked_at: Ms,
     /// Whether the forecast was held at the last step.
     forecast_held: bool,
+    waits: Waits,
     /// Whether all cancellations that have to be in force were known at the last step.
     cancels_known: bool,
 }
@@ -197,7 +199,8 @@
                 self.handle_event(event)?;
             }
             self.expire_orphans();
-            if self.node.may_act(&self.log.pool, self.token) {
+            let may_act = self.node.may_act(&self.log.pool, self.token);
+            if self.waits.may_act(may_act, self.node.lease_valid()) {
                 self.step().await?;
             }
         }
@@ -294,7 +297,9 @@
         self.pool.set_listing_is_complete(self.node.store_health.listing_is_complete());
         self.pool.set_halls(self.node.halls.borrow().clone(), self.node.halls_known());
         self.update_cancels_known();
+        let began = steady_ms();
         self.review_queues().await?;
+        self.waits.record(Wait::Queues, began);
         self.notify_origins();
         self.update_forecast();
         self.withdraw_withheld_starts();
@@ -315,11 +320,13 @@
         if !records.is_empty() {
             let report = self.stalled_reporter.report_while_writing();
             let publish = self.publish_starts_while_writing();
+            let began = steady_ms();
             too_long = tokio::select! {
                 written = self.write_progress(records) => written?,
                 never = report => match never {},
                 never = publish => match never {},
             };
+            self.waits.record(Wait::Record, began);
         }
         let orders = self.withhold_unrecorded(orders, too_long);
         for (vm, sequence) in self.pool.take_acks() {
@@ -342,8 +349,11 @@
         if self.node.store.is_slow() || self.lease_recorder.is_being_written() {
             return Ok(());
         }
+        let began = steady_ms();
         self.repair_progress().await?;
-        self.purge().await
+        self.purge().await?;
+        self.waits.record(Wait::Upkeep, began);
+        Ok(())
     }
 
     /// Checks all VMs for changes that need not be handled at each step. Returns whether they were due to be checked.
--- a/crates/scheduler/src/owner/start.rs
+++ b/crates/scheduler/src/owner/start.rs
@@ -25,6 +25,7 @@
 use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::{FALLBACK_PROGRESS, OVERFLOW_PROGRESS, PROGRESS, PoolLog};
+use crate::waits::Waits;
 
 /// How long a new owner waits for the list of VMs: a page of 540 VMs takes 0.1 s over 20 Mbit/s.
 const VM_LIST_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -78,6 +79,7 @@
         start_backlog: Arc::default(),
         vms_checked_at: 0,
         forecast_held: false,
+        waits: Waits::new(pool_name.clone()),
         cancels_known: true,
     };
     owner.apply_workspaces();
