Renew the lease of a shard in a partition that only its owner writes to

Cause: an owner's right to act lasts 2.2 s from a heartbeat that the store accepted, and heartbeats of all nodes share two partitions, each of which appends one record at a time. The owners of pools and of the fleet stopped for 4 to 6 s while the store answered their other appends in 0.4 s, and for 2 s after it was fast again. What one needs to serve on waited behind what all write.

Each shard now has a partition for the heartbeats of its owner, written to only while its lease has less than 1.3 s left, and a lease of its own. A node that would claim the shard reads that partition first; it counts as vacant only after reads of all partitions that were sent after the lease would have ended. Beside members of older builds nothing is sent there.

--- a/crates/schedule/src/ownership.rs
+++ b/crates/schedule/src/ownership.rs
@@ -6,6 +6,7 @@
 //! its own lease lasts. The store alone decides who is the owner, not this module.
 
 mod heartbeats;
+mod leases;
 mod means;
 mod records;
 mod renewal;
@@ -16,6 +17,7 @@
 
 use heartbeats::HeartbeatReads;
 pub use heartbeats::{HEARTBEAT_MS, HeartbeatPartition};
+pub use leases::Leases;
 pub use means::{Means, Standing};
 pub use records::{Claim, Heartbeat, NodeIncarnation};
 pub use renewal::LeaseRenewals;
@@ -59,6 +61,7 @@
     sequence: u64,
     leaving: bool,
     reads_owner_heartbeats: bool,
+    reads_shard_heartbeats: bool,
     last_contact: Ms,
     /// The time between the two latest heartbeats that were read.
     heartbeat_interval: Ms,
@@ -135,6 +138,7 @@
             speed,
             means,
             reads_owner_heartbeats,
+            reads_shard_heartbeats,
         } = *heartbeat;
         if self.is_earlier_incarnation(name, incarnation) {
             return;
@@ -148,6 +152,7 @@
             sequence,
             leaving,
             reads_owner_heartbeats,
+            reads_shard_heartbeats,
             last_contact,
             heartbeat_interval: 0,
             joined_at: now,
--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -4,7 +4,12 @@
 //! that own nothing send more heartbeats than one partition then appends. An owner's heartbeat behind them in the queue would
 //! be answered after its lease has expired.
 
-use super::{MAX_READ_GAP_MS, Member, NodeIncarnation, OVERDUE_MS, OWNER_LEASE_MS, Ownership};
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use super::{
+    Heartbeat, MAX_READ_GAP_MS, Member, NodeIncarnation, OVERDUE_MS, OWNER_LEASE_MS, Ownership,
+};
 use crate::Ms;
 
 /// A partition of heartbeats.
@@ -19,11 +24,13 @@
 }
 
 /// When the latest read of each partition that reached its end was sent.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(super) struct HeartbeatReads {
     common: Option<Ms>,
     owners: Option<Ms>,
     fallback: Option<Ms>,
+    /// The same for the own partitions of shards.
+    shards: HashMap<Arc<str>, Ms>,
     /// When the common partition was last read, to its end or not.
     common_heard_at: Option<Ms>,
 }
@@ -86,7 +93,10 @@
                 self.reads.fallback = read_at.max(self.reads.fallback);
                 false
             }
-            _ if !self.policy.owner_heartbeats => self.record_read(now),
+            _ if !self.policy.owner_heartbeats => {
+                self.reads.common = read_at.max(self.reads.common);
+                self.record_read(now)
+            }
             HeartbeatPartition::Owners => {
                 self.reads.owners = read_at.max(self.reads.owners);
                 self.record_read(now)
@@ -156,12 +166,69 @@
         name != self.me.name && !member.reads_owner_heartbeats
     }
 
-    /// Returns whether all partitions were read to their ends after the lease of an owner that was last heard at
+    /// Returns whether owners may renew their leases by heartbeats in the own partitions of their shards. A member of an older build
+    /// that reads none of them would take them for unresponsive. It counts until it leaves or its next incarnation reads them.
+    pub fn all_read_shard_heartbeats(&self) -> bool {
+        let reads = |(name, m): (&String, &Member)| {
+            m.leaving || m.reads_shard_heartbeats || *name == self.me.name
+        };
+        self.members.iter().all(reads)
+    }
+
+    /// Returns the shards whose own partitions this node reads now: those of silent owners, and each node the sooner the sooner it
+    /// would claim the shard. With a slow store all owners seem silent, and with hundreds of nodes few may read.
+    pub fn shards_to_read(&self, now: Ms) -> Vec<Arc<str>> {
+        let is_due = |(shard, newest): &(&Arc<str>, &super::NewestClaim)| {
+            let owner = &newest.claim.owner;
+            let silent = now.saturating_sub(self.last_contact(owner));
+            owner.name != self.me.name
+                && !newest.claim.released
+                && silent >= self.overdue_ms()
+                && self.may_use_own_partition(owner)
+                && silent >= self.overdue_ms() + self.takeover_delay(shard, now, &[])
+        };
+        self.claims.iter().filter(is_due).map(|(shard, _)| shard.clone()).collect()
+    }
+
+    /// Records the newest heartbeats in a shard's own partition, by a read that was sent at `sent_at`.
+    pub fn record_shard_heartbeats<'a>(
+        &mut self,
+        shard: &Arc<str>,
+        heartbeats: impl Iterator<Item = (&'a str, Heartbeat)>,
+        sent_at: Ms,
+        now: Ms,
+    ) {
+        for (name, heartbeat) in heartbeats {
+            self.record_fallback_heartbeat(name, &heartbeat, now);
+        }
+        let read_at = self.reads.shards.entry(shard.clone()).or_default();
+        *read_at = sent_at.max(*read_at);
+    }
+
+    /// Returns whether an owner may have renewed its lease in the own partition of a shard. Owners of older builds don't, as far as
+    /// their heartbeats were read.
+    fn may_use_own_partition(&self, owner: &NodeIncarnation) -> bool {
+        let member = self.members.get(&owner.name);
+        let member = member.filter(|m| m.incarnation == owner.incarnation);
+        member.is_none_or(|m| m.reads_shard_heartbeats)
+    }
+
+    /// Returns whether all partitions were read to their ends after the lease of a shard's owner that was last heard at
     /// `last_contact` had ended, unless it had been renewed. A later heartbeat can therefore not be unread in one of them.
-    pub(super) fn has_read_past_lease(&self, last_contact: Ms) -> bool {
+    pub(super) fn has_read_past_lease(
+        &self,
+        shard: &str,
+        owner: &NodeIncarnation,
+        last_contact: Ms,
+    ) -> bool {
         let lease_end = last_contact + OWNER_LEASE_MS + CLOCK_MARGIN_MS;
-        let HeartbeatReads { common, owners, fallback, .. } = self.reads;
+        let HeartbeatReads { common, owners, fallback, ref shards, .. } = self.reads;
         let is_past = |read_at: Option<Ms>| read_at.is_some_and(|at| at >= lease_end);
+        if self.may_use_own_partition(owner)
+            && ![common, fallback, shards.get(shard).copied()].into_iter().all(is_past)
+        {
+            return false;
+        }
         !self.policy.owner_heartbeats || [common, owners, fallback].into_iter().all(is_past)
     }
 
--- a/crates/schedule/src/ownership/records.rs
+++ b/crates/schedule/src/ownership/records.rs
@@ -61,6 +61,9 @@
     /// Whether the node reads the owners' partition of heartbeats. Older nodes read only the common one.
     #[serde(default, skip_serializing_if = "std::ops::Not::not")]
     pub reads_owner_heartbeats: bool,
+    /// Whether the node reads a shard's own partition of heartbeats before it takes its owner for unresponsive. Older nodes don't.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub reads_shard_heartbeats: bool,
 }
 
 impl Claim {
--- a/crates/schedule/src/ownership/vacancy.rs
+++ b/crates/schedule/src/ownership/vacancy.rs
@@ -147,7 +147,8 @@
         }
         let last_contact = self.last_contact(&claim.owner);
         let is_silent = now.saturating_sub(last_contact) >= UNRESPONSIVE_MS;
-        (is_silent && self.has_read_past_lease(last_contact)).then_some(Vacancy::Unresponsive)
+        let is_vacant = is_silent && self.has_read_past_lease(shard, &claim.owner, last_contact);
+        is_vacant.then_some(Vacancy::Unresponsive)
     }
 
     /// Returns when an owner was last heard of, by a heartbeat of its node or a claim. A claim of one shard renews the lease of
@@ -172,7 +173,7 @@
 
     /// Returns how long this node leaves the shard of an unresponsive owner to other nodes. Nodes that are silent as well, for
     /// longer than their heartbeats allow, are not waited for: strong ones often fail together, and each would delay the weak ones.
-    fn takeover_delay(&self, shard: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
+    pub(super) fn takeover_delay(&self, shard: &str, now: Ms, wanted: &[Arc<str>]) -> Ms {
         let as_owner = |name: &str, m: &Member| {
             let mut owners =
                 self.claims.values().filter(|o| !o.claim.released).map(|o| &o.claim.owner);
--- a/crates/schedule/tests/heartbeat_partitions.rs
+++ b/crates/schedule/tests/heartbeat_partitions.rs
@@ -23,6 +23,7 @@
         speed: 0,
         means: Means::default(),
         reads_owner_heartbeats: true,
+        reads_shard_heartbeats: false,
     }
 }
 
--- a/crates/schedule/tests/spread.rs
+++ b/crates/schedule/tests/spread.rs
@@ -88,6 +88,7 @@
                     speed: self.speeds.get(name).copied().unwrap_or(100),
                     means: Means::default(),
                     reads_owner_heartbeats: true,
+                    reads_shard_heartbeats: false,
                 };
                 for (_, view) in self.views.values_mut() {
                     view.record_read(now);
@@ -195,6 +196,7 @@
         speed: 100,
         means: Means::default(),
         reads_owner_heartbeats: true,
+        reads_shard_heartbeats: false,
     };
     view.record_heartbeat("n1", &leaving, 30_200);
     expect_that!(view.to_hand_over(&new.shards, true, 30_200), none(), "leaving receiver");
--- a/crates/schedule/tests/standbys.rs
+++ b/crates/schedule/tests/standbys.rs
@@ -22,6 +22,7 @@
         speed,
         means: Means::default(),
         reads_owner_heartbeats: false,
+        reads_shard_heartbeats: false,
     }
 }
 
--- a/crates/schedule/tests/unreached.rs
+++ b/crates/schedule/tests/unreached.rs
@@ -122,6 +122,7 @@
         speed: 100,
         means: Means::default(),
         reads_owner_heartbeats: true,
+        reads_shard_heartbeats: false,
     }
 }
 
--- a/crates/schedule/tests/unresponsive_owners.rs
+++ b/crates/schedule/tests/unresponsive_owners.rs
@@ -30,6 +30,7 @@
         speed: 0,
         means: Means::default(),
         reads_owner_heartbeats: true,
+        reads_shard_heartbeats: false,
     };
     view.record_heartbeat("a", &heartbeat, now);
 }
--- a/crates/schedule/tests/weak_nodes.rs
+++ b/crates/schedule/tests/weak_nodes.rs
@@ -17,6 +17,7 @@
         speed,
         means,
         reads_owner_heartbeats: false,
+        reads_shard_heartbeats: false,
     }
 }
 
--- a/crates/scheduler/src/control/heartbeat.rs
+++ b/crates/scheduler/src/control/heartbeat.rs
@@ -10,6 +10,7 @@
 
 use super::TOPIC;
 use super::send_heartbeats::send_heartbeats;
+use super::shard_heartbeats::poll_own_partitions;
 use crate::clock::steady_ms;
 use crate::follow::{Tail, Update};
 use crate::locks::lock;
@@ -47,6 +48,7 @@
         follow_heartbeats(&node, &common_due),
         follow_common_partition(&node, &common_due),
         poll_fallback_partition(&node),
+        poll_own_partitions(&node),
     );
 }
 
@@ -155,12 +157,19 @@
     let records = match update {
         Update::Reloaded(records) | Update::Records(records) => records,
     };
-    for Stored { record, offset } in records {
-        let Some(name) = record.key.strip_prefix(MEMBER_PREFIX) else { continue };
-        let Some(value) = record.value() else { continue };
-        match serde_json::from_slice::<Heartbeat>(value) {
-            Ok(heartbeat) => apply(name, &heartbeat),
-            Err(e) => log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\""),
+    for (name, heartbeat) in records.iter().filter_map(decode) {
+        apply(name, &heartbeat);
+    }
+}
+
+/// Decodes a heartbeat; `None` for other records.
+pub(super) fn decode(Stored { record, offset }: &Stored) -> Option<(&str, Heartbeat)> {
+    let name = record.key.strip_prefix(MEMBER_PREFIX)?;
+    match serde_json::from_slice::<Heartbeat>(record.value()?) {
+        Ok(heartbeat) => Some((name, heartbeat)),
+        Err(e) => {
+            log::error!("heartbeat step=unreadable offset={offset} error=\"{e}\"");
+            None
         }
     }
 }
--- a/crates/scheduler/src/control/mod.rs
+++ b/crates/scheduler/src/control/mod.rs
@@ -8,6 +8,7 @@
 mod release;
 mod renewal;
 mod send_heartbeats;
+mod shard_heartbeats;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/scheduler/src/control/send_heartbeats.rs
+++ b/crates/scheduler/src/control/send_heartbeats.rs
@@ -11,6 +11,7 @@
     FALLBACK_HEARTBEATS, HEARTBEAT_EVERY, HEARTBEATS, MEMBER_PREFIX, OWNER_HEARTBEATS,
 };
 use super::renewal::renew_expired_leases;
+use super::shard_heartbeats::send_to_own_partitions;
 use super::{TOPIC, to_json};
 use crate::clock::steady_ms;
 use crate::locks::lock;
@@ -30,6 +31,7 @@
         send_to_common_partition(node, &sequence),
         send_as_owner(node, &sequence, &failing),
         send_as_owner_to_fallback(node, &sequence, failing.subscribe()),
+        send_to_own_partitions(node, &sequence),
         renew_expired_leases(node),
     );
 }
@@ -116,31 +118,13 @@
 /// Sends one heartbeat and returns whether the store accepted it.
 async fn send_heartbeat(node: &Node, part: u32, sequence: &AtomicU64) -> bool {
     let sent_at = steady_ms();
-    // Drawn for each attempt, and after `sent_at`: readers ignore a heartbeat if they know one with a higher number, which was
-    // then appended after the time from which this one renews the lease.
-    let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
-    let leaving = *node.stopping.borrow();
-    let relay = node.settings.relay_listen;
-    let heartbeat = Heartbeat {
-        incarnation: node.me.incarnation,
-        sequence,
-        leaving,
-        relay,
-        speed: node.speed,
-        means: node.means(),
-        reads_owner_heartbeats: node.settings.policy.ownership.owner_heartbeats,
-    };
-    let key = format!("{MEMBER_PREFIX}{}", node.me.name);
-    let record = KeyedRecord::new(key, to_json(&heartbeat));
+    let record = heartbeat_record(node, sequence);
     match node.store.append(TOPIC, part, Guard::Always, &[record]).await {
         Ok(Appended::Done { .. }) => {
             node.store_health.record_call(true);
             // A node that does not read the owners' partition may claim what this one owns.
-            let is_read_by_all = part != OWNER_HEARTBEATS || !must_send_to_common_partition(node);
-            if is_read_by_all && node.lease_valid() {
-                node.renew_lease(sent_at);
-            } else if is_read_by_all {
-                node.lease_expired.notify_one();
+            if part != OWNER_HEARTBEATS || !must_send_to_common_partition(node) {
+                node.renew_by_heartbeat(sent_at);
             }
             return true;
         }
@@ -153,6 +137,26 @@
     false
 }
 
+/// Returns the record of the next heartbeat. To be called after the time from which it renews a lease.
+pub(super) fn heartbeat_record(node: &Node, sequence: &AtomicU64) -> KeyedRecord {
+    // Drawn for each attempt, and after `sent_at`: readers ignore a heartbeat if they know one with a higher number, which was
+    // then appended after the time from which this one renews the lease.
+    let sequence = sequence.fetch_add(1, Ordering::Relaxed) + 1;
+    let leaving = *node.stopping.borrow();
+    let relay = node.settings.relay_listen;
+    let heartbeat = Heartbeat {
+        incarnation: node.me.incarnation,
+        sequence,
+        leaving,
+        relay,
+        speed: node.speed,
+        means: node.means(),
+        reads_owner_heartbeats: node.settings.policy.ownership.owner_heartbeats,
+        reads_shard_heartbeats: true,
+    };
+    KeyedRecord::new(format!("{MEMBER_PREFIX}{}", node.me.name), to_json(&heartbeat))
+}
+
 /// Waits until the next heartbeat to the common partition is due. A node that owns nothing sends fewer, because the partition
 /// appends one at a time, and so does an owner whose heartbeats are all read elsewhere. A node that begins to stop sends one at
 /// once, so that no other node names it as a successor; `leaving` tells whether the last one said so.
--- a/crates/scheduler/src/find_job.rs
+++ b/crates/scheduler/src/find_job.rs
@@ -247,7 +247,7 @@
 async fn local_pending(node: &Node, log: &PoolLog, queue: &str) -> QueryReply {
     let since = steady_ms().saturating_sub(MAX_PENDING_AGE_MS);
     // An owner whose lease has expired may not know the newest jobs.
-    let current = log.is_owned() && node.lease_valid();
+    let current = log.is_owned() && node.lease_valid_for(&log.pool);
     for part in [SUBMISSIONS, PROGRESS, FALLBACK_SUBMISSIONS] {
         if current {
             break;
--- a/crates/scheduler/src/fleet_owner/mod.rs
+++ b/crates/scheduler/src/fleet_owner/mod.rs
@@ -145,7 +145,7 @@
             }
             owner.list_vms();
             let may_act = owner.node.may_act(FLEET, token);
-            if owner.waits.may_act(may_act, owner.node.lease_valid())
+            if owner.waits.may_act(may_act, owner.node.lease_valid_for(FLEET))
                 && owner.step().await == Err(Fenced)
             {
                 return Fenced;
--- a/crates/scheduler/src/node.rs
+++ b/crates/scheduler/src/node.rs
@@ -1,13 +1,12 @@
 //! The state that all async tasks of a node share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use thistle_platform::Store;
 use thistle_platform::worker::VmAnswers;
 use thistle_schedule::fleet::{FleetRecord, WaveRequest};
-use thistle_schedule::ownership::{Means, NodeIncarnation, OWNER_LEASE_MS, Ownership};
+use thistle_schedule::ownership::{Leases, Means, NodeIncarnation, Ownership};
 use thistle_schedule::{Assignments, Catalog, Halls, KeySecret, Ms, VmFacts, halls};
 use thistle_settings::{Quantity, SchedulerSettings};
 use tokio::sync::watch;
@@ -31,9 +30,6 @@
 /// enough that the tasks of a disconnected VM soon start elsewhere.
 const TASK_LEASE_MS: Ms = 6_000;
 
-/// The end of a lease that can't be renewed any more.
-const LEASE_ENDED: Ms = Ms::MAX;
-
 /// VMs by ID, each in the incarnation that the store lists.
 pub type VmTable = HashMap<Arc<str>, Arc<VmFacts>>;
 
@@ -92,9 +88,9 @@
     /// Wakes the async task that starts and stops owners.
     pub ownership_changed: tokio::sync::Notify,
     pools: Mutex<HashMap<Arc<str>, Arc<PoolLog>>>,
-    /// The time until which this node may act as owner, by the steady clock in milliseconds.
-    lease_until: AtomicU64,
-    /// Wakes the async task that renews the lease after it has ended.
+    /// The leases under which this node acts as owner.
+    leases: Mutex<Leases>,
+    /// Wakes the async task that renews leases after one has ended.
     pub lease_expired: tokio::sync::Notify,
     /// Whether this node owns a pool, the fleet or the caps.
     pub is_owner: OwnershipFlag,
@@ -140,7 +136,7 @@
             claims_end: ClaimsEnd::default(),
             ownership_changed: tokio::sync::Notify::new(),
             pools: Mutex::default(),
-            lease_until: AtomicU64::new(0),
+            leases: Mutex::default(),
             lease_expired: tokio::sync::Notify::new(),
             is_owner: OwnershipFlag::default(),
             stopping: watch::Sender::new(false),
@@ -204,34 +200,66 @@
         bandwidth(&self.settings)
     }
 
-    /// Returns whether this node may currently act as owner.
+    /// Returns whether the lease of each shard of this node is valid. One that owns nothing has none.
     pub fn lease_valid(&self) -> bool {
-        let until = self.lease_until.load(Ordering::Relaxed);
-        until != LEASE_ENDED && steady_ms() < until
+        let own = lock(&self.ownership).own_shards();
+        let (leases, now) = (lock(&self.leases), steady_ms());
+        !own.is_empty() && own.iter().all(|(shard, _)| leases.is_valid(shard, now))
+    }
+
+    /// Returns whether the lease of a shard is valid, if this node owns it.
+    pub fn lease_valid_for(&self, shard: &str) -> bool {
+        lock(&self.leases).is_valid(shard, steady_ms())
     }
 
     /// Returns whether this node may currently act under a token as the owner of a shard: a pool, the fleet or the caps.
     pub fn may_act(&self, shard: &str, token: u64) -> bool {
         // The lease may become valid again while the async task of an owner that was replaced in the meantime still runs.
-        self.lease_valid() && lock(&self.ownership).my_token(shard) == Some(token)
+        self.lease_valid_for(shard) && lock(&self.ownership).my_token(shard) == Some(token)
     }
 
-    /// Extends the lease after the store has written a heartbeat, a claim or a renewal that was sent at `sent_at`. To be called for a
-    /// heartbeat only if the lease is still valid, and for a claim or a renewal only if it was guarded by the end of the claims that
-    /// this node had applied.
+    /// Extends all leases after the store has written a claim or a renewal that was sent at `sent_at` and was guarded by the end of
+    /// the claims that this node had applied.
     pub fn renew_lease(&self, sent_at: Ms) {
-        // Leaves `LEASE_ENDED` as it is.
-        self.lease_until.fetch_max(sent_at + OWNER_LEASE_MS, Ordering::Relaxed);
+        lock(&self.leases).renew_all(sent_at);
+    }
+
+    /// Extends the leases that are still valid after the store has written a heartbeat to a partition that all nodes read, and wakes
+    /// the task that renews the others.
+    pub fn renew_by_heartbeat(&self, sent_at: Ms) {
+        let shards = self.own_shards();
+        if !lock(&self.leases).renew_valid(&shards, sent_at, steady_ms()) {
+            self.lease_expired.notify_one();
+        }
+    }
+
+    /// The same for one shard after a heartbeat in its own partition.
+    pub fn renew_by_own_heartbeat(&self, shard: &Arc<str>, sent_at: Ms) {
+        if !lock(&self.leases).renew(shard, sent_at, steady_ms()) {
+            self.lease_expired.notify_one();
+        }
+    }
+
+    /// Returns the shards of this node whose heartbeats to the common partitions are late.
+    pub fn shards_with_late_heartbeats(&self) -> Vec<Arc<str>> {
+        let mut shards = self.own_shards();
+        let (leases, now) = (lock(&self.leases), steady_ms());
+        shards.retain(|shard| leases.needs_own_partition(shard, now));
+        shards
+    }
+
+    fn own_shards(&self) -> Vec<Arc<str>> {
+        lock(&self.ownership).own_shards().into_iter().map(|(shard, _)| shard).collect()
     }
 
-    /// Returns whether the lease has ended for good.
+    /// Returns whether the leases have ended for good.
     pub fn has_given_up_lease(&self) -> bool {
-        self.lease_until.load(Ordering::Relaxed) == LEASE_ENDED
+        lock(&self.leases).has_given_up()
     }
 
-    /// Ends the lease under which this node acts as owner, for good.
+    /// Ends the leases under which this node acts as owner, for good.
     pub fn end_lease(&self) {
-        self.lease_until.store(LEASE_ENDED, Ordering::Relaxed);
+        lock(&self.leases).give_up();
     }
 
     /// Returns the longest lease that owners grant to a job's tasks, in milliseconds.
--- a/crates/scheduler/src/owner/mod.rs
+++ b/crates/scheduler/src/owner/mod.rs
@@ -200,7 +200,7 @@
             }
             self.expire_orphans();
             let may_act = self.node.may_act(&self.log.pool, self.token);
-            if self.waits.may_act(may_act, self.node.lease_valid()) {
+            if self.waits.may_act(may_act, self.node.lease_valid_for(&self.log.pool)) {
                 self.step().await?;
             }
         }
--- a/crates/scheduler/src/pool_log/mod.rs
+++ b/crates/scheduler/src/pool_log/mod.rs
@@ -47,6 +47,8 @@
 /// The overflow partitions, to which the owner appends progress while neither of these two accepts it. The owner
 /// announces their use first.
 pub const OVERFLOW_PROGRESS: [u32; 2] = [5, 7];
+/// The pool's own partition of heartbeats, to which its owner appends while those to the common partitions are late.
+pub const OWNER_HEARTBEATS: u32 = 6;
 /// The partitions of submissions, in the order in which they are tried.
 pub const SUBMISSION_PARTITIONS: [u32; 2] = [SUBMISSIONS, FALLBACK_SUBMISSIONS];
 /// How old the last read of the fallback partition may be when a caller's request is answered, in milliseconds: half
