Play turns of demand beside a failing store in the soak

The soak plays such turns beside a store that is slow (5 to 60 times, 1 to 9 s), loses every second answer or turns one node away from the onset of a turn on, and beside the heartbeats of 42 further nodes. Besides the platform's guarantees it checks that no lease ends while the store is only slow. The sender of the idle heartbeats is shared with two tests. Runs of any fault use networks 100 to 149 now.

--- a/crates/scheduler/tests/slow_heartbeats.rs
+++ b/crates/scheduler/tests/slow_heartbeats.rs
@@ -1,6 +1,7 @@
 //! Heartbeats of owners in a partition of their own: while the store is slow, while the partition is down, and beside nodes
 //! that do not read it.
 
+mod idle_nodes;
 mod system;
 
 use std::time::{Duration, Instant};
@@ -9,33 +10,11 @@
 use serde_json::json;
 use system::{System, ip, job, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
-use thistle_platform::{Guard, KeyedRecord, Store};
 
 /// The settings of a node that uses the partition.
 const WITH_PARTITION: &str = "policy:\n  ownership:\n    owner_heartbeats: true\n";
 /// The partition of the heartbeats of owners.
 const OWNER_HEARTBEATS: u32 = 7;
-/// The partitions of heartbeats that a node without shards uses.
-const HEARTBEATS: [u32; 2] = [1, 4];
-
-/// Sends the heartbeats of a node that owns nothing, as a real one does.
-async fn send_idle_heartbeats(store: Store, number: usize) {
-    for sequence in 1_u64.. {
-        let sent_at = Instant::now();
-        let value = json!({
-            "life": number, "sequence": sequence, "leaving": false, "reads_owner_heartbeats": true,
-        });
-        let record = [KeyedRecord::new(format!("member/idle-{number}"), value.to_string())];
-        for part in HEARTBEATS {
-            if store.append("control", part, Guard::Always, &record).await.is_ok() {
-                break;
-            }
-        }
-        while sent_at.elapsed() < Duration::from_millis(2_500) {
-            tokio::time::sleep(Duration::from_millis(450)).await;
-        }
-    }
-}
 
 /// Two nodes, of which one owns the pool, beside as many heartbeats of nodes that own nothing as of 35 nodes with a store 60
 /// times as slow.
@@ -49,10 +28,8 @@
     let fleet = || system.platform.store.offset_of("control", 0, "owner/#fleet");
     wait_until("the fleet has an owner", async || fleet().is_some()).await;
     let owner = system.owner().expect("the pool has an owner");
-    for number in 0..42 {
-        let store = Store::new(system.platform.store_addr());
-        tokio::spawn(send_idle_heartbeats(store, number));
-    }
+    let reads = json!({ "reads_owner_heartbeats": true });
+    idle_nodes::add(system.platform.store_addr(), 42, &reads);
     tokio::time::sleep(Duration::from_secs(3)).await;
     (system, owner)
 }
--- a/crates/scheduler/tests/soak.rs
+++ b/crates/scheduler/tests/soak.rs
@@ -25,6 +25,7 @@
 mod evacuations;
 #[path = "soak/faults.rs"]
 mod faults;
+mod idle_nodes;
 #[path = "soak/kind.rs"]
 mod kind;
 #[path = "soak/load_pattern.rs"]
@@ -41,6 +42,8 @@
 mod rerouting;
 #[path = "soak/restarts.rs"]
 mod restarts;
+#[path = "soak/slow_turns.rs"]
+mod slow_turns;
 #[path = "soak/spans.rs"]
 mod spans;
 #[path = "soak/stalled_cases.rs"]
@@ -116,6 +119,8 @@
 ///
 /// 8002, 8003: an owner behind a narrow link started and kept running what had been cancelled at other nodes seconds before.
 const CANCELLATION_SEEDS: [u64; 2] = [8_002, 8_003];
+/// Seeds of a short run in which the store is slow, loses answers or turns nodes away as a turn of demand begins.
+const SLOW_TURN_SEEDS: [u64; 2] = [12_000, 12_001];
 /// Seeds of a short run of owners with narrow links.
 const NARROW_LINK_SEEDS: [u64; 2] = [9_000, 9_001];
 /// Seeds of a short run of owners that change in series.
@@ -249,6 +254,14 @@
     }
 }
 
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn guarantees_hold_when_the_store_fails_at_a_turn() {
+    for seed in seeds_or_default(SLOW_TURN_SEEDS) {
+        run_seed(seed, Kind::SlowTurns).await;
+    }
+}
+
 /// Run by hand: `cargo test --release -p thistle-scheduler --test soak many_processes -- --ignored --nocapture`.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
@@ -286,6 +299,9 @@
         soak.terminate(0);
     }
     soak.started_at = Instant::now();
+    if kind == Kind::SlowTurns {
+        soak.add_idle_nodes();
+    }
     if kind == Kind::OwnerChanges {
         soak.start_owner_changes().await;
     }
@@ -303,6 +319,7 @@
             Kind::Rerouting => soak.reroute_or_fault().await,
             Kind::Cancellations => soak.store_fault_or_calm().await,
             Kind::OwnerChanges => soak.change_owner().await,
+            Kind::SlowTurns => soak.store_fault_at_a_turn().await,
             Kind::NarrowLinks => soak.fault_beside_narrow_links().await,
             Kind::Bursts | Kind::ManyProcesses => soak.inject_burst_fault().await,
         }
@@ -351,6 +368,9 @@
         let offered = accepted.map(|job| job.tasks as u64).sum();
         broken.extend(soak.served_too_little(offered, ended_at));
     }
+    if kind == Kind::SlowTurns {
+        broken.extend(soak.owners_stopped_by_a_slow_store());
+    }
     if kind == Kind::PlannedWork {
         broken.extend(checks::unanswered_requests(&soak.system, &jobs));
     }
--- a/crates/scheduler/tests/soak/checks.rs
+++ b/crates/scheduler/tests/soak/checks.rs
@@ -42,6 +42,8 @@
     NotStarted { task: String, at: Duration, beside_room_for: Duration },
     /// Fewer tasks were done than the links of the nodes carry.
     ServedTooLittle { done: u64, floor: u64 },
+    /// Leases of owners ended although the store answered their appends.
+    LeasesEnded { count: usize },
 }
 
 /// When the end of a run was acknowledged, relative to a later start of its task.
--- a/crates/scheduler/tests/soak/kind.rs
+++ b/crates/scheduler/tests/soak/kind.rs
@@ -35,6 +35,9 @@
     NarrowLinks,
     /// Owners that change in series amid lost VMs, with demand by turns, tasks that last, and few strong nodes.
     OwnerChanges,
+    /// Demand by turns, and a store that is slow, loses answers or turns nodes away from the onset of a turn on, beside heartbeats of
+    /// many nodes.
+    SlowTurns,
     /// Nodes that are stopped and started, reloads of settings, and new configurations.
     PlannedWork,
 }
@@ -44,7 +47,8 @@
     /// this is also the number of seeds that one process may run.
     pub const fn nets(self) -> (u8, u64) {
         match self {
-            Self::Faults => (100, 60),
+            Self::Faults => (100, 50),
+            Self::SlowTurns => (150, 10),
             Self::FaultsOfMany => (160, 20),
             Self::PlannedWork => (180, 50),
             Self::Evacuations => (230, 10),
@@ -73,7 +77,11 @@
             | Self::Evacuations => 3,
             Self::FaultsOfMany => 14,
             // One node is down at first and replaces another one later.
-            Self::Bursts | Self::Draining | Self::Cancellations | Self::NarrowLinks => 4,
+            Self::Bursts
+            | Self::Draining
+            | Self::Cancellations
+            | Self::NarrowLinks
+            | Self::SlowTurns => 4,
             Self::OwnerChanges => owner_changes::NODES,
             Self::ManyProcesses => MANY_PROCESSES,
         }
@@ -97,14 +105,14 @@
 
     /// Returns whether each node has an address of the store of its own.
     pub const fn has_store_endpoints(self) -> bool {
-        matches!(self, Self::Cancellations | Self::OwnerChanges)
+        matches!(self, Self::Cancellations | Self::OwnerChanges | Self::SlowTurns)
     }
 
     pub const fn load_pattern(self) -> LoadPattern {
         match self {
             Self::Bursts | Self::ManyProcesses | Self::Draining => LoadPattern::Bursts,
             Self::Cancellations => LoadPattern::Turns,
-            Self::NarrowLinks | Self::OwnerChanges => LoadPattern::TurnsToServe,
+            Self::NarrowLinks | Self::OwnerChanges | Self::SlowTurns => LoadPattern::TurnsToServe,
             _ => LoadPattern::Even,
         }
     }
--- a/crates/scheduler/tests/store_slow_at_a_turn.rs
+++ b/crates/scheduler/tests/store_slow_at_a_turn.rs
@@ -4,43 +4,22 @@
 //! moment and appends one record at a time to each partition. An owner's heartbeats waited behind those of all nodes, and its lease
 //! ended while the store answered its other appends, so that nothing started until that queue was empty.
 
+mod idle_nodes;
 mod system;
 
 use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
+use idle_nodes::HEARTBEATS;
 use serde_json::json;
 use system::{System, ip, job, submit, wait_until, wait_until_state};
 use thistle_platform::standin::Fault;
-use thistle_platform::{Guard, KeyedRecord, Store};
 
-/// The partitions of heartbeats that all nodes use.
-const HEARTBEATS: [u32; 2] = [1, 4];
 /// How long an append takes while the store is slow: 46 times as long as usual.
 const SLOW_TIME: Duration = Duration::from_millis(184);
 /// The number of heartbeats in flight of nodes that own nothing, which fill the queues of both partitions.
 const IDLE_NODES: usize = 42;
 
-/// Sends the heartbeats of a node that owns nothing, as a real one does.
-async fn send_idle_heartbeats(store: Store, number: usize, reads_shard_heartbeats: bool) {
-    for sequence in 1_u64.. {
-        let sent_at = Instant::now();
-        let value = json!({
-            "life": number, "sequence": sequence, "leaving": false,
-            "reads_shard_heartbeats": reads_shard_heartbeats,
-        });
-        let record = [KeyedRecord::new(format!("member/idle-{number}"), value.to_string())];
-        for part in HEARTBEATS {
-            if store.append("control", part, Guard::Always, &record).await.is_ok() {
-                break;
-            }
-        }
-        while sent_at.elapsed() < Duration::from_millis(2_500) {
-            tokio::time::sleep(Duration::from_millis(450)).await;
-        }
-    }
-}
-
 /// Two nodes, of which one owns the pool.
 async fn start(net: u8) -> (System, usize) {
     let mut system = System::start(net, 2, 0).await;
@@ -57,10 +36,8 @@
 }
 
 fn add_idle_nodes(system: &System, reads_shard_heartbeats: bool) {
-    for number in 0..IDLE_NODES {
-        let store = Store::new(system.platform.store_addr());
-        tokio::spawn(send_idle_heartbeats(store, number, reads_shard_heartbeats));
-    }
+    let reads = json!({ "reads_shard_heartbeats": reads_shard_heartbeats });
+    idle_nodes::add(system.platform.store_addr(), IDLE_NODES, &reads);
 }
 
 /// Returns the lines of a node's log about its heartbeats and what it owns.
