Follow the own partition of a shard, and count a heartbeat of a first read as contact

A pool could be claimed while its owner may still act. A node read the own partition of a silent owner's shard as the newest record of each key. An append that is not answered may be written seconds later; such a late, earlier heartbeat then replaced the newest one, and the reader, which knew it already, took the owner for unresponsive 12 ms before its lease ended.

--- a/crates/schedule/src/ownership/heartbeats.rs
+++ b/crates/schedule/src/ownership/heartbeats.rs
@@ -190,15 +190,23 @@
         self.claims.iter().filter(is_due).map(|(shard, _)| shard.clone()).collect()
     }
 
-    /// Records the newest heartbeats in a shard's own partition, by a read that was sent at `sent_at`.
+    /// Records heartbeats in a shard's own partition, by a read that was sent at `sent_at` and reached the end: all since the
+    /// previous read, or, after a reload, the newest one of each node. A late append of an earlier heartbeat may have replaced a
+    /// later one there, so after a reload each heartbeat of the shard's owner counts as contact.
     pub fn record_shard_heartbeats<'a>(
         &mut self,
         shard: &Arc<str>,
         heartbeats: impl Iterator<Item = (&'a str, Heartbeat)>,
+        is_reload: bool,
         sent_at: Ms,
         now: Ms,
     ) {
         for (name, heartbeat) in heartbeats {
+            if let Some(newest) = self.claims.get_mut(shard).filter(|_| is_reload)
+                && newest.claim.owner.name == name
+            {
+                newest.seen_at = now;
+            }
             self.record_fallback_heartbeat(name, &heartbeat, now);
         }
         let read_at = self.reads.shards.entry(shard.clone()).or_default();
--- a/crates/scheduler/src/control/shard_heartbeats.rs
+++ b/crates/scheduler/src/control/shard_heartbeats.rs
@@ -19,6 +19,7 @@
 use crate::caps::CAPS;
 use crate::clock::steady_ms;
 use crate::fleet_owner::FLEET;
+use crate::follow::{Tail, Update};
 use crate::locks::lock;
 use crate::node::Node;
 use crate::pool_log::{OWNER_HEARTBEATS, topic_of};
@@ -87,21 +88,39 @@
 
 /// Reads the own partitions of shards whose owners are silent.
 pub(super) async fn poll_own_partitions(node: &Node) {
+    let mut tails: HashMap<Arc<str>, Tail> = HashMap::new();
     loop {
         let shards = lock(&node.ownership).shards_to_read(steady_ms());
-        join_all(shards.iter().map(|shard| read_own_partition(node, shard))).await;
+        for shard in &shards {
+            tails.entry(shard.clone()).or_insert_with(|| {
+                let (topic, part) = own_partition(shard);
+                Tail::new(topic, part)
+            });
+        }
+        let due = tails.iter_mut().filter(|(shard, _)| shards.contains(shard));
+        join_all(due.map(|(shard, tail)| read_own_partition(node, shard, tail))).await;
         tokio::time::sleep(HEARTBEAT_EVERY).await;
     }
 }
 
-async fn read_own_partition(node: &Node, shard: &Arc<str>) {
+async fn read_own_partition(node: &Node, shard: &Arc<str>, tail: &mut Tail) {
     let sent_at = steady_ms();
-    let (topic, part) = own_partition(shard);
-    match node.store.newest(&topic, part).await {
-        Ok(newest) => {
-            let heartbeats = newest.records.iter().filter_map(decode);
-            let now = steady_ms();
-            lock(&node.ownership).record_shard_heartbeats(shard, heartbeats, sent_at, now);
+    match tail.read(&node.store, Duration::ZERO).await {
+        Ok(update) => {
+            let (is_reload, records) = match update {
+                Update::Reloaded(records) => (true, records),
+                Update::Records(records) => (false, records),
+            };
+            // The reader has no such time for a reload, and an earlier one for a read that did not reach the end.
+            let read_at = if is_reload { Some(sent_at) } else { tail.read_at() };
+            let heartbeats = records.iter().filter_map(decode);
+            lock(&node.ownership).record_shard_heartbeats(
+                shard,
+                heartbeats,
+                is_reload,
+                read_at.unwrap_or(0),
+                steady_ms(),
+            );
         }
         Err(e) => log::info!("heartbeat step=not-read shard={shard} error=\"{e}\""),
     }
