--- a/review/lib-3/world.rs
+++ b/review/lib-3/world.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -233,7 +234,7 @@
     let (mut out, bytes) = (Vec::new(), text.as_bytes());
     let mut i = 0;
     while i < bytes.len() {
-        if bytes[i] == b'%' && i + 2 < bytes.len() + 0 {
+        if bytes[i] == b'%' && i + 2 < bytes.len() {
             let hex = std::str::from_utf8(&bytes[i + 1..i + 3]).unwrap_or("20");
             out.push(u8::from_str_radix(hex, 16).unwrap_or(b' '));
             i += 3;
@@ -539,10 +540,15 @@
 }
 
 impl Work {
-    fn of(text: &str) -> Self {
+    /// Reads the text of a job for a task of a step. A name may end with the number of the step that it holds for.
+    fn of(text: &str, step: &str) -> Self {
         let mut work = Self::default();
         for (name, value) in text.split(';').filter_map(|pair| pair.split_once('=')) {
-            match name {
+            let of_step = name.trim_start_matches(|c: char| !c.is_ascii_digit());
+            if !of_step.is_empty() && of_step != step {
+                continue;
+            }
+            match name.trim_end_matches(|c: char| c.is_ascii_digit()) {
                 "work" => work.ms = value.parse().ok(),
                 "checkpoint" => work.checkpoint = value.parse().unwrap_or(0),
                 "gang" => work.gang = value.parse().unwrap_or(0),
@@ -921,7 +927,8 @@
                 }
                 let checkpoint = body.text("checkpoint").unwrap_or_default();
                 let before = checkpoint.get(..8).and_then(|t| t.parse().ok()).unwrap_or(0);
-                let work = Work::of(body.text("spec").unwrap_or_default());
+                let step = task.split('.').nth(2).unwrap_or_default();
+                let work = Work::of(body.text("spec").unwrap_or_default(), step);
                 let run = Run {
                     attempt,
                     work,
@@ -1101,9 +1108,18 @@
     child
 }
 
-fn free_addr() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("an address")
+/// Returns the addresses of a node: ports that are free on a loopback address of its own, which no outgoing connection uses.
+fn free_addrs() -> [SocketAddr; 4] {
+    static NODES: AtomicU32 = AtomicU32::new(0);
+    let process = std::process::id();
+    loop {
+        let number = NODES.fetch_add(1, Ordering::Relaxed);
+        let ip = [127, 64 + (process >> 8) % 128, process % 256, 1 + number % 254].map(|part| part as u8);
+        let addrs = [8_624, 8_622, 9_464, 7_060].map(|port: u16| SocketAddr::from((ip, port)));
+        if addrs.iter().all(|addr| TcpListener::bind(addr).is_ok()) {
+            return addrs;
+        }
+    }
 }
 
 impl Node {
@@ -1115,8 +1131,7 @@
         machines: SocketAddr,
         pids: &Mutex<File>,
     ) -> Self {
-        let [callers, readiness, metrics, relay] =
-            [free_addr(), free_addr(), free_addr(), free_addr()];
+        let [callers, readiness, metrics, relay] = free_addrs();
         let settings: PathBuf = dir.join(format!("{name}.yaml"));
         let text = format!(
             "name: {name}\nhall: hal-a\nlisten: {callers}\nreadiness_listen: {readiness}\n\
